Lay the workspace, shared types and the kernel's replicated tables

Cause: every part needs one set of identifiers, wire messages and one host for replicated state before work can be split. Before: empty repository. Conclusion: the seams between packages are fixed; each part can grow on its own.

--- /dev/null
+++ b/crates/dandelion-net/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/dandelion-protocol/src/lib.rs
@@ -0,0 +1,15 @@
+//! Shared identifiers, value types, typed errors and wire messages.
+//!
+//! Every other package depends on this one; it depends on none of them.
+
+pub mod codec;
+pub mod config;
+pub mod control;
+pub mod fleet;
+pub mod ids;
+pub mod mesh;
+pub mod outcome;
+pub mod rollout;
+pub mod time;
+pub mod upstream;
+pub mod usage;
--- /dev/null
+++ b/crates/dandelion-protocol/src/mesh.rs
@@ -0,0 +1,187 @@
+//! Messages between daemons, one CBOR value per WebSocket message.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::control::Answer;
+use crate::control::Proposal;
+use crate::control::ProposeError;
+use crate::ids::CellId;
+use crate::ids::DaemonId;
+use crate::ids::Incarnation;
+use crate::ids::RequestId;
+use crate::ids::ServiceId;
+use crate::ids::TeamId;
+use crate::ids::ZoneId;
+use crate::outcome::Refusal;
+use crate::time::Millis;
+use crate::upstream::Announcement;
+use crate::usage::Class;
+
+/// Version of the mesh protocol.
+pub const MESH_VERSION: u16 = 1;
+
+/// First message in each direction on a mesh connection.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// [`MESH_VERSION`] of the sender.
+    pub version: u16,
+    /// Cell of the sender.
+    pub cell: CellId,
+    /// Sender.
+    pub daemon: DaemonId,
+    /// Sender's zone.
+    pub zone: ZoneId,
+    /// Life of the sender.
+    pub incarnation: Incarnation,
+    /// Address on which the sender accepts mesh connections, as `ip:port`.
+    pub address: String,
+}
+
+/// A caller's request on its way to the owner of an upstream; the key is not part of it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServeRequest {
+    /// Identity of the request.
+    pub id: RequestId,
+    /// Team, or none on an open route.
+    pub team: Option<TeamId>,
+    /// Service.
+    pub service: ServiceId,
+    /// Class.
+    pub class: Class,
+    /// HTTP method.
+    pub method: String,
+    /// Path and scrubbed query at the upstream.
+    pub path: String,
+    /// Allow-listed headers.
+    pub headers: Vec<Header>,
+    /// Body.
+    #[serde(with = "serde_bytes")]
+    pub body: Vec<u8>,
+    /// Time left of the caller's deadline.
+    pub timeout: Millis,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+}
+
+/// One HTTP header.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Header {
+    /// Name in lower case.
+    pub name: String,
+    /// Value.
+    pub value: String,
+}
+
+/// Part of an answer on its way back.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ServePart {
+    /// Status and headers; exactly one, first.
+    Head {
+        /// HTTP status.
+        status: u16,
+        /// Allow-listed headers.
+        headers: Vec<Header>,
+        /// Upstream that answers.
+        upstream: String,
+    },
+    /// Body bytes.
+    Chunk(#[serde(with = "serde_bytes")] Vec<u8>),
+    /// The answer is whole: `bytes` body bytes were sent before.
+    End {
+        /// Body bytes in all.
+        bytes: u64,
+    },
+    /// The answer failed; after a head the connection to the caller is broken visibly.
+    Failed(Refusal),
+}
+
+/// Body of a call that expects one reply.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CallBody {
+    /// Proposes a change to the control leader.
+    Propose(Proposal),
+    /// Forwards an announcement to the owner.
+    Announce(Announcement),
+    /// Forwards a trainer's or operator's HTTP request to the daemon in charge of it.
+    Forward {
+        /// Path with query.
+        path: String,
+        /// Request body.
+        #[serde(with = "serde_bytes")]
+        body: Vec<u8>,
+    },
+}
+
+/// Reply to a call.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ReplyBody {
+    /// Reply to `Propose`.
+    Proposed(Result<Answer, ProposeError>),
+    /// Reply to `Announce`.
+    Announced,
+    /// Reply to `Forward`.
+    Forwarded {
+        /// HTTP status.
+        status: u16,
+        /// Body.
+        #[serde(with = "serde_bytes")]
+        body: Vec<u8>,
+    },
+    /// The call was refused.
+    Refused(Refusal),
+}
+
+/// Any message on the mesh.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum MeshMessage {
+    /// Introduces the sender.
+    Hello(Hello),
+    /// Heartbeat, answered by `Pong` with the same number.
+    Ping(u64),
+    /// Answer to `Ping`.
+    Pong(u64),
+    /// Replication message between control daemons, encoded by the control package.
+    Raft(#[serde(with = "serde_bytes")] Vec<u8>),
+    /// Configuration feed between a daemon and its feeder, encoded by the control package.
+    Feed(#[serde(with = "serde_bytes")] Vec<u8>),
+    /// Digests and membership within a zone, encoded by the routing package.
+    Digest(#[serde(with = "serde_bytes")] Vec<u8>),
+    /// A call; `call` is unique per connection and direction.
+    Call {
+        /// Call number.
+        call: u64,
+        /// Body.
+        body: CallBody,
+    },
+    /// The reply to a call.
+    Reply {
+        /// Call number.
+        call: u64,
+        /// Body.
+        body: ReplyBody,
+    },
+    /// Opens an answer stream.
+    Serve {
+        /// Stream number, unique per connection and direction.
+        stream: u64,
+        /// Request.
+        request: ServeRequest,
+    },
+    /// Part of an answer stream.
+    Part {
+        /// Stream number.
+        stream: u64,
+        /// Part.
+        part: ServePart,
+    },
+    /// Cancels an answer stream.
+    Cancel {
+        /// Stream number.
+        stream: u64,
+    },
+}
--- /dev/null
+++ b/crates/dandelionctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
