Plan the fleet, issue orders once, bill every window once

Cause: nothing decided on upstream orders or usage windows. Before: empty package. Ruled out: correcting frozen windows (two figures for one window).

--- /dev/null
+++ b/crates/dandelion-fleet/src/plan/mod.rs
@@ -0,0 +1,20 @@
+//! Plans which upstreams to start and stop, and reconciles orders with what announced itself.
+
+pub mod demand;
+pub mod input;
+pub mod planner;
+pub mod reason;
+pub mod reconcile;
+pub mod spread;
+pub mod stock;
+
+pub use demand::HeldDemand;
+pub use input::Phase;
+pub use input::PlanInput;
+pub use input::ServiceDemand;
+pub use input::UpstreamView;
+pub use planner::FleetPlanner;
+pub use planner::PlannedChange;
+pub use reason::Reason;
+pub use reconcile::reconcile;
+pub use stock::StockBook;
--- /dev/null
+++ b/crates/dandelion-load/src/lib.rs
@@ -0,0 +1,5 @@
+//! Scenarios that load the system or its models and print what they measured.
+
+pub mod options;
+pub mod registry;
+pub mod scenarios;
--- /dev/null
+++ b/crates/dandelion-load/src/options.rs
@@ -0,0 +1,21 @@
+//! Command line of the load tool.
+
+use clap::Parser;
+
+/// Runs one scenario and prints its figures as one JSON object on the last line.
+#[derive(Debug, Clone, Parser)]
+#[command(name = "load")]
+pub struct Options {
+    /// Scenario to run.
+    #[arg(required_unless_present = "list")]
+    pub scenario: Option<String>,
+    /// Lists the scenarios.
+    #[arg(long)]
+    pub list: bool,
+    /// Seed of all random choices.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Prints nothing but the JSON object.
+    #[arg(long)]
+    pub json: bool,
+}
--- /dev/null
+++ b/crates/dandelion-load/src/registry.rs
@@ -0,0 +1,32 @@
+//! The one list of scenarios.
+
+use anyhow::Context;
+use serde_json::Value;
+
+use crate::scenarios::spot;
+
+/// A scenario: its name, what it shows and how it is run with a seed.
+#[derive(Debug, Clone, Copy)]
+pub struct Scenario {
+    /// Name on the command line.
+    pub name: &'static str,
+    /// One line on what it shows.
+    pub about: &'static str,
+    /// Runs it.
+    pub run: fn(u64) -> anyhow::Result<Value>,
+}
+
+/// Every scenario.
+pub const SCENARIOS: &[Scenario] = &[Scenario {
+    name: "spot",
+    about: "model: zones of cheap upstreams vanish, stock runs out, answers are lost",
+    run: spot::run,
+}];
+
+/// Finds a scenario by name.
+pub fn find(name: &str) -> anyhow::Result<&'static Scenario> {
+    SCENARIOS
+        .iter()
+        .find(|s| s.name == name)
+        .with_context(|| format!("no scenario `{name}`; name one that --list shows"))
+}
--- /dev/null
+++ b/crates/dandelion-load/src/scenarios/mod.rs
@@ -0,0 +1,3 @@
+//! The scenarios, one a file.
+
+pub mod spot;
