Add the operators' procedures: schema, generated code, dispatch

Cause: operators may drive the system only by procedure calls generated from a schema file. Ruled out: capnp-rpc (no plain curl) and a build-time generator (the build must need none). Before: an empty package.

--- /dev/null
+++ b/crates/dandelion-rpc/src/secret.rs
@@ -0,0 +1,43 @@
+//! Secrets of keys: 256 random bits as 64 hexadecimal digits, stored only as a SHA-256 digest.
+
+use std::fmt;
+
+use sha2::Digest;
+use sha2::Sha256;
+
+use crate::error::RpcError;
+use crate::generated::GrantKeyAnswer;
+
+/// Random bytes in a secret.
+pub const SECRET_BYTES: usize = 32;
+
+/// Writes random bytes as the secret that a caller shows.
+pub fn format_secret(random: &[u8; SECRET_BYTES]) -> String {
+    hex::encode(random)
+}
+
+/// Returns the digest that stands for a secret.
+pub fn digest_secret(secret: &str) -> [u8; 32] {
+    Sha256::digest(secret.as_bytes()).into()
+}
+
+/// Reads a digest from a request.
+pub fn parse_digest(text: &str) -> Result<[u8; 32], RpcError> {
+    let mut digest = [0; 32];
+    match hex::decode_to_slice(text, &mut digest) {
+        Ok(()) => Ok(digest),
+        Err(error) => Err(RpcError::invalid(
+            "secret_digest",
+            &error.to_string(),
+            "send the SHA-256 digest of the secret as 64 hexadecimal digits",
+        )),
+    }
+}
+
+impl fmt::Debug for GrantKeyAnswer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("GrantKeyAnswer")
+            .field("change", &self.change)
+            .finish_non_exhaustive()
+    }
+}
