Carry usage copies between daemons as a typed call

Cause: copies of usage counters need a message that the mesh knows; the report type lived in the fleet package, which the protocol may not depend on. Before: no way to copy.

--- a/crates/dandelion-fleet/src/usage/copies.rs
+++ b/crates/dandelion-fleet/src/usage/copies.rs
@@ -4,9 +4,9 @@
 
 use dandelion_protocol::ids::DaemonId;
 use dandelion_protocol::ids::Incarnation;
+use dandelion_protocol::usage::CounterReport;
 use dandelion_protocol::usage::WindowId;
 
-use crate::usage::counters::CounterReport;
 use crate::usage::counters::KEPT_WINDOWS;
 
 type Source = (DaemonId, Incarnation, WindowId);
--- a/crates/dandelion-fleet/src/usage/counters.rs
+++ b/crates/dandelion-fleet/src/usage/counters.rs
@@ -6,34 +6,13 @@
 use dandelion_protocol::ids::Incarnation;
 use dandelion_protocol::ids::TeamId;
 use dandelion_protocol::usage::Class;
+use dandelion_protocol::usage::CounterReport;
 use dandelion_protocol::usage::Counts;
 use dandelion_protocol::usage::TeamCounts;
 use dandelion_protocol::usage::WindowId;
-use serde::Deserialize;
-use serde::Serialize;
-
 /// Windows that a daemon keeps after they closed, so that it can submit them again.
 pub const KEPT_WINDOWS: u64 = 16;
 
-/// Cumulative figures of one daemon incarnation in one window.
-///
-/// A report with a higher sequence replaces every earlier one of the same source.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CounterReport {
-    /// Daemon that counted.
-    pub daemon: DaemonId,
-    /// Life of the daemon process.
-    pub incarnation: Incarnation,
-    /// Window in which the work ended.
-    pub window: WindowId,
-    /// Grows with every change of the totals.
-    pub sequence: u64,
-    /// Whether the daemon will add nothing more to this window.
-    pub closed: bool,
-    /// Totals, ordered by team and class.
-    pub totals: Vec<TeamCounts>,
-}
-
 #[derive(Debug, Default)]
 struct WindowCounters {
     sequence: u64,
--- a/crates/dandelion-fleet/src/usage/mod.rs
+++ b/crates/dandelion-fleet/src/usage/mod.rs
@@ -7,7 +7,6 @@
 pub mod table;
 
 pub use copies::CopyStore;
-pub use counters::CounterReport;
 pub use counters::UsageCounters;
 pub use figures::WindowFigures;
 pub use reporter::ReportOutcome;
--- a/crates/dandelion-fleet/src/usage/table.rs
+++ b/crates/dandelion-fleet/src/usage/table.rs
@@ -11,6 +11,7 @@
 use dandelion_protocol::ids::Incarnation;
 use dandelion_protocol::time::Millis;
 use dandelion_protocol::time::WallMillis;
+use dandelion_protocol::usage::CounterReport;
 use dandelion_protocol::usage::Counts;
 use dandelion_protocol::usage::TeamCounts;
 use dandelion_protocol::usage::WindowId;
@@ -18,7 +19,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::usage::counters::CounterReport;
 use crate::usage::counters::KEPT_WINDOWS;
 use crate::usage::figures::Totals;
 use crate::usage::figures::WindowFigures;
--- a/crates/dandelion-fleet/tests/usage_windows.rs
+++ b/crates/dandelion-fleet/tests/usage_windows.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 
 use dandelion_fleet::usage::CopyStore;
-use dandelion_fleet::usage::CounterReport;
 use dandelion_fleet::usage::UsageCommand;
 use dandelion_fleet::usage::UsageCounters;
 use dandelion_fleet::usage::UsageReply;
@@ -18,6 +17,7 @@
 use dandelion_protocol::time::Millis;
 use dandelion_protocol::time::WallMillis;
 use dandelion_protocol::usage::Class;
+use dandelion_protocol::usage::CounterReport;
 use dandelion_protocol::usage::Counts;
 use dandelion_protocol::usage::TeamCounts;
 use dandelion_protocol::usage::WindowId;
--- a/crates/dandelion-protocol/src/mesh.rs
+++ b/crates/dandelion-protocol/src/mesh.rs
@@ -17,6 +17,7 @@
 use crate::time::Millis;
 use crate::upstream::Announcement;
 use crate::usage::Class;
+use crate::usage::CounterReport;
 
 /// Version of the mesh protocol.
 pub const MESH_VERSION: u16 = 1;
@@ -105,6 +106,8 @@
     Propose(Proposal),
     /// Forwards an announcement to the owner.
     Announce(Announcement),
+    /// Copies usage counters to a daemon of another zone.
+    CopyUsage(Vec<CounterReport>),
     /// Forwards a trainer's or operator's HTTP request to the daemon in charge of it.
     Forward {
         /// Path with query.
@@ -123,6 +126,8 @@
     Proposed(Result<Answer, ProposeError>),
     /// Reply to `Announce`.
     Announced,
+    /// Reply to `CopyUsage`.
+    Copied,
     /// Reply to `Forward`.
     Forwarded {
         /// HTTP status.
--- a/crates/dandelion-protocol/src/usage.rs
+++ b/crates/dandelion-protocol/src/usage.rs
@@ -3,6 +3,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::ids::DaemonId;
+use crate::ids::Incarnation;
 use crate::ids::TeamId;
 
 /// Class of a request; interactive goes before rollout.
@@ -65,3 +67,22 @@
     Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
 )]
 pub struct WindowId(pub u64);
+
+/// Cumulative figures of one daemon incarnation in one window.
+///
+/// A report with a higher sequence replaces every earlier one of the same source.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CounterReport {
+    /// Daemon that counted.
+    pub daemon: DaemonId,
+    /// Life of the daemon process.
+    pub incarnation: Incarnation,
+    /// Window in which the work ended.
+    pub window: WindowId,
+    /// Grows with every change of the totals.
+    pub sequence: u64,
+    /// Whether the daemon will add nothing more to this window.
+    pub closed: bool,
+    /// Totals, ordered by team and class.
+    pub totals: Vec<TeamCounts>,
+}
