Lay the control package: replication, storage, lease, feed, tables

This lays the interfaces that the daemon wires up; no test drives them yet, so nothing is claimed of them. Ruled out: joint consensus, as voters change one at a time.

--- /dev/null
+++ b/crates/dandelion-control/src/feed/client.rs
@@ -0,0 +1,358 @@
+//! A daemon's side of the feed: renewals, lease and a copy of the spread tables.
+
+use std::collections::VecDeque;
+
+use dandelion_kernel::TableSet;
+use dandelion_protocol::codec;
+use dandelion_protocol::ids::DaemonId;
+use dandelion_protocol::ids::RequestId;
+use dandelion_protocol::ids::Revision;
+use dandelion_protocol::ids::ZoneId;
+use dandelion_protocol::mesh::MeshMessage;
+use dandelion_protocol::time::Millis;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::feed::message::FeedMessage;
+use crate::feed::message::Grant;
+use crate::feed::message::Push;
+use crate::feed::message::Refuse;
+use crate::feed::message::Renew;
+use crate::feed::message::SpreadChange;
+use crate::feed::message::Update;
+use crate::raft::GroupId;
+use crate::timing::Timing;
+
+/// Renewals whose sending time is remembered.
+const MAX_SENT: usize = 8;
+
+/// Renewals without a grant after which another feeder is tried.
+const MAX_MISSED: u32 = 2;
+
+/// A control daemon that can feed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Feeder {
+    /// Its name.
+    pub daemon: DaemonId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+}
+
+/// Settings of a daemon's side of the feed.
+#[derive(Debug, Clone)]
+pub struct FeedSettings {
+    /// The daemon's availability zone; feeders there are preferred.
+    pub zone: ZoneId,
+    /// Control daemons.
+    pub feeders: Vec<Feeder>,
+    /// Periods and leases.
+    pub timing: Timing,
+}
+
+/// What can happen to the client.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum FeedEvent {
+    /// Time has passed.
+    Tick,
+    /// A feed message arrived; those for feeders are ignored.
+    Message {
+        /// Sender.
+        from: DaemonId,
+        /// Encoded message.
+        bytes: Vec<u8>,
+    },
+    /// The connection to a daemon was lost.
+    Lost(DaemonId),
+}
+
+/// What the client asks for.
+#[derive(Debug, Clone, PartialEq)]
+pub enum FeedAction {
+    /// Send a message, to this daemon itself as well.
+    Send {
+        /// Receiver.
+        to: DaemonId,
+        /// Message.
+        message: MeshMessage,
+    },
+    /// The spread tables changed.
+    Applied {
+        /// Revision now held.
+        revision: Revision,
+    },
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Sent {
+    nonce: u64,
+    at: Millis,
+}
+
+/// A daemon's copy of the spread tables and its lease.
+#[derive(Debug)]
+pub struct FeedClient {
+    settings: FeedSettings,
+    rng: SmallRng,
+    tables: TableSet,
+    group: GroupId,
+    feeder: Option<DaemonId>,
+    leader: Option<DaemonId>,
+    sent: VecDeque<Sent>,
+    nonce: u64,
+    missed: u32,
+    next: Millis,
+    until: Millis,
+}
+
+impl FeedClient {
+    /// Opens a client without state and without a lease.
+    pub fn open(settings: FeedSettings, seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let nonce = rng.random::<u64>() >> 1;
+        Self {
+            settings,
+            rng,
+            tables: TableSet::open_spread(),
+            group: GroupId::default(),
+            feeder: None,
+            leader: None,
+            sent: VecDeque::new(),
+            nonce,
+            missed: 0,
+            next: Millis::ZERO,
+            until: Millis::ZERO,
+        }
+    }
+
+    /// Returns whether keyed routes may be served at `now`.
+    pub fn lease_valid(&self, now: Millis) -> bool {
+        now < self.until
+    }
+
+    /// Returns when the lease ends.
+    pub fn lease_end(&self) -> Millis {
+        self.until
+    }
+
+    /// Returns the revision held.
+    pub fn revision(&self) -> Revision {
+        self.tables.revision()
+    }
+
+    /// Borrows the spread tables.
+    pub fn tables(&self) -> &TableSet {
+        &self.tables
+    }
+
+    /// Returns the control leader, as far as the feeder knows.
+    pub fn leader_hint(&self) -> Option<&DaemonId> {
+        self.leader.as_ref()
+    }
+
+    /// Returns the feeder in use.
+    pub fn feeder(&self) -> Option<&DaemonId> {
+        self.feeder.as_ref()
+    }
+
+    /// Replaces the list of control daemons.
+    pub fn set_feeders(&mut self, feeders: Vec<Feeder>) {
+        let kept = feeders
+            .iter()
+            .any(|f| Some(&f.daemon) == self.feeder.as_ref());
+        if !kept {
+            self.feeder = None;
+        }
+        self.settings.feeders = feeders;
+    }
+
+    /// Handles one event.
+    pub fn handle(&mut self, now: Millis, event: FeedEvent, actions: &mut Vec<FeedAction>) {
+        match event {
+            FeedEvent::Tick => self.tick(now, actions),
+            FeedEvent::Lost(daemon) => {
+                if self.feeder.as_ref() == Some(&daemon) {
+                    self.switch(now);
+                }
+            }
+            FeedEvent::Message { from, bytes } => {
+                let Ok(message) = codec::decode(&bytes) else {
+                    return;
+                };
+                self.receive(now, &from, message, actions);
+            }
+        }
+    }
+
+    fn receive(
+        &mut self,
+        now: Millis,
+        from: &DaemonId,
+        message: FeedMessage,
+        actions: &mut Vec<FeedAction>,
+    ) {
+        match message {
+            FeedMessage::Grant(grant) => self.on_grant(now, grant, actions),
+            FeedMessage::Push(push) => self.on_push(now, &push, actions),
+            FeedMessage::Refuse(refuse) => self.on_refuse(now, from, refuse),
+            FeedMessage::Renew(_) | FeedMessage::Report(_) | FeedMessage::Licence(_) => {}
+        }
+    }
+
+    fn tick(&mut self, now: Millis, actions: &mut Vec<FeedAction>) {
+        if now >= self.next {
+            if self.missed >= MAX_MISSED {
+                self.switch(now);
+            }
+            self.renew(now, actions);
+        }
+    }
+
+    /// Chooses another feeder: one of the own zone on the first try, then any.
+    fn switch(&mut self, now: Millis) {
+        let zone = &self.settings.zone;
+        let current = self.feeder.take();
+        let others = self.settings.feeders.iter();
+        let others = others.filter(|f| Some(&f.daemon) != current.as_ref());
+        let (near, far): (Vec<_>, Vec<_>) = others.partition(|f| f.zone == *zone);
+        let pool = if near.is_empty() || self.missed > MAX_MISSED {
+            [near, far].concat()
+        } else {
+            near
+        };
+        self.feeder = match pool.len() {
+            0 => current,
+            n => Some(pool[self.rng.random_range(0..n)].daemon.clone()),
+        };
+        self.next = now;
+    }
+
+    fn renew(&mut self, now: Millis, actions: &mut Vec<FeedAction>) {
+        if self.feeder.is_none() {
+            self.switch(now);
+        }
+        let Some(to) = self.feeder.clone() else {
+            return;
+        };
+        self.nonce += 1;
+        self.missed += 1;
+        self.next = now + self.settings.timing.feed_period;
+        self.sent.push_back(Sent {
+            nonce: self.nonce,
+            at: now,
+        });
+        if self.sent.len() > MAX_SENT {
+            self.sent.pop_front();
+        }
+        let renew = Renew {
+            nonce: self.nonce,
+            group: self.group,
+            applied: self.revision(),
+        };
+        if let Ok(bytes) = codec::encode(&FeedMessage::Renew(renew)) {
+            let message = MeshMessage::Feed(bytes);
+            actions.push(FeedAction::Send { to, message });
+        }
+    }
+
+    fn on_grant(&mut self, now: Millis, grant: Grant, actions: &mut Vec<FeedAction>) {
+        let sent = self.sent.iter().find(|sent| sent.nonce == grant.nonce);
+        let Some(sent) = sent.copied() else {
+            return;
+        };
+        let before = self.revision();
+        if !self.accepts(grant.group) || !self.update(&grant.update, actions) {
+            self.switch(now);
+            self.next = now + self.retry_delay();
+            return;
+        }
+        let changed = grant.update.image.is_some() || !grant.update.changes.is_empty();
+        if changed && self.revision() > before {
+            self.next = now + self.settings.timing.report_gap;
+        }
+        self.group = grant.group;
+        self.leader = grant.leader;
+        self.missed = 0;
+        self.until = self.until.max(sent.at + grant.lease);
+    }
+
+    fn on_push(&mut self, now: Millis, push: &Push, actions: &mut Vec<FeedAction>) {
+        let fresh = self.group == GroupId::default();
+        if fresh || push.group != self.group {
+            return;
+        }
+        let before = self.revision();
+        let applied = self.update(&push.update, actions);
+        if !applied || self.revision() > before {
+            self.renew(now, actions);
+        }
+    }
+
+    fn on_refuse(&mut self, now: Millis, from: &DaemonId, refuse: Refuse) {
+        let asked = self.sent.iter().any(|sent| sent.nonce == refuse.nonce);
+        if asked && self.feeder.as_ref() == Some(from) {
+            self.leader = refuse.leader.or_else(|| self.leader.take());
+            self.switch(now);
+            self.next = now + self.retry_delay();
+        }
+    }
+
+    /// Time before another feeder is asked.
+    fn retry_delay(&self) -> Millis {
+        Millis(self.settings.timing.feed_period.0 / 4)
+    }
+
+    fn accepts(&self, group: GroupId) -> bool {
+        self.group == GroupId::default() || self.group == group
+    }
+
+    /// Applies an update and returns whether the state is now at least at its revision.
+    fn update(&mut self, update: &Update, actions: &mut Vec<FeedAction>) -> bool {
+        let before = self.revision();
+        if update.to < before {
+            return false;
+        }
+        let applied = match &update.image {
+            Some(image) => self.restore(image, update.to),
+            None => self.apply(update),
+        };
+        let revision = self.revision();
+        let changed = update.image.is_some() || !update.changes.is_empty();
+        if applied && changed && revision > before {
+            actions.push(FeedAction::Applied { revision });
+        }
+        applied
+    }
+
+    fn restore(&mut self, image: &[u8], to: Revision) -> bool {
+        if to == self.revision() && self.group != GroupId::default() {
+            return true;
+        }
+        let Ok(image) = codec::decode(image) else {
+            return false;
+        };
+        self.tables.restore(&image).is_ok() && self.revision() == to
+    }
+
+    fn apply(&mut self, update: &Update) -> bool {
+        let held = self.revision();
+        let known = self.group != GroupId::default() || update.from == Revision(0);
+        if update.from > held || !known {
+            return false;
+        }
+        let missing = update.changes.iter().filter(|c| c.revision > held);
+        for change in missing {
+            apply_change(&mut self.tables, change);
+        }
+        self.tables.skip_to(update.to);
+        true
+    }
+}
+
+/// Applies a change that took effect on the control daemons. It is known to be new, so it gets an
+/// identity of its own: the copy must not take it for a resend.
+fn apply_change(tables: &mut TableSet, change: &SpreadChange) {
+    let mut proposal = change.proposal.clone();
+    proposal.id = RequestId(u128::from(change.revision.0));
+    tables.apply(change.revision, &proposal);
+}
--- a/crates/dandelion-control/src/lib.rs
+++ b/crates/dandelion-control/src/lib.rs
@@ -1,1 +1,18 @@
-//! Placeholder.
+//! Replicated control state of one cell: log, storage, leader lease, feed, configuration, keys
+//! and membership.
+//!
+//! Everything but [`storage::FileStorage`] is deterministic: times, random seeds and messages are
+//! passed in.
+
+pub mod feed;
+pub mod keys;
+pub mod node;
+pub mod raft;
+pub mod storage;
+pub mod tables;
+pub mod timing;
+
+pub use feed::FeedClient;
+pub use node::ControlNode;
+pub use storage::FileStorage;
+pub use timing::Timing;
--- /dev/null
+++ b/crates/dandelion-control/src/node/changes.rs
@@ -0,0 +1,150 @@
+//! Changes of the voters: one at a time, asked for by operators or by repairs.
+
+use dandelion_protocol::ids::DaemonId;
+use dandelion_protocol::time::Millis;
+
+use crate::node::control::ControlNode;
+use crate::node::event::NodeAction;
+use crate::raft::ChangeError;
+use crate::raft::Position;
+use crate::raft::ReplicaId;
+use crate::raft::VoterChange;
+use crate::raft::bootstrap::MAX_PROMOTION_LAG;
+use crate::storage::Storage;
+
+/// A change of an operator that is under way.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    ticket: u64,
+    at: Position,
+    /// Voter to remove once the first step is committed.
+    then: Option<DaemonId>,
+}
+
+impl<S> ControlNode<S>
+where
+    S: Storage,
+{
+    pub(super) fn on_change(
+        &mut self,
+        now: Millis,
+        ticket: u64,
+        change: VoterChange,
+        actions: &mut Vec<NodeAction>,
+    ) {
+        let begun = if self.plan.is_some() {
+            Err(ChangeError::Busy)
+        } else {
+            self.begin_change(now, &change)
+        };
+        match begun {
+            Ok(at) => {
+                let then = match change {
+                    VoterChange::Replace { old, .. } => Some(old),
+                    VoterChange::Add(_) | VoterChange::Remove(_) => None,
+                };
+                self.plan = Some(Plan { ticket, at, then });
+            }
+            Err(error) => {
+                let result = Err(error);
+                actions.push(NodeAction::Changed { ticket, result });
+            }
+        }
+    }
+
+    fn begin_change(&mut self, now: Millis, change: &VoterChange) -> Result<Position, ChangeError> {
+        match change {
+            VoterChange::Add(daemon) => self.replica.add_voter(daemon),
+            VoterChange::Remove(daemon) => self.replica.remove_replica(now, daemon),
+            VoterChange::Replace { old, new } => {
+                let voter = self.replica.membership().newest(old, true);
+                if voter.is_none() {
+                    return Err(ChangeError::Unknown {
+                        daemon: old.clone(),
+                        wanted: "voter".to_owned(),
+                    });
+                }
+                self.replica.add_voter(new)
+            }
+        }
+    }
+
+    /// Goes on with an operator's change once its last step is committed.
+    pub(super) fn tick_plan(&mut self, now: Millis, actions: &mut Vec<NodeAction>) {
+        let Some(plan) = self.plan.clone() else {
+            return;
+        };
+        if self.replica.commit() < plan.at.index {
+            return;
+        }
+        let next = plan
+            .then
+            .as_ref()
+            .map(|old| self.replica.remove_replica(now, old));
+        match next {
+            None => self.finish_plan(plan.ticket, Ok(()), actions),
+            Some(Ok(at)) => {
+                self.plan = Some(Plan {
+                    at,
+                    then: None,
+                    ..plan
+                });
+            }
+            // A repair is under way, or the new voter has not answered yet.
+            Some(Err(ChangeError::Busy | ChangeError::NoQuorum { .. })) => {}
+            Some(Err(error)) => self.finish_plan(plan.ticket, Err(error), actions),
+        }
+    }
+
+    fn finish_plan(
+        &mut self,
+        ticket: u64,
+        result: Result<(), ChangeError>,
+        actions: &mut Vec<NodeAction>,
+    ) {
+        self.plan = None;
+        actions.push(NodeAction::Changed { ticket, result });
+    }
+
+    pub(super) fn lose_plan(&mut self, actions: &mut Vec<NodeAction>) {
+        if let Some(plan) = self.plan.take() {
+            self.finish_plan(plan.ticket, Err(ChangeError::Lost), actions);
+        }
+    }
+
+    /// Repairs the set of voters: a voter whose daemon came back under a new identity is replaced
+    /// by it, and learners fill up missing voters.
+    pub(super) fn tick_repair(&mut self, now: Millis) {
+        let idle = self.plan.is_none() && self.replica.members_committed();
+        if self.replica.leads().is_none() || !idle {
+            return;
+        }
+        if self.replica.membership().outdated_voter().is_some() {
+            self.replica.remove_outdated(now);
+            return;
+        }
+        if let Some(daemon) = self.promotable(now) {
+            // Refusals are retried with the next tick.
+            let _ = self.replica.add_voter(&daemon);
+        }
+    }
+
+    fn promotable(&self, now: Millis) -> Option<DaemonId> {
+        let members = self.replica.membership();
+        let missing = members.voters().count() < self.settings.voters;
+        let zones = members.voters().map(|id| &members.replicas[&id].zone);
+        let zones = zones.collect::<Vec<_>>();
+        let ready = |id: ReplicaId| {
+            self.replica.is_alive(now, id) && self.replica.lag(id) <= MAX_PROMOTION_LAG
+        };
+        let learners = members.replicas.iter().filter(|(_, r)| !r.voter);
+        let mut wanted = learners.filter(|(id, r)| {
+            let returned = members.newest(&r.daemon, true).is_some();
+            (missing || returned) && ready(**id)
+        });
+        let first = wanted.clone().find(|(_, r)| !zones.contains(&&r.zone));
+        first
+            .or_else(|| wanted.next())
+            .map(|(_, r)| r.daemon.clone())
+    }
+}
--- /dev/null
+++ b/crates/dandelion-control/src/node/joining.rs
@@ -0,0 +1,141 @@
+//! First start of a group, and replicas that introduce themselves.
+
+use std::collections::BTreeMap;
+
+use dandelion_protocol::ids::DaemonId;
+use dandelion_protocol::time::Millis;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::node::control::ControlNode;
+use crate::node::control::send_raft;
+use crate::node::event::NodeAction;
+use crate::raft::GroupId;
+use crate::raft::Join;
+use crate::raft::JoinReply;
+use crate::raft::Membership;
+use crate::raft::RaftMessage;
+use crate::raft::Replicator;
+use crate::storage::Storage;
+
+/// Time between two introductions.
+pub const JOIN_PERIOD: Millis = Millis(500);
+
+/// What a replica without a group has learnt of the others.
+#[derive(Debug)]
+pub struct Joining {
+    rng: SmallRng,
+    next: Millis,
+    empty: BTreeMap<DaemonId, Join>,
+}
+
+impl Joining {
+    /// Starts with nothing known.
+    pub fn open(seed: u64) -> Self {
+        Self {
+            rng: SmallRng::seed_from_u64(seed ^ 0x6a6f_696e),
+            next: Millis::ZERO,
+            empty: BTreeMap::new(),
+        }
+    }
+}
+
+impl<S> ControlNode<S>
+where
+    S: Storage,
+{
+    pub(super) fn tick_joining(&mut self, now: Millis, actions: &mut Vec<NodeAction>) {
+        if !self.replica.membership().is_empty() || now < self.joining.next {
+            return;
+        }
+        self.joining.next = now + JOIN_PERIOD;
+        if self.may_bootstrap() {
+            self.bootstrap();
+            return;
+        }
+        let join = RaftMessage::Join(self.replica.introduction());
+        let own = &self.settings.daemon;
+        for peer in self.settings.peers.iter().filter(|peer| *peer != own) {
+            send_raft(peer.clone(), &join, actions);
+        }
+    }
+
+    /// Only the first of the peers starts a group, and only once every other one has said, to
+    /// this very identity, that it knows none.
+    fn may_bootstrap(&self) -> bool {
+        let own = &self.settings.daemon;
+        let mut peers = self.settings.peers.iter();
+        let first = self.settings.peers.iter().min() == Some(own);
+        first && peers.all(|peer| peer == own || self.joining.empty.contains_key(peer))
+    }
+
+    fn bootstrap(&mut self) {
+        let Some(data) = Self::empty_image() else {
+            return;
+        };
+        let mut joins = self.joining.empty.values().cloned().collect::<Vec<_>>();
+        joins.insert(0, self.replica.introduction());
+        let group = GroupId(self.joining.rng.random_range(1..=u64::MAX));
+        let members = first_members(group, &joins, self.settings.voters);
+        self.replica.bootstrap(members, data);
+    }
+
+    pub(super) fn on_join(&mut self, from: &DaemonId, join: &Join, actions: &mut Vec<NodeAction>) {
+        if *from == join.daemon {
+            self.reply_join(join, actions);
+        }
+        if self.replica.leads().is_some() {
+            self.replica.admit(join);
+            return;
+        }
+        let leader = self.leader().cloned();
+        if let Some(leader) = leader.filter(|_| *from == join.daemon) {
+            send_raft(leader, &RaftMessage::Join(join.clone()), actions);
+        }
+    }
+
+    fn reply_join(&self, join: &Join, actions: &mut Vec<NodeAction>) {
+        let reply = JoinReply {
+            asker: join.replica,
+            sender: self.replica.introduction(),
+            empty: self.replica.membership().is_empty(),
+        };
+        let to = join.daemon.clone();
+        send_raft(to, &RaftMessage::JoinReply(reply), actions);
+    }
+
+    pub(super) fn on_join_reply(&mut self, reply: JoinReply) {
+        if reply.asker != self.replica.id() {
+            return;
+        }
+        let daemon = reply.sender.daemon.clone();
+        if reply.empty {
+            self.joining.empty.insert(daemon, reply.sender);
+        } else {
+            self.joining.empty.remove(&daemon);
+        }
+    }
+}
+
+/// Makes the first replicas voters, one zone after the other.
+fn first_members(group: GroupId, joins: &[Join], voters: usize) -> Membership {
+    let mut members = Membership {
+        group,
+        ..Membership::default()
+    };
+    let mut rest = joins.iter().collect::<Vec<_>>();
+    while !rest.is_empty() {
+        let used = |join: &&Join| members.replicas.values().any(|r| r.zone == join.zone);
+        let at = rest.iter().position(|join| !used(join)).unwrap_or(0);
+        let join = rest.remove(at);
+        let replica = Replicator {
+            daemon: join.daemon.clone(),
+            zone: join.zone.clone(),
+            voter: members.replicas.len() < voters,
+            joined: 1,
+        };
+        members.replicas.insert(join.replica, replica);
+    }
+    members
+}
--- /dev/null
+++ b/crates/dandelion-control/src/node/mod.rs
@@ -0,0 +1,20 @@
+//! A control daemon: replica, tables, leader lease, feeding, repairs.
+
+pub mod apply;
+pub mod changes;
+pub mod control;
+pub mod event;
+pub mod feeder;
+pub mod feeding;
+pub mod joining;
+pub mod ledger;
+pub mod spread_log;
+pub mod status;
+
+pub use control::ControlNode;
+pub use event::NodeAction;
+pub use event::NodeEvent;
+pub use event::NodeSettings;
+pub use status::InForce;
+pub use status::ReplicaStatus;
+pub use status::Status;
--- /dev/null
+++ b/crates/dandelion-control/src/node/spread_log.rs
@@ -0,0 +1,49 @@
+//! Recent changes of spread tables, from which daemons are brought up to date.
+
+use std::collections::VecDeque;
+
+use dandelion_protocol::ids::Revision;
+
+use crate::feed::SpreadChange;
+
+/// Most changes kept; a daemon further behind gets an image.
+pub const MAX_SPREAD_CHANGES: usize = 4096;
+
+/// Changes that took effect on spread tables, oldest first.
+#[derive(Debug, Default)]
+pub struct SpreadLog {
+    floor: Revision,
+    changes: VecDeque<SpreadChange>,
+}
+
+impl SpreadLog {
+    /// Forgets everything up to `revision`.
+    pub fn reset(&mut self, revision: Revision) {
+        self.floor = revision;
+        self.changes.clear();
+    }
+
+    /// Adds a change.
+    pub fn push(&mut self, change: SpreadChange) {
+        self.changes.push_back(change);
+        if self.changes.len() > MAX_SPREAD_CHANGES
+            && let Some(oldest) = self.changes.pop_front()
+        {
+            self.floor = oldest.revision;
+        }
+    }
+
+    /// Returns the changes after `revision`, or nothing if some of them are no longer held.
+    pub fn since(&self, revision: Revision) -> Option<Vec<SpreadChange>> {
+        if revision < self.floor {
+            return None;
+        }
+        let first = self.changes.partition_point(|c| c.revision <= revision);
+        Some(self.changes.range(first..).cloned().collect())
+    }
+
+    /// Returns whether any change follows `revision`.
+    pub fn has_since(&self, revision: Revision) -> bool {
+        self.changes.back().is_some_and(|c| c.revision > revision)
+    }
+}
--- /dev/null
+++ b/crates/dandelion-control/src/raft/election.rs
@@ -0,0 +1,211 @@
+//! Elections: pre-vote, vote, check of the quorum.
+
+use std::collections::BTreeMap;
+
+use dandelion_protocol::ids::Term;
+use dandelion_protocol::time::Millis;
+use rand::Rng;
+
+use crate::raft::faults::Fault;
+use crate::raft::message::Body;
+use crate::raft::progress::Progress;
+use crate::raft::replica::Replica;
+use crate::raft::replica::Role;
+use crate::raft::types::HardState;
+use crate::raft::types::Payload;
+use crate::raft::types::Position;
+use crate::raft::types::ReplicaId;
+
+impl Replica {
+    /// Lets time pass: elections, heartbeats, check of the quorum.
+    pub fn tick(&mut self, now: Millis) {
+        if self.role == Role::Leader {
+            self.tick_leader(now);
+        } else if now >= self.deadline {
+            self.start_pre_vote(now);
+        }
+    }
+
+    fn tick_leader(&mut self, now: Millis) {
+        let timing = self.settings.timing;
+        let heard = self.quorum_heard(now).unwrap_or_default().max(self.elected);
+        if now >= heard + timing.promise + timing.election_spread {
+            let term = self.hard.term;
+            self.follow(now, term);
+            return;
+        }
+        if now >= self.beat + timing.heartbeat {
+            self.beat = now;
+            self.send_heartbeats(now);
+        }
+    }
+
+    /// Returns whether a leader may still rely on this replica's promise.
+    fn is_promised(&self, now: Millis) -> bool {
+        let timing = self.settings.timing;
+        let lease = self.quorum_heard(now).map(|start| start + timing.promise);
+        let promise = self.heard + timing.promise;
+        let held = now < promise.max(lease.unwrap_or_default());
+        held && self.settings.fault != Some(Fault::SkipPromise)
+    }
+
+    fn start_pre_vote(&mut self, now: Millis) {
+        self.deadline = now + self.retry_delay();
+        if self.is_promised(now) || !self.membership().is_voter(self.id) {
+            return;
+        }
+        self.role = Role::PreCandidate;
+        self.leader = None;
+        self.votes = BTreeMap::from([(self.id, true)]);
+        if self.has_won() {
+            self.start_election(now);
+            return;
+        }
+        let last = self.log.last();
+        let term = self.hard.term.next();
+        for id in self.other_voters() {
+            self.send_as(id, term, Body::PreVote { last });
+        }
+    }
+
+    fn retry_delay(&mut self) -> Millis {
+        let spread = self.settings.timing.election_spread.0;
+        Millis(spread / 2 + self.rng.random_range(0..=spread / 2))
+    }
+
+    fn start_election(&mut self, now: Millis) {
+        self.role = Role::Candidate;
+        self.leader = None;
+        self.hard = HardState {
+            term: self.hard.term.next(),
+            vote: Some(self.id),
+        };
+        self.save_hard();
+        self.votes = BTreeMap::from([(self.id, true)]);
+        self.deadline = now + self.retry_delay();
+        if self.has_won() {
+            self.lead(now);
+            return;
+        }
+        let last = self.log.last();
+        for id in self.other_voters() {
+            self.send(id, Body::Vote { last });
+        }
+    }
+
+    fn other_voters(&self) -> Vec<ReplicaId> {
+        let own = self.id;
+        self.membership().voters().filter(|id| *id != own).collect()
+    }
+
+    fn has_won(&self) -> bool {
+        let granted = |id: ReplicaId| self.votes.get(&id).copied().unwrap_or(false);
+        self.membership().has_quorum(granted)
+    }
+
+    fn is_behind(&self, last: Position) -> bool {
+        last < self.log.last() && self.settings.fault != Some(Fault::IgnoreLog)
+    }
+
+    pub(super) fn on_pre_vote(&mut self, now: Millis, from: ReplicaId, term: Term, last: Position) {
+        let granted = term > self.hard.term && !self.is_behind(last) && !self.is_promised(now);
+        let reply_term = if granted { term } else { self.hard.term };
+        self.send_as(from, reply_term, Body::PreVoteReply { granted });
+    }
+
+    pub(super) fn on_pre_vote_reply(
+        &mut self,
+        now: Millis,
+        from: ReplicaId,
+        term: Term,
+        granted: bool,
+    ) {
+        if !granted {
+            if term > self.hard.term {
+                self.follow(now, term);
+            }
+            return;
+        }
+        let asked = self.role == Role::PreCandidate && term == self.hard.term.next();
+        if !asked {
+            return;
+        }
+        self.votes.insert(from, true);
+        if self.has_won() {
+            self.start_election(now);
+        }
+    }
+
+    pub(super) fn on_vote(&mut self, now: Millis, from: ReplicaId, term: Term, last: Position) {
+        if self.is_promised(now) {
+            return;
+        }
+        if term > self.hard.term {
+            self.follow(now, term);
+        }
+        let free = self.hard.vote.is_none_or(|vote| vote == from);
+        let unused = free || self.settings.fault == Some(Fault::DoubleVote);
+        let granted = term == self.hard.term && unused && !self.is_behind(last);
+        if granted {
+            self.hard.vote = Some(from);
+            self.save_hard();
+            self.reset_deadline(now);
+        }
+        self.send(from, Body::VoteReply { granted });
+    }
+
+    pub(super) fn on_vote_reply(&mut self, now: Millis, from: ReplicaId, granted: bool) {
+        if self.role != Role::Candidate {
+            return;
+        }
+        self.votes.insert(from, granted);
+        if self.has_won() {
+            self.lead(now);
+        }
+    }
+
+    /// Follows in `term`, with no leader known.
+    pub(super) fn follow(&mut self, now: Millis, term: Term) {
+        if self.role == Role::Leader {
+            // The promise to oneself ends with the lease.
+            self.heard = self.heard.max(self.quorum_heard(now).unwrap_or_default());
+        }
+        if term > self.hard.term {
+            self.hard = HardState { term, vote: None };
+            self.save_hard();
+        }
+        self.role = Role::Follower;
+        self.leader = None;
+        self.votes.clear();
+        self.progress.clear();
+        self.reset_deadline(now);
+    }
+
+    fn lead(&mut self, now: Millis) {
+        self.role = Role::Leader;
+        self.leader = Some(self.id);
+        self.elected = now;
+        self.beat = now;
+        self.first = self.log.last().index + 1;
+        self.progress.clear();
+        self.track_members();
+        self.send_heartbeats(now);
+        self.propose(Payload::Empty);
+    }
+
+    /// Keeps one progress record for each other replica, if leading.
+    pub(super) fn track_members(&mut self) {
+        if self.role != Role::Leader {
+            return;
+        }
+        let last = self.log.last().index;
+        let ids = self.membership().replicas.keys().copied();
+        let others = ids.filter(|id| *id != self.id).collect::<Vec<_>>();
+        self.progress.retain(|id, _| others.contains(id));
+        for id in others {
+            self.progress
+                .entry(id)
+                .or_insert_with(|| Progress::open(last));
+        }
+    }
+}
--- /dev/null
+++ b/crates/dandelion-control/src/storage/recover.rs
@@ -0,0 +1,50 @@
+//! What a replica finds in its folder.
+
+use crate::raft::Entry;
+use crate::raft::HardState;
+use crate::raft::ReplicaId;
+use crate::raft::Snapshot;
+use crate::storage::error::StorageError;
+use crate::storage::log_file::Head;
+use crate::storage::log_file::LOG_FILE;
+
+/// State recovered at opening.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Recovered {
+    /// Identity of the folder.
+    pub replica: ReplicaId,
+    /// Hard state.
+    pub hard: HardState,
+    /// Latest snapshot.
+    pub snapshot: Option<Snapshot>,
+    /// Entries after the snapshot.
+    pub entries: Vec<Entry>,
+}
+
+impl Recovered {
+    /// Joins a log and a snapshot. The snapshot may be newer than the log's base when the process
+    /// died between the writing of the two files.
+    pub fn join(head: Head, snapshot: Option<Snapshot>) -> Result<Self, StorageError> {
+        let at = snapshot.as_ref().map(|s| s.at).unwrap_or_default();
+        if at.index < head.base.index {
+            let reason = "its snapshot is missing or older than the log";
+            return Err(StorageError::damaged(LOG_FILE, 0, reason));
+        }
+        let covered = (at.index - head.base.index) as usize;
+        let matches = match covered.checked_sub(1) {
+            None => head.base == at,
+            Some(last) => head.entries.get(last).is_some_and(|e| e.at == at),
+        };
+        let entries = if matches {
+            head.entries.into_iter().skip(covered).collect()
+        } else {
+            Vec::new()
+        };
+        Ok(Self {
+            replica: head.replica,
+            hard: head.hard,
+            snapshot,
+            entries,
+        })
+    }
+}
--- /dev/null
+++ b/crates/dandelion-control/src/storage/restore.rs
@@ -0,0 +1,51 @@
+//! Restoring of an exported snapshot into an empty data folder, when a quorum is lost for good.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+
+use crate::raft::GroupId;
+use crate::raft::Join;
+use crate::raft::Membership;
+use crate::raft::Replicator;
+use crate::raft::Snapshot;
+use crate::storage::error::StorageError;
+use crate::storage::snapshot_file;
+use crate::storage::store::FileStorage;
+use crate::storage::store::Storage;
+
+/// Encodes a snapshot for export.
+pub fn export_snapshot(snapshot: &Snapshot) -> Result<Vec<u8>, StorageError> {
+    snapshot_file::write_snapshot(snapshot)
+}
+
+/// Makes a data folder whose only voter is `owner`, in a new group, from an exported snapshot.
+/// Replicas of the old group don't mix with the new one. `group` must be random.
+pub fn restore_snapshot(
+    folder: &Path,
+    exported: &[u8],
+    owner: &Join,
+    group: GroupId,
+) -> Result<(), StorageError> {
+    let mut snapshot = snapshot_file::read_snapshot(exported)?;
+    let mut storage = FileStorage::open(folder, owner.replica)?;
+    let found = storage.recover();
+    let used = found.snapshot.is_some() || !found.entries.is_empty();
+    if used || found.replica != owner.replica {
+        return Err(StorageError::NotEmpty {
+            folder: folder.display().to_string(),
+        });
+    }
+    let voter = Replicator {
+        daemon: owner.daemon.clone(),
+        zone: owner.zone.clone(),
+        voter: true,
+        joined: snapshot.at.index,
+    };
+    snapshot.members = Membership {
+        group,
+        replicas: BTreeMap::from([(owner.replica, voter)]),
+    };
+    let mut hard = found.hard;
+    hard.term = snapshot.at.term;
+    storage.save_snapshot(&snapshot, hard, &[])
+}
--- /dev/null
+++ b/crates/dandelion-control/src/storage/store.rs
@@ -0,0 +1,231 @@
+//! The storage of one replica.
+
+use std::io;
+use std::path::Path;
+
+use crate::raft::Entry;
+use crate::raft::HardState;
+use crate::raft::Position;
+use crate::raft::ReplicaId;
+use crate::raft::Snapshot;
+use crate::storage::disk::Disk;
+use crate::storage::disk::FolderDisk;
+use crate::storage::error::StorageError;
+use crate::storage::log_file;
+use crate::storage::log_file::Batch;
+use crate::storage::log_file::Head;
+use crate::storage::log_file::LOG_FILE;
+use crate::storage::log_file::LOG_TEMP;
+use crate::storage::recover::Recovered;
+use crate::storage::snapshot_file;
+use crate::storage::snapshot_file::SNAPSHOT_FILE;
+use crate::storage::snapshot_file::SNAPSHOT_TEMP;
+
+/// Durable storage of one replica. After an error it must be opened anew.
+pub trait Storage {
+    /// Takes what was found at opening; later calls give nothing but the identity.
+    fn recover(&mut self) -> Recovered;
+
+    /// Makes a batch durable with one sync.
+    fn write(&mut self, hard: Option<HardState>, entries: &[Entry]) -> Result<(), StorageError>;
+
+    /// Makes a snapshot durable and replaces the log by `entries`, which follow it.
+    fn save_snapshot(
+        &mut self,
+        snapshot: &Snapshot,
+        hard: HardState,
+        entries: &[Entry],
+    ) -> Result<(), StorageError>;
+
+    /// Returns the bytes of the log file.
+    fn log_bytes(&self) -> u64;
+}
+
+/// Storage in files of one folder.
+#[derive(Debug)]
+pub struct DiskStorage<D> {
+    disk: D,
+    recovered: Recovered,
+    next: u64,
+    length: u64,
+    failure: Option<StorageError>,
+}
+
+/// Storage in a folder of the file system.
+pub type FileStorage = DiskStorage<FolderDisk>;
+
+impl FileStorage {
+    /// Opens a data folder. An empty one gets the identity `fresh`, which must be random.
+    pub fn open(folder: &Path, fresh: ReplicaId) -> Result<Self, StorageError> {
+        Self::open_disk(FolderDisk::open(folder)?, fresh)
+    }
+}
+
+impl<D> DiskStorage<D>
+where
+    D: Disk,
+{
+    /// Opens storage on a disk. An empty one gets the identity `fresh`, which must be random.
+    pub fn open_disk(mut disk: D, fresh: ReplicaId) -> Result<Self, StorageError> {
+        let snapshot = read_file(&mut disk, SNAPSHOT_FILE)?;
+        let snapshot = snapshot
+            .map(|bytes| snapshot_file::read_snapshot(&bytes))
+            .transpose()?;
+        let Some(bytes) = read_file(&mut disk, LOG_FILE)? else {
+            if snapshot.is_some() {
+                let reason = "the log is missing beside a snapshot";
+                return Err(StorageError::damaged(LOG_FILE, 0, reason));
+            }
+            return Self::open_empty(disk, fresh);
+        };
+        let content = log_file::read_log(&bytes)?;
+        if content.torn {
+            let cut = disk.cut(LOG_FILE, content.length);
+            cut.and_then(|()| disk.sync(LOG_FILE))
+                .map_err(|e| StorageError::from_io(LOG_FILE, &e))?;
+        }
+        let base = content.head.base;
+        let mut storage = Self {
+            disk,
+            next: content.next,
+            length: content.length,
+            recovered: Recovered::join(content.head, snapshot)?,
+            failure: None,
+        };
+        storage.finish_snapshot(base)?;
+        Ok(storage)
+    }
+
+    /// Writes the log anew if the process died between the writing of a snapshot and of its log.
+    fn finish_snapshot(&mut self, base: Position) -> Result<(), StorageError> {
+        let at = self.recovered.snapshot.as_ref().map(|s| s.at);
+        let at = at.unwrap_or_default();
+        if at == base {
+            return Ok(());
+        }
+        let entries = self.recovered.entries.clone();
+        self.replace_log(at, self.recovered.hard, &entries)
+    }
+
+    fn open_empty(disk: D, fresh: ReplicaId) -> Result<Self, StorageError> {
+        let mut storage = Self {
+            disk,
+            recovered: Recovered {
+                replica: fresh,
+                ..Recovered::default()
+            },
+            next: 1,
+            length: 0,
+            failure: None,
+        };
+        let hard = HardState::default();
+        storage.replace_log(Position::default(), hard, &[])?;
+        Ok(storage)
+    }
+
+    /// Gives the disk back, as after a crash.
+    pub fn into_disk(self) -> D {
+        self.disk
+    }
+
+    /// Borrows the disk.
+    pub fn disk(&mut self) -> &mut D {
+        &mut self.disk
+    }
+
+    fn replace_log(
+        &mut self,
+        base: Position,
+        hard: HardState,
+        entries: &[Entry],
+    ) -> Result<(), StorageError> {
+        let head = Head {
+            replica: self.recovered.replica,
+            hard,
+            base,
+            entries: entries.to_vec(),
+        };
+        let bytes = log_file::write_log(&head)?;
+        self.replace_file(LOG_TEMP, LOG_FILE, &bytes)?;
+        self.next = 1;
+        self.length = bytes.len() as u64;
+        Ok(())
+    }
+
+    fn replace_file(&mut self, temp: &str, file: &str, bytes: &[u8]) -> Result<(), StorageError> {
+        let disk = &mut self.disk;
+        let done = disk
+            .create(temp)
+            .and_then(|()| disk.append(temp, bytes))
+            .and_then(|()| disk.sync(temp))
+            .and_then(|()| disk.rename(temp, file))
+            .and_then(|()| disk.sync_folder());
+        self.check(file, done)
+    }
+
+    fn check(&mut self, file: &str, done: io::Result<()>) -> Result<(), StorageError> {
+        done.map_err(|error| {
+            let failure = StorageError::from_io(file, &error);
+            self.failure = Some(failure.clone());
+            failure
+        })
+    }
+
+    fn refuse_failed(&self) -> Result<(), StorageError> {
+        self.failure.clone().map_or(Ok(()), Err)
+    }
+}
+
+impl<D> Storage for DiskStorage<D>
+where
+    D: Disk,
+{
+    fn recover(&mut self) -> Recovered {
+        let replica = self.recovered.replica;
+        let rest = Recovered {
+            replica,
+            ..Recovered::default()
+        };
+        std::mem::replace(&mut self.recovered, rest)
+    }
+
+    fn write(&mut self, hard: Option<HardState>, entries: &[Entry]) -> Result<(), StorageError> {
+        self.refuse_failed()?;
+        let batch = Batch {
+            hard,
+            entries: entries.to_vec(),
+        };
+        let bytes = log_file::write_batch(self.next, &batch)?;
+        let disk = &mut self.disk;
+        let done = disk
+            .append(LOG_FILE, &bytes)
+            .and_then(|()| disk.sync(LOG_FILE));
+        self.check(LOG_FILE, done)?;
+        self.next += 1;
+        self.length += bytes.len() as u64;
+        Ok(())
+    }
+
+    fn save_snapshot(
+        &mut self,
+        snapshot: &Snapshot,
+        hard: HardState,
+        entries: &[Entry],
+    ) -> Result<(), StorageError> {
+        self.refuse_failed()?;
+        let bytes = snapshot_file::write_snapshot(snapshot)?;
+        self.replace_file(SNAPSHOT_TEMP, SNAPSHOT_FILE, &bytes)?;
+        self.replace_log(snapshot.at, hard, entries)
+    }
+
+    fn log_bytes(&self) -> u64 {
+        self.length
+    }
+}
+
+fn read_file<D>(disk: &mut D, file: &str) -> Result<Option<Vec<u8>>, StorageError>
+where
+    D: Disk,
+{
+    disk.read(file).map_err(|e| StorageError::from_io(file, &e))
+}
--- /dev/null
+++ b/crates/dandelion-control/src/timing.rs
@@ -0,0 +1,65 @@
+//! Periods and leases of the control plane.
+
+use dandelion_protocol::time::Millis;
+
+/// Most by which any daemon's clock may run fast or slow, in parts per million.
+pub const DRIFT_BOUND_PPM: u64 = 10_000;
+
+const MILLION: u64 = 1_000_000;
+
+/// Periods and leases. All control daemons of a cell use the same values.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Timing {
+    /// Time between two heartbeats of the leader.
+    pub heartbeat: Millis,
+    /// For this long after hearing from a leader, a voter helps no other to be elected.
+    pub promise: Millis,
+    /// Random part of the election timeout, added to the promise.
+    pub election_spread: Millis,
+    /// Time between two renewals of a daemon with its feeder.
+    pub feed_period: Millis,
+    /// Longest lease that a feeder or daemon gets by one renewal.
+    pub feed_lease: Millis,
+    /// Shortest time between two reports of a feeder to the leader.
+    pub report_gap: Millis,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            heartbeat: Millis(200),
+            promise: Millis(1000),
+            election_spread: Millis(600),
+            feed_period: Millis(500),
+            feed_lease: Millis(2000),
+            report_gap: Millis(20),
+        }
+    }
+}
+
+impl Timing {
+    /// Values for cells of about a thousand daemons: half the renewals.
+    pub fn large() -> Self {
+        Self {
+            feed_period: Millis(1000),
+            feed_lease: Millis(2500),
+            ..Self::default()
+        }
+    }
+
+    /// Time for which a leader may act after a quorum's promise, by its own clock.
+    pub fn leader_lease(&self) -> Millis {
+        shorten(self.promise)
+    }
+}
+
+/// Shortens a span so that it ends, on a slow clock, before `span` ends on a fast one.
+pub fn shorten(span: Millis) -> Millis {
+    Millis(span.0 * (MILLION - 2 * DRIFT_BOUND_PPM) / MILLION)
+}
+
+/// Lengthens a span so that it ends, on a fast clock, after `span` ends on a slow one.
+pub fn lengthen(span: Millis) -> Millis {
+    let scaled = span.0 * MILLION / (MILLION - 2 * DRIFT_BOUND_PPM);
+    Millis(scaled + 1)
+}
--- a/crates/dandelion-protocol/src/control.rs
+++ b/crates/dandelion-protocol/src/control.rs
@@ -4,6 +4,9 @@
 use serde::Serialize;
 use thiserror::Error;
 
+use crate::config::Member;
+use crate::ids::DaemonId;
+use crate::ids::Incarnation;
 use crate::ids::RequestId;
 use crate::ids::Revision;
 use crate::time::WallMillis;
@@ -107,7 +110,30 @@
     /// The proposal was not appended anywhere.
     #[error("no control leader is reachable; nothing was changed, retry with the same request id")]
     NoLeader,
+    /// Too many proposals wait; this one was not appended anywhere.
+    #[error(
+        "too many changes wait for the control leader; nothing was changed, retry in a second with the same request id"
+    )]
+    Overloaded,
     /// It may or may not take effect.
     #[error("the control leader was lost before it answered; resend with the same request id")]
     Unknown,
 }
+
+/// Name of the replicated table of daemons.
+pub const MEMBERS_TABLE: &str = "members";
+
+/// A change of the table of daemons.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum MemberCommand {
+    /// Adds a daemon, or a later life or a changed address of it. A lower incarnation is refused.
+    Join(Member),
+    /// Removes one life of a daemon; a later life stays.
+    Leave {
+        /// Daemon.
+        id: DaemonId,
+        /// Life that leaves.
+        incarnation: Incarnation,
+    },
+}
