--- a/crates/dandelion-fakes/src/lib.rs
+++ b/crates/dandelion-fakes/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Stand-ins for the outside systems, for tests and the load tool. Not shipped.
+
+pub mod raw;
--- /dev/null
+++ b/crates/dandelion-net/src/http/client/exchange.rs
@@ -0,0 +1,197 @@
+//! An answer under way: head, then body pieces, verified to its end.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use async_std::net::TcpStream;
+use dandelion_protocol::mesh::Header;
+use futures::AsyncReadExt;
+use http_types::Body;
+use http_types::Response;
+
+use crate::http::client::error::Cause;
+use crate::http::client::error::SendError;
+use crate::http::client::send::Client;
+use crate::http::client::send::late;
+use crate::http::head::Framing;
+use crate::http::head::ResponseHead;
+use crate::http::meter::Meter;
+use crate::http::wire::MessageReader;
+use crate::http::wire::Track;
+use crate::http::wire::Wire;
+use crate::lock::lock;
+use crate::progress::Progress;
+
+/// Most body bytes handed out at a time.
+const PIECE_BYTES: usize = 16 * 1024;
+
+/// Where an exchange's connection came from and may go back to.
+#[derive(Debug)]
+pub(super) struct Origin {
+    pub client: Client,
+    pub address: SocketAddr,
+}
+
+/// An answer whose head has come. Dropping it before its end closes the connection.
+pub struct Exchange {
+    status: u16,
+    headers: Vec<Header>,
+    body: Option<Body>,
+    track: Arc<Mutex<Track>>,
+    stream: TcpStream,
+    origin: Origin,
+    progress: Progress,
+    close: bool,
+    bytes: u64,
+    buffer: Vec<u8>,
+}
+
+impl fmt::Debug for Exchange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Exchange")
+            .field("status", &self.status)
+            .field("bytes", &self.bytes)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Exchange {
+    pub(super) async fn open(
+        wire: Wire,
+        head: Vec<u8>,
+        checked: ResponseHead,
+        origin: Origin,
+        mut progress: Progress,
+    ) -> Result<Self, Cause> {
+        let stream = wire.stream.clone();
+        let (reader, track) = MessageReader::new(wire, head, Meter::new(checked.framing));
+        let decoded = progress.step(async_h1::client::decode(reader)).await;
+        let mut response = decoded
+            .map_err(late)?
+            .map_err(|error| Cause::Body(error.to_string()))?;
+        let body = Some(response.take_body()).filter(|_| checked.framing != Framing::Empty);
+        Ok(Self {
+            status: response.status().into(),
+            headers: headers(&response),
+            body,
+            track,
+            stream,
+            origin,
+            progress,
+            close: checked.close,
+            bytes: 0,
+            buffer: Vec::new(),
+        })
+    }
+
+    /// Returns the status.
+    pub fn status(&self) -> u16 {
+        self.status
+    }
+
+    /// Returns the headers, names in lower case.
+    pub fn headers(&self) -> &[Header] {
+        &self.headers
+    }
+
+    /// Returns the first value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|h| h.name == name);
+        found.map(|h| h.value.as_str())
+    }
+
+    /// Returns the body bytes handed out so far.
+    pub fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    /// Returns the next body bytes, or `None` when the answer is whole. After an error or the end
+    /// there is nothing more.
+    pub async fn chunk(&mut self) -> Result<Option<Vec<u8>>, SendError> {
+        let Some(mut body) = self.body.take() else {
+            self.finish();
+            return Ok(None);
+        };
+        self.buffer.resize(PIECE_BYTES, 0);
+        let read = self.progress.step(body.read(&mut self.buffer)).await;
+        match read {
+            Ok(Ok(0)) => self.end(),
+            Ok(Ok(count)) => {
+                self.bytes += count as u64;
+                self.body = Some(body);
+                Ok(Some(self.buffer[..count].to_vec()))
+            }
+            Ok(Err(error)) => Err(SendError::Unknown(broken(&error))),
+            Err(passed) => Err(SendError::Unknown(self.quiet(late(passed)).await)),
+        }
+    }
+
+    /// Reads the rest of the body, at most `limit` bytes.
+    pub async fn read_all(&mut self, limit: usize) -> Result<Vec<u8>, SendError> {
+        let mut all = Vec::new();
+        while let Some(piece) = self.chunk().await? {
+            if all.len() + piece.len() > limit {
+                self.body = None;
+                self.close = true;
+                let reason = format!("longer than {limit} bytes");
+                return Err(SendError::Unknown(Cause::Body(reason)));
+            }
+            all.extend_from_slice(&piece);
+        }
+        Ok(all)
+    }
+
+    /// Ends the body if our own count agrees with the framing.
+    fn end(&mut self) -> Result<Option<Vec<u8>>, SendError> {
+        if !lock(&self.track).meter.is_done() {
+            self.close = true;
+            let reason = format!("body cut short after {} bytes", self.bytes);
+            return Err(SendError::Unknown(Cause::Closed(reason)));
+        }
+        self.finish();
+        Ok(None)
+    }
+
+    /// Gives a clean connection back; one with surplus bytes is dropped.
+    fn finish(&mut self) {
+        let clean = {
+            let track = lock(&self.track);
+            track.meter.is_done() && track.unread.is_empty()
+        };
+        if clean && !self.close {
+            let stream = self.stream.clone();
+            self.origin.client.keep(self.origin.address, stream);
+        }
+        self.close = true;
+    }
+
+    async fn quiet(&mut self, cause: Cause) -> Cause {
+        self.close = true;
+        match cause {
+            Cause::Silent { .. } => Cause::Silent {
+                alive: self.origin.client.replace(self.origin.address).await,
+            },
+            other => other,
+        }
+    }
+}
+
+fn headers(response: &Response) -> Vec<Header> {
+    let pairs = response.iter().flat_map(|(name, values)| {
+        values.iter().map(move |value| Header {
+            name: name.as_str().to_owned(),
+            value: value.as_str().to_owned(),
+        })
+    });
+    pairs.collect()
+}
+
+fn broken(error: &io::Error) -> Cause {
+    match error.kind() {
+        io::ErrorKind::InvalidData => Cause::Body(error.to_string()),
+        _ => Cause::Closed(error.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/dandelion-net/src/http/client/mod.rs
@@ -0,0 +1,15 @@
+//! HTTP client: pooled connections, one request at a time on each, answers verified to their end.
+
+mod error;
+mod exchange;
+mod pool;
+mod request;
+mod send;
+
+pub use error::Cause;
+pub use error::SendError;
+pub use exchange::Exchange;
+pub use request::request;
+pub use send::Client;
+pub use send::ClientOptions;
+pub use send::SendOptions;
--- /dev/null
+++ b/crates/dandelion-net/src/http/client/pool.rs
@@ -0,0 +1,85 @@
+//! Idle connections by address, in shards under their own locks.
+
+use std::collections::HashMap;
+use std::hash::BuildHasher;
+use std::hash::RandomState;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_std::net::TcpStream;
+use futures::FutureExt;
+
+use crate::lock::lock;
+
+const SHARDS: usize = 16;
+
+/// A clean connection that waits for its next request.
+#[derive(Debug)]
+struct Idle {
+    stream: TcpStream,
+    since: Instant,
+}
+
+/// Idle connections.
+#[derive(Debug)]
+pub struct Pool {
+    shards: Vec<Mutex<HashMap<SocketAddr, Vec<Idle>>>>,
+    hasher: RandomState,
+    per_address: usize,
+    max_idle: Duration,
+}
+
+impl Pool {
+    pub fn new(per_address: usize, max_idle: Duration) -> Self {
+        Self {
+            shards: (0..SHARDS).map(|_| Mutex::default()).collect(),
+            hasher: RandomState::new(),
+            per_address,
+            max_idle,
+        }
+    }
+
+    /// Takes a connection that is neither stale, closed nor has unasked bytes waiting.
+    pub fn take(&self, address: SocketAddr) -> Option<TcpStream> {
+        loop {
+            let idle = lock(self.shard(address)).get_mut(&address)?.pop()?;
+            if idle.since.elapsed() < self.max_idle && is_clean(&idle.stream) {
+                return Some(idle.stream);
+            }
+        }
+    }
+
+    /// Keeps a clean connection for reuse.
+    pub fn put(&self, address: SocketAddr, stream: TcpStream) {
+        let mut shard = lock(self.shard(address));
+        let list = shard.entry(address).or_default();
+        list.retain(|idle| idle.since.elapsed() < self.max_idle);
+        if list.len() < self.per_address {
+            let since = Instant::now();
+            list.push(Idle { stream, since });
+        }
+    }
+
+    /// Drops every idle connection to `address`.
+    pub fn purge(&self, address: SocketAddr) {
+        lock(self.shard(address)).remove(&address);
+    }
+
+    /// Counts the idle connections to `address`.
+    pub fn count(&self, address: SocketAddr) -> usize {
+        lock(self.shard(address)).get(&address).map_or(0, Vec::len)
+    }
+
+    fn shard(&self, address: SocketAddr) -> &Mutex<HashMap<SocketAddr, Vec<Idle>>> {
+        let slot = self.hasher.hash_one(address) as usize % SHARDS;
+        &self.shards[slot]
+    }
+}
+
+/// Tells whether nothing has come on an idle connection, neither bytes nor a close.
+fn is_clean(stream: &TcpStream) -> bool {
+    let mut byte = [0];
+    stream.peek(&mut byte).now_or_never().is_none()
+}
--- /dev/null
+++ b/crates/dandelion-net/src/http/head.rs
@@ -0,0 +1,174 @@
+//! Checks message heads before `async-h1` sees them, so that both sides agree where a message ends.
+
+use httparse::Header;
+use httparse::Status;
+use thiserror::Error;
+
+/// Most headers in one head.
+const MAX_HEADERS: usize = 96;
+/// Header in which an upstream echoes the id of the request that it answers.
+pub const REQUEST_ID: &str = "x-request-id";
+
+/// How the end of a message is found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// There is no body.
+    Empty,
+    /// The body has this many bytes.
+    Counted(u64),
+    /// The body comes in chunks and ends with an empty one.
+    Chunked,
+}
+
+/// A head was refused.
+#[derive(Debug, Clone, Error, PartialEq, Eq)]
+pub enum HeadError {
+    /// Not an HTTP/1.1 head.
+    #[error("the head is not valid HTTP/1.1 ({0}); send a well-formed HTTP/1.1 message")]
+    Malformed(String),
+    /// A line does not end with CR LF.
+    #[error("a head line does not end with CR LF; end every line with CR LF")]
+    BareLineFeed,
+    /// Both `Content-Length` and `Transfer-Encoding`.
+    #[error("both Content-Length and Transfer-Encoding are set; send only one of them")]
+    BothFramings,
+    /// A framing header appears more than once.
+    #[error("header {0} appears more than once; send it once")]
+    Repeated(&'static str),
+    /// `Content-Length` is not a plain decimal number.
+    #[error("Content-Length is not a decimal number; send the number of body bytes")]
+    BadLength,
+    /// `Transfer-Encoding` is something else than `chunked`.
+    #[error("Transfer-Encoding is not `chunked`; send the body chunked or counted")]
+    BadEncoding,
+    /// An answer whose end can't be verified.
+    #[error("the answer has neither Content-Length nor chunks; make the upstream send one of them")]
+    Unframed,
+    /// An interim answer that was not asked for.
+    #[error("interim status {0} was not asked for; make the upstream send only the final answer")]
+    Interim(u16),
+}
+
+/// What the head of a request says of the connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RequestHead {
+    /// Where the body ends.
+    pub framing: Framing,
+    /// Whether the caller waits for `100 Continue`.
+    pub expects: bool,
+    /// Whether the caller wants the connection closed after the answer.
+    pub close: bool,
+}
+
+/// What the head of an answer says of the connection.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ResponseHead {
+    /// Where the body ends.
+    pub framing: Framing,
+    /// Whether the peer closes the connection after the answer.
+    pub close: bool,
+    /// Echoed request id, if any.
+    pub id: Option<String>,
+}
+
+/// Checks the head of a request, which must end with an empty line.
+pub fn check_request(head: &[u8]) -> Result<RequestHead, HeadError> {
+    check_lines(head)?;
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut request = httparse::Request::new(&mut headers);
+    let status = request.parse(head).map_err(malformed)?;
+    check_whole(status, head.len(), request.version)?;
+    single(request.headers, "host")?;
+    let framing = framing(request.headers)?.unwrap_or(Framing::Empty);
+    Ok(RequestHead {
+        framing,
+        expects: has_token(request.headers, "expect", "100-continue"),
+        close: has_token(request.headers, "connection", "close"),
+    })
+}
+
+/// Checks the head of an answer; `bodiless` says that it answers a `HEAD` request.
+pub fn check_response(head: &[u8], bodiless: bool) -> Result<ResponseHead, HeadError> {
+    check_lines(head)?;
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut response = httparse::Response::new(&mut headers);
+    let status = response.parse(head).map_err(malformed)?;
+    check_whole(status, head.len(), response.version)?;
+    let code = response.code.unwrap_or_default();
+    if code < 200 {
+        return Err(HeadError::Interim(code));
+    }
+    let framing = match framing(response.headers)? {
+        _ if bodiless || code == 204 || code == 304 => Framing::Empty,
+        Some(framing) => framing,
+        None => return Err(HeadError::Unframed),
+    };
+    Ok(ResponseHead {
+        framing,
+        close: has_token(response.headers, "connection", "close"),
+        id: single(response.headers, REQUEST_ID)?.map(text),
+    })
+}
+
+fn malformed(error: httparse::Error) -> HeadError {
+    HeadError::Malformed(error.to_string())
+}
+
+fn check_lines(head: &[u8]) -> Result<(), HeadError> {
+    let bare = |i: usize| i == 0 || head[i - 1] != b'\r';
+    let found = head.iter().enumerate().any(|(i, b)| *b == b'\n' && bare(i));
+    if found {
+        return Err(HeadError::BareLineFeed);
+    }
+    Ok(())
+}
+
+fn check_whole(status: Status<usize>, size: usize, version: Option<u8>) -> Result<(), HeadError> {
+    match status {
+        Status::Complete(used) if used == size => (),
+        _ => return Err(HeadError::Malformed("incomplete head".to_owned())),
+    }
+    if version != Some(1) {
+        return Err(HeadError::Malformed("version is not HTTP/1.1".to_owned()));
+    }
+    Ok(())
+}
+
+fn framing(headers: &[Header<'_>]) -> Result<Option<Framing>, HeadError> {
+    let length = single(headers, "content-length")?;
+    let encoding = single(headers, "transfer-encoding")?;
+    match (length, encoding) {
+        (Some(_), Some(_)) => Err(HeadError::BothFramings),
+        (Some(value), None) => Ok(Some(Framing::Counted(parse_length(value)?))),
+        (None, Some(value)) if value.eq_ignore_ascii_case(b"chunked") => Ok(Some(Framing::Chunked)),
+        (None, Some(_)) => Err(HeadError::BadEncoding),
+        (None, None) => Ok(None),
+    }
+}
+
+fn parse_length(value: &[u8]) -> Result<u64, HeadError> {
+    let digits = !value.is_empty() && value.iter().all(u8::is_ascii_digit);
+    let number = text(value).parse().ok().filter(|_| digits);
+    number.ok_or(HeadError::BadLength)
+}
+
+fn single<'a>(headers: &[Header<'a>], name: &'static str) -> Result<Option<&'a [u8]>, HeadError> {
+    let mut found = headers.iter().filter(|h| h.name.eq_ignore_ascii_case(name));
+    let first = found.next();
+    if found.next().is_some() {
+        return Err(HeadError::Repeated(name));
+    }
+    Ok(first.map(|h| h.value))
+}
+
+fn has_token(headers: &[Header<'_>], name: &str, token: &str) -> bool {
+    headers
+        .iter()
+        .filter(|h| h.name.eq_ignore_ascii_case(name))
+        .flat_map(|h| h.value.split(|b| *b == b','))
+        .any(|part| part.trim_ascii().eq_ignore_ascii_case(token.as_bytes()))
+}
+
+fn text(value: &[u8]) -> String {
+    String::from_utf8_lossy(value).into_owned()
+}
--- /dev/null
+++ b/crates/dandelion-net/src/http/mod.rs
@@ -0,0 +1,14 @@
+//! HTTP/1.1 by `async-h1`, with the framing verified by our own byte counts on both sides.
+
+pub mod body;
+pub mod client;
+mod head;
+mod meter;
+pub mod server;
+mod wire;
+
+pub use head::Framing;
+pub use head::HeadError;
+pub use head::check_request;
+pub use head::check_response;
+pub use meter::Meter;
--- /dev/null
+++ b/crates/dandelion-net/src/http/server/listener.rs
@@ -0,0 +1,162 @@
+//! Accepts connections and keeps count of those under way.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::future::timeout;
+use async_std::net::TcpListener;
+use async_std::task;
+use futures::FutureExt;
+use futures::select_biased;
+use http_types::Request;
+use http_types::Response;
+
+use crate::http::server::connection::Connection;
+use crate::signal::Signal;
+use crate::signal::Trigger;
+use crate::socket;
+
+/// Pause after a failed accept, such as when no file descriptor is left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers requests.
+pub trait Handler: Clone + Send + Sync + 'static {
+    /// Answers one request from `peer`. The future is dropped as soon as the caller is gone, as is
+    /// the answer's body while it is being sent.
+    fn handle(&self, request: Request, peer: SocketAddr) -> impl Future<Output = Response> + Send;
+}
+
+/// Limits on what callers can make the server hold or wait for.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Longest request head in bytes, at most 8191.
+    pub head_bytes: usize,
+    /// Time for a whole request head from its first byte.
+    pub head_time: Duration,
+    /// Longest request body in bytes.
+    pub body_bytes: usize,
+    /// Time for a whole request body.
+    pub body_time: Duration,
+    /// Time a connection may be kept with no request on it.
+    pub idle_time: Duration,
+    /// Time a kept connection stays open for one more request once a drain has begun.
+    pub drain_idle: Duration,
+    /// Time the caller may refuse to take further bytes of its answer.
+    pub write_time: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            head_bytes: crate::http::wire::MAX_HEAD,
+            head_time: Duration::from_secs(10),
+            body_bytes: 8 * 1024 * 1024,
+            body_time: Duration::from_secs(30),
+            idle_time: Duration::from_mins(1),
+            drain_idle: Duration::from_secs(1),
+            write_time: Duration::from_secs(30),
+        }
+    }
+}
+
+/// What all connections of a server share. Dropping the last copy ends the server.
+#[derive(Debug, Clone)]
+pub(super) struct Shared {
+    pub limits: Arc<Limits>,
+    pub drain: Signal,
+    pub cut: Signal,
+    _alive: async_channel::Sender<Infallible>,
+}
+
+/// A running server. Dropping it stops the server at once.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    drain: Trigger,
+    stop: Trigger,
+    cut: Trigger,
+    ended: async_channel::Receiver<Infallible>,
+}
+
+impl Server {
+    /// Listens on `address`; port 0 takes a free one.
+    pub async fn bind<H>(address: SocketAddr, limits: Limits, handler: H) -> io::Result<Self>
+    where
+        H: Handler,
+    {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let (drain, drain_signal) = Signal::new();
+        let (stop, stop_signal) = Signal::new();
+        let (cut, cut_signal) = Signal::new();
+        let (alive, ended) = async_channel::bounded(1);
+        let shared = Shared {
+            limits: Arc::new(limits),
+            drain: drain_signal,
+            cut: cut_signal,
+            _alive: alive,
+        };
+        task::spawn(accept(listener, stop_signal, shared, handler));
+        Ok(Self {
+            address,
+            drain,
+            stop,
+            cut,
+            ended,
+        })
+    }
+
+    /// Returns the address that the server listens on.
+    pub fn local_addr(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Begins to drain: every answer closes its connection and kept connections are closed once
+    /// they have been quiet for a moment. New connections are still accepted.
+    pub fn begin_drain(&self) {
+        self.drain.raise();
+    }
+
+    /// Accepts no more connections, lets those under way finish for `grace` and cuts the rest.
+    /// Returns how many connections were cut.
+    pub async fn shutdown(self, grace: Duration) -> usize {
+        self.drain.raise();
+        self.stop.raise();
+        if timeout(grace, self.ended.recv()).await.is_ok() {
+            return 0;
+        }
+        let left = self.ended.sender_count();
+        self.cut.raise();
+        let _ended = timeout(grace, self.ended.recv()).await;
+        left
+    }
+}
+
+async fn accept<H>(listener: TcpListener, stop: Signal, shared: Shared, handler: H)
+where
+    H: Handler,
+{
+    loop {
+        let accepted = select_biased! {
+            () = stop.raised().fuse() => return,
+            accepted = listener.accept().fuse() => accepted,
+        };
+        match accepted {
+            Ok((stream, peer)) => {
+                if let Err(error) = socket::tune(&stream) {
+                    log::debug!("connection from {peer} closed before it was set up: {error}");
+                    continue;
+                }
+                let connection = Connection::new(stream, peer, shared.clone(), handler.clone());
+                task::spawn(connection.run());
+            }
+            Err(error) => {
+                log::warn!("cannot accept connections ({error}); raise the open files limit");
+                task::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/dandelion-net/src/http/server/reply.rs
@@ -0,0 +1,51 @@
+//! Ready-made answers.
+
+use dandelion_protocol::outcome::Refusal;
+use http_types::Body;
+use http_types::Response;
+use http_types::StatusCode;
+use http_types::headers::CONTENT_TYPE;
+use http_types::headers::RETRY_AFTER;
+use serde::Serialize;
+
+/// Makes an answer with `value` as its JSON body.
+pub fn json<T>(status: u16, value: &T) -> Response
+where
+    T: Serialize,
+{
+    match serde_json::to_vec(value) {
+        Ok(bytes) => whole(status, "application/json", bytes),
+        Err(error) => whole(500, "text/plain", error.to_string().into_bytes()),
+    }
+}
+
+/// Makes the answer that carries `refusal`.
+pub fn refusal(refusal: &Refusal) -> Response {
+    refusal_with(refusal.status(), refusal)
+}
+
+/// Makes the answer that carries `refusal` under another status than its code's.
+pub(super) fn refusal_with(status: u16, refusal: &Refusal) -> Response {
+    let mut response = json(status, refusal);
+    if let Some(after) = refusal.retry_after {
+        // Whole seconds, rounded up: coming back too early helps nobody.
+        response.insert_header(RETRY_AFTER, after.0.div_ceil(1000).to_string());
+    }
+    response
+}
+
+/// Makes an answer whose body is streamed in chunks.
+pub fn streamed(status: u16, content_type: &str, body: Body) -> Response {
+    let mut response = Response::new(status_code(status));
+    response.set_body(body);
+    response.insert_header(CONTENT_TYPE, content_type);
+    response
+}
+
+fn whole(status: u16, content_type: &str, bytes: Vec<u8>) -> Response {
+    streamed(status, content_type, Body::from_bytes(bytes))
+}
+
+fn status_code(status: u16) -> StatusCode {
+    StatusCode::try_from(status).unwrap_or(StatusCode::BadGateway)
+}
--- /dev/null
+++ b/crates/dandelion-net/src/mesh/error.rs
@@ -0,0 +1,68 @@
+//! Typed errors of the mesh.
+
+use std::io;
+
+use dandelion_protocol::codec::CodecError;
+use dandelion_protocol::ids::CellId;
+use dandelion_protocol::ids::DaemonId;
+use thiserror::Error;
+
+/// A connection or a message failed.
+#[derive(Debug, Error)]
+pub enum MeshError {
+    /// The peer's address is not known.
+    #[error("daemon `{0}` has no known address; wait until it has joined")]
+    NoPeer(DaemonId),
+    /// The queue to the peer is full.
+    #[error("the queue to daemon `{0}` is full; send less or wait")]
+    Full(DaemonId),
+    /// A secret is too short.
+    #[error("the mesh secret has {0} bytes; use at least 32 random bytes")]
+    WeakSecret(usize),
+    /// The peer knows none of our secrets.
+    #[error("the peer could not prove that it knows the mesh secret; give both the same secret")]
+    Unauthenticated,
+    /// The address is used by another daemon than expected.
+    #[error("daemon `{got}` answers at the address of `{expected}`; correct the address")]
+    WrongPeer {
+        /// Daemon that was dialled.
+        expected: DaemonId,
+        /// Daemon that answered.
+        got: DaemonId,
+    },
+    /// The peer belongs to another cell.
+    #[error("the peer is in cell {0}; correct the cell in its settings")]
+    WrongCell(CellId),
+    /// The peer speaks another version.
+    #[error("the peer speaks mesh version {0}; upgrade the older daemon")]
+    WrongVersion(u16),
+    /// The peer did not follow the protocol.
+    #[error("the peer sent something else than a mesh message ({0}); check what connects here")]
+    Protocol(String),
+    /// A message could not be encoded or decoded.
+    #[error(transparent)]
+    Codec(#[from] CodecError),
+    /// Connecting or authenticating took too long.
+    #[error("the handshake took too long; check the network and the peer's load")]
+    Timeout,
+    /// The connection failed.
+    #[error("the connection failed ({0}); it is retried")]
+    Io(#[from] io::Error),
+    /// The connection was closed.
+    #[error("the connection was closed by the peer; it is retried")]
+    Closed,
+    /// The random source failed.
+    #[error("no random bytes ({0}); check the system's random source")]
+    Random(String),
+}
+
+/// A call or an answer stream ended without its end.
+#[derive(Debug, Clone, Copy, Error, PartialEq, Eq)]
+pub enum CallError {
+    /// No byte left this daemon: it did not run and can be sent elsewhere.
+    #[error("not sent to the daemon; send it to another one")]
+    NotSent,
+    /// It may have run.
+    #[error("the daemon was lost before it answered; the outcome is unknown")]
+    Unknown,
+}
--- /dev/null
+++ b/crates/dandelion-net/src/mesh/mod.rs
@@ -0,0 +1,32 @@
+//! The mesh between daemons: authenticated WebSocket connections that carry one CBOR message each
+//! frame. A daemon dials each peer that it has something for; replies come back on that connection.
+
+mod auth;
+mod backoff;
+mod config;
+mod counters;
+mod credit;
+mod error;
+mod fault;
+mod handler;
+mod link;
+mod node;
+mod parts;
+mod pending;
+mod session;
+mod transport;
+
+pub use auth::Secret;
+pub use auth::Secrets;
+pub use config::MeshConfig;
+pub use config::Timing;
+pub use counters::Family;
+pub use counters::Traffic;
+pub use error::CallError;
+pub use error::MeshError;
+pub use handler::MeshHandler;
+pub use node::Mesh;
+pub use parts::PartSender;
+pub use parts::ServeStream;
+pub use parts::StreamGone;
+pub use transport::decode_message;
--- /dev/null
+++ b/crates/dandelion-net/src/mesh/node.rs
@@ -0,0 +1,316 @@
+//! The mesh of one daemon.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::RwLock;
+use std::time::Duration;
+
+use async_std::future::timeout;
+use async_std::net::TcpListener;
+use async_std::net::TcpStream;
+use async_std::task;
+use dandelion_protocol::ids::DaemonId;
+use dandelion_protocol::mesh::CallBody;
+use dandelion_protocol::mesh::MeshMessage;
+use dandelion_protocol::mesh::ReplyBody;
+use dandelion_protocol::mesh::ServeRequest;
+use futures::FutureExt;
+use futures::channel::oneshot;
+use futures::future::AbortHandle;
+use futures::future::Abortable;
+use futures::select_biased;
+
+use crate::mesh::config::MeshConfig;
+use crate::mesh::counters::Counters;
+use crate::mesh::counters::Family;
+use crate::mesh::counters::Traffic;
+use crate::mesh::error::CallError;
+use crate::mesh::error::MeshError;
+use crate::mesh::fault::Faults;
+use crate::mesh::handler::MeshHandler;
+use crate::mesh::link::Link;
+use crate::mesh::parts::PartSender;
+use crate::mesh::parts::ServeStream;
+use crate::mesh::parts::Source;
+use crate::mesh::parts::Target;
+use crate::mesh::pending::Ticket;
+use crate::mesh::pending::Waiter;
+use crate::mesh::session::Session;
+use crate::mesh::transport::accept;
+use crate::signal::Signal;
+use crate::signal::Trigger;
+
+/// Parts that may wait in a stream to the daemon itself.
+const LOCAL_PARTS: usize = 64;
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What all connections of a node share.
+#[derive(Debug)]
+pub struct Shared<H> {
+    pub config: MeshConfig,
+    pub handler: H,
+    pub counters: Arc<Counters>,
+    pub faults: Faults,
+}
+
+#[derive(Debug)]
+struct Node<H> {
+    shared: Arc<Shared<H>>,
+    address: SocketAddr,
+    peers: RwLock<HashMap<DaemonId, Arc<Link>>>,
+    stop: Trigger,
+}
+
+/// A running mesh node; copies are handles to the same node. It stops when the last is dropped.
+#[derive(Debug)]
+pub struct Mesh<H> {
+    node: Arc<Node<H>>,
+}
+
+impl<H> Clone for Mesh<H> {
+    fn clone(&self) -> Self {
+        Self {
+            node: Arc::clone(&self.node),
+        }
+    }
+}
+
+impl<H> Drop for Node<H> {
+    fn drop(&mut self) {
+        self.stop.raise();
+        if let Ok(peers) = self.peers.get_mut() {
+            for link in peers.values() {
+                link.stop();
+            }
+        }
+    }
+}
+
+impl<H> Mesh<H>
+where
+    H: MeshHandler,
+{
+    /// Listens for peers and returns the running node.
+    pub async fn bind(mut config: MeshConfig, handler: H) -> Result<Self, MeshError> {
+        let listener = TcpListener::bind(config.listen).await?;
+        let address = listener.local_addr()?;
+        if config.listen.port() == 0 {
+            config.hello.address = address.to_string();
+        }
+        let shared = Arc::new(Shared {
+            config,
+            handler,
+            counters: Arc::new(Counters::default()),
+            faults: Faults::default(),
+        });
+        let (stop, stopped) = Signal::new();
+        task::spawn(listen(listener, Arc::clone(&shared), stopped));
+        Ok(Self {
+            node: Arc::new(Node {
+                shared,
+                address,
+                peers: RwLock::default(),
+                stop,
+            }),
+        })
+    }
+
+    /// Returns the address that the node listens on.
+    pub fn local_addr(&self) -> SocketAddr {
+        self.node.address
+    }
+
+    /// Returns this daemon's identity.
+    pub fn id(&self) -> &DaemonId {
+        &self.node.shared.config.hello.daemon
+    }
+
+    /// Makes a peer known, or known under a new address.
+    pub fn set_peer(&self, peer: &DaemonId, address: SocketAddr) {
+        let mut peers = self
+            .node
+            .peers
+            .write()
+            .expect("no holder of this lock panics");
+        if peers.get(peer).is_some_and(|link| link.address == address) {
+            return;
+        }
+        let link = Link::spawn(peer.clone(), address, Arc::clone(&self.node.shared));
+        if let Some(former) = peers.insert(peer.clone(), link) {
+            former.stop();
+        }
+    }
+
+    /// Forgets a peer and closes the connection to it.
+    pub fn remove_peer(&self, peer: &DaemonId) {
+        let mut peers = self
+            .node
+            .peers
+            .write()
+            .expect("no holder of this lock panics");
+        if let Some(link) = peers.remove(peer) {
+            link.stop();
+        }
+    }
+
+    /// Queues a one-way message. It is lost if the peer can't be reached.
+    pub fn send(&self, peer: &DaemonId, message: MeshMessage) -> Result<(), MeshError> {
+        if peer == self.id() {
+            let shared = Arc::clone(&self.node.shared);
+            task::spawn(async move {
+                let from = &shared.config.hello.daemon;
+                shared.handler.on_message(from, message);
+            });
+            return Ok(());
+        }
+        let link = self
+            .link(peer)
+            .ok_or_else(|| MeshError::NoPeer(peer.clone()))?;
+        let queued = link.push(message, None);
+        queued
+            .then_some(())
+            .ok_or_else(|| MeshError::Full(peer.clone()))
+    }
+
+    /// Calls a peer and waits for its reply.
+    pub async fn call(
+        &self,
+        peer: &DaemonId,
+        body: CallBody,
+        limit: Duration,
+    ) -> Result<ReplyBody, CallError> {
+        if peer == self.id() {
+            let shared = &self.node.shared;
+            let reply = shared.handler.on_call(peer, body);
+            return timeout(limit, reply)
+                .await
+                .map_err(|_late| CallError::Unknown);
+        }
+        let link = self.link(peer).ok_or(CallError::NotSent)?;
+        let (sender, receiver) = oneshot::channel();
+        let ticket = Arc::new(Ticket::default());
+        let number = link.number();
+        let entry = Arc::clone(&ticket);
+        link.pending.insert(number, entry, Waiter::Call(sender));
+        let call = MeshMessage::Call { call: number, body };
+        if !link.push(call, Some(Arc::clone(&ticket))) {
+            link.pending.remove(number);
+            return Err(CallError::NotSent);
+        }
+        let reply = timeout(limit, receiver).await;
+        link.pending.remove(number);
+        match reply {
+            Ok(Ok(body)) => Ok(body),
+            _ => Err(ticket.give_up()),
+        }
+    }
+
+    /// Opens an answer stream at a peer. Dropping the stream cancels the request there.
+    pub fn serve(&self, peer: &DaemonId, request: ServeRequest) -> Result<ServeStream, CallError> {
+        if peer == self.id() {
+            return Ok(self.serve_local(request));
+        }
+        let link = self.link(peer).ok_or(CallError::NotSent)?;
+        let (sender, parts) = async_channel::unbounded();
+        let ticket = Arc::new(Ticket::default());
+        let number = link.number();
+        let entry = Arc::clone(&ticket);
+        link.pending.insert(number, entry, Waiter::Stream(sender));
+        let serve = MeshMessage::Serve {
+            stream: number,
+            request,
+        };
+        if !link.push(serve, Some(Arc::clone(&ticket))) {
+            link.pending.remove(number);
+            return Err(CallError::NotSent);
+        }
+        Ok(ServeStream::new(
+            Source::Link { link, number },
+            parts,
+            ticket,
+        ))
+    }
+
+    /// Returns what was sent and received in one family so far.
+    pub fn traffic(&self, family: Family) -> Traffic {
+        self.node.shared.counters.read(family)
+    }
+
+    /// Swallows all traffic with `peer`, or lets it through again. For tests of partitions.
+    pub fn set_cut(&self, peer: &DaemonId, cut: bool) {
+        self.node.shared.faults.set(peer, cut);
+    }
+
+    fn link(&self, peer: &DaemonId) -> Option<Arc<Link>> {
+        let peers = self
+            .node
+            .peers
+            .read()
+            .expect("no holder of this lock panics");
+        peers.get(peer).cloned()
+    }
+
+    fn serve_local(&self, request: ServeRequest) -> ServeStream {
+        let (sender, parts) = async_channel::bounded(LOCAL_PARTS);
+        let ticket = Arc::new(Ticket::default());
+        // It runs as soon as it is spawned, so its outcome can only be unknown from here on.
+        ticket.begin();
+        let (abort, registration) = AbortHandle::new_pair();
+        let shared = Arc::clone(&self.node.shared);
+        let work = async move {
+            let from = &shared.config.hello.daemon;
+            let mut parts = PartSender::new(Target::Local(sender));
+            shared.handler.on_serve(from, request, &mut parts).await;
+            parts.conclude().await;
+        };
+        task::spawn(Abortable::new(work, registration));
+        ServeStream::new(Source::Local(abort), parts, ticket)
+    }
+}
+
+async fn listen<H>(listener: TcpListener, shared: Arc<Shared<H>>, stopped: Signal)
+where
+    H: MeshHandler,
+{
+    loop {
+        let accepted = select_biased! {
+            () = stopped.raised().fuse() => return,
+            accepted = listener.accept().fuse() => accepted,
+        };
+        match accepted {
+            Ok((stream, address)) => {
+                let shared = Arc::clone(&shared);
+                task::spawn(host(stream, address, shared, stopped.clone()));
+            }
+            Err(error) => {
+                log::warn!("mesh cannot accept connections ({error}); raise the open files limit");
+                task::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn host<H>(stream: TcpStream, address: SocketAddr, shared: Arc<Shared<H>>, stopped: Signal)
+where
+    H: MeshHandler,
+{
+    let connection = match accept(stream, &shared.config).await {
+        Ok(connection) => connection,
+        Err(error) => {
+            log::warn!("refused a mesh connection from {address}: {error}");
+            return;
+        }
+    };
+    if shared.faults.is_cut(&connection.peer.daemon) {
+        return;
+    }
+    let peer = connection.peer.daemon.clone();
+    select_biased! {
+        () = stopped.raised().fuse() => (),
+        error = Box::pin(Session::run(shared, connection)).fuse() => {
+            log::debug!("mesh session of daemon {peer} ended: {error}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/dandelion-net/src/mesh/session.rs
@@ -0,0 +1,210 @@
+//! A connection that a peer has dialled: runs its calls and streams, answers its heartbeats.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_std::future::timeout;
+use async_std::task;
+use dandelion_protocol::ids::DaemonId;
+use dandelion_protocol::mesh::CallBody;
+use dandelion_protocol::mesh::MeshMessage;
+use dandelion_protocol::mesh::ServeRequest;
+use futures::FutureExt;
+use futures::future::AbortHandle;
+use futures::future::Abortable;
+use futures::pin_mut;
+use futures::select_biased;
+
+use crate::lock::lock;
+use crate::mesh::credit::Credit;
+use crate::mesh::error::MeshError;
+use crate::mesh::handler::MeshHandler;
+use crate::mesh::node::Shared;
+use crate::mesh::parts::PartSender;
+use crate::mesh::parts::Target;
+use crate::mesh::transport::Connection;
+use crate::mesh::transport::Inlet;
+use crate::mesh::transport::Outlet;
+
+/// Messages that may wait for the peer.
+const QUEUE_LIMIT: usize = 256;
+/// Messages written before the buffer is flushed at the latest.
+const BATCH: usize = 64;
+
+/// Work that runs for the peer.
+#[derive(Debug)]
+struct Running {
+    abort: AbortHandle,
+    credit: Arc<Credit>,
+}
+
+type RunningMap = Arc<Mutex<HashMap<u64, Running>>>;
+
+/// One session.
+pub struct Session<H> {
+    shared: Arc<Shared<H>>,
+    from: DaemonId,
+    queue: Sender<MeshMessage>,
+    calls: RunningMap,
+    streams: RunningMap,
+}
+
+impl<H> Session<H>
+where
+    H: MeshHandler,
+{
+    /// Serves the peer until the connection ends, then drops all that runs for it.
+    pub async fn run(shared: Arc<Shared<H>>, connection: Connection) -> MeshError {
+        let (queue, queued) = async_channel::bounded(QUEUE_LIMIT);
+        let session = Self {
+            from: connection.peer.daemon,
+            queue,
+            calls: RunningMap::default(),
+            streams: RunningMap::default(),
+            shared,
+        };
+        let outlet = Outlet {
+            sink: connection.sink,
+            counters: Arc::clone(&session.shared.counters),
+        };
+        let inlet = Inlet {
+            source: connection.source,
+            counters: Arc::clone(&session.shared.counters),
+        };
+        let write = session.write(outlet, queued).fuse();
+        let read = session.read(inlet).fuse();
+        pin_mut!(write, read);
+        select_biased! {
+            error = read => error,
+            error = write => error,
+        }
+    }
+
+    async fn read(&self, mut inlet: Inlet) -> MeshError {
+        let limit = self.shared.config.timing.dead;
+        loop {
+            let message = match timeout(limit, inlet.next()).await {
+                Ok(Ok(message)) => message,
+                Ok(Err(error)) => return error,
+                Err(_late) => return MeshError::Timeout,
+            };
+            if self.shared.faults.is_cut(&self.from) {
+                continue;
+            }
+            if let Err(error) = self.take(message).await {
+                return error;
+            }
+        }
+    }
+
+    async fn take(&self, message: MeshMessage) -> Result<(), MeshError> {
+        match message {
+            MeshMessage::Raft(_) | MeshMessage::Feed(_) | MeshMessage::Digest(_) => {
+                self.shared.handler.on_message(&self.from, message);
+            }
+            MeshMessage::Call { call, body } => self.start_call(call, body),
+            MeshMessage::Serve { stream, request } => self.start_serve(stream, request),
+            MeshMessage::Cancel { stream } => {
+                if let Some(running) = lock(&self.streams).remove(&stream) {
+                    running.abort.abort();
+                }
+            }
+            MeshMessage::Credit { stream, bytes } => {
+                if let Some(running) = lock(&self.streams).get(&stream) {
+                    running.credit.grant(bytes);
+                }
+            }
+            MeshMessage::Ping(number) => {
+                let sent = self.queue.send(MeshMessage::Pong(number)).await;
+                sent.map_err(|_closed| MeshError::Closed)?;
+            }
+            _ => return Err(MeshError::Protocol("not a request".to_owned())),
+        }
+        Ok(())
+    }
+
+    fn start_call(&self, call: u64, body: CallBody) {
+        let shared = Arc::clone(&self.shared);
+        let from = self.from.clone();
+        let queue = self.queue.clone();
+        start(&self.calls, call, async move |_credit| {
+            let body = shared.handler.on_call(&from, body).await;
+            // A closed queue means that the peer is gone.
+            let _gone = queue.send(MeshMessage::Reply { call, body }).await;
+        });
+    }
+
+    fn start_serve(&self, stream: u64, request: ServeRequest) {
+        let shared = Arc::clone(&self.shared);
+        let from = self.from.clone();
+        let queue = self.queue.clone();
+        start(&self.streams, stream, async move |credit| {
+            let mut parts = PartSender::new(Target::Link {
+                queue,
+                stream,
+                credit,
+            });
+            shared.handler.on_serve(&from, request, &mut parts).await;
+            parts.conclude().await;
+        });
+    }
+
+    async fn write(&self, mut outlet: Outlet, queued: Receiver<MeshMessage>) -> MeshError {
+        while let Ok(first) = queued.recv().await {
+            if let Err(error) = self.write_batch(&mut outlet, &queued, first).await {
+                return error;
+            }
+        }
+        MeshError::Closed
+    }
+
+    async fn write_batch(
+        &self,
+        outlet: &mut Outlet,
+        queued: &Receiver<MeshMessage>,
+        first: MeshMessage,
+    ) -> Result<(), MeshError> {
+        let mut message = first;
+        for _ in 0..BATCH {
+            if !self.shared.faults.is_cut(&self.from) {
+                outlet.feed(&message).await?;
+            }
+            match queued.try_recv() {
+                Ok(more) => message = more,
+                Err(_) => break,
+            }
+        }
+        outlet.flush().await
+    }
+}
+
+impl<H> Drop for Session<H> {
+    fn drop(&mut self) {
+        for map in [&self.calls, &self.streams] {
+            for (_, running) in lock(map).drain() {
+                running.abort.abort();
+            }
+        }
+    }
+}
+
+/// Runs `work` until it ends or its entry in `map` is aborted.
+fn start<F, W>(map: &RunningMap, number: u64, work: F)
+where
+    F: FnOnce(Arc<Credit>) -> W,
+    W: Future<Output = ()> + Send + 'static,
+{
+    let (abort, registration) = AbortHandle::new_pair();
+    let credit = Arc::new(Credit::new());
+    let work = work(Arc::clone(&credit));
+    lock(map).insert(number, Running { abort, credit });
+    let map = Arc::clone(map);
+    task::spawn(async move {
+        // An aborted task has already lost its entry.
+        let _aborted = Abortable::new(work, registration).await;
+        lock(&map).remove(&number);
+    });
+}
--- /dev/null
+++ b/crates/dandelion-net/src/socket.rs
@@ -0,0 +1,33 @@
+//! Socket options: no delay, keep-alive, user timeout and reset on close.
+
+use std::io;
+use std::time::Duration;
+
+use async_std::net::TcpStream;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+
+/// Quiet time before the first keep-alive probe.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(5);
+/// Time between keep-alive probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
+/// Longest time that sent bytes may stay unacknowledged before the connection fails.
+const USER_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// Sets the options that every connection has.
+pub fn tune(stream: &TcpStream) -> io::Result<()> {
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_INTERVAL);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    socket.set_tcp_nodelay(true)
+}
+
+/// Makes the coming close of `stream` a reset, which the peer can't take for an orderly end.
+pub fn reset_on_close(stream: &TcpStream) {
+    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        log::debug!("connection is already gone: {error}");
+    }
+}
--- /dev/null
+++ b/crates/dandelion-net/tests/common/mod.rs
@@ -0,0 +1,193 @@
+//! Mesh nodes with a scripted handler.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use dandelion_net::mesh::Mesh;
+use dandelion_net::mesh::MeshConfig;
+use dandelion_net::mesh::MeshHandler;
+use dandelion_net::mesh::PartSender;
+use dandelion_net::mesh::Secret;
+use dandelion_net::mesh::Secrets;
+use dandelion_net::mesh::Timing;
+use dandelion_protocol::ids::CellId;
+use dandelion_protocol::ids::DaemonId;
+use dandelion_protocol::ids::Incarnation;
+use dandelion_protocol::ids::RequestId;
+use dandelion_protocol::mesh::CallBody;
+use dandelion_protocol::mesh::Hello;
+use dandelion_protocol::mesh::MESH_VERSION;
+use dandelion_protocol::mesh::MeshMessage;
+use dandelion_protocol::mesh::ReplyBody;
+use dandelion_protocol::mesh::ServePart;
+use dandelion_protocol::mesh::ServeRequest;
+use dandelion_protocol::time::Millis;
+use dandelion_protocol::usage::Class;
+
+/// What a node's handler saw.
+#[derive(Debug, PartialEq)]
+pub enum Seen {
+    Message(DaemonId, MeshMessage),
+    Call(String),
+    Serve(String),
+    Dropped(String),
+}
+
+/// Reports its path when it is dropped.
+struct Guard(String, Sender<Seen>);
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        let _gone = self.1.try_send(Seen::Dropped(self.0.clone()));
+    }
+}
+
+/// `echo`: replies; `wait`: never; `pieces`: three chunks; `flood`: chunks without end;
+/// `lie`: a wrong byte count; `quit`: no end.
+#[derive(Debug, Clone)]
+pub struct Script(pub Sender<Seen>);
+
+impl MeshHandler for Script {
+    fn on_message(&self, from: &DaemonId, message: MeshMessage) {
+        let _gone = self.0.try_send(Seen::Message(from.clone(), message));
+    }
+
+    async fn on_call(&self, _from: &DaemonId, body: CallBody) -> ReplyBody {
+        let CallBody::Forward { path, body } = body else {
+            return ReplyBody::Announced;
+        };
+        let _gone = self.0.try_send(Seen::Call(path.clone()));
+        let _guard = Guard(path.clone(), self.0.clone());
+        if path == "wait" {
+            std::future::pending::<()>().await;
+        }
+        ReplyBody::Forwarded { status: 200, body }
+    }
+
+    async fn on_serve(&self, _from: &DaemonId, request: ServeRequest, parts: &mut PartSender) {
+        let _gone = self.0.try_send(Seen::Serve(request.path.clone()));
+        let _guard = Guard(request.path.clone(), self.0.clone());
+        let head = ServePart::Head {
+            status: 200,
+            headers: Vec::new(),
+            upstream: "u".to_owned(),
+        };
+        let _gone = parts.send(head).await;
+        match request.path.as_str() {
+            "pieces" => {
+                for piece in ["a", "b", "c"] {
+                    let _gone = parts.send(ServePart::Chunk(piece.into())).await;
+                }
+                let bytes = parts.bytes();
+                let _gone = parts.send(ServePart::End { bytes }).await;
+            }
+            "flood" => {
+                while parts
+                    .send(ServePart::Chunk(vec![7; 32 * 1024]))
+                    .await
+                    .is_ok()
+                {}
+            }
+            "lie" => {
+                let _gone = parts.send(ServePart::Chunk(vec![1])).await;
+                let _gone = parts.send(ServePart::End { bytes: 2 }).await;
+            }
+            "quit" => (),
+            _ => std::future::pending().await,
+        }
+    }
+}
+
+/// A node and what its handler saw.
+pub struct Node {
+    pub mesh: Mesh<Script>,
+    pub seen: Receiver<Seen>,
+}
+
+pub fn id(name: &str) -> DaemonId {
+    name.parse().expect("valid name")
+}
+
+pub fn secret(fill: u8) -> Secret {
+    Secret::new(&[fill; 32]).expect("long enough")
+}
+
+pub fn secrets(current: u8, other: Option<u8>) -> Secrets {
+    Secrets {
+        current: secret(current),
+        other: other.map(secret),
+    }
+}
+
+pub fn config(name: &str, secrets: Secrets) -> MeshConfig {
+    MeshConfig {
+        hello: Hello {
+            version: MESH_VERSION,
+            cell: CellId(0),
+            daemon: id(name),
+            zone: "a".parse().expect("valid name"),
+            incarnation: Incarnation(1),
+            address: String::new(),
+        },
+        listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+        secrets,
+        timing: Timing {
+            heartbeat: Duration::from_millis(50),
+            silence: Duration::from_millis(150),
+            min_delay: Duration::from_millis(5),
+            max_delay: Duration::from_millis(20),
+            ..Timing::default()
+        },
+    }
+}
+
+pub async fn node_with(config: MeshConfig) -> Node {
+    let (sender, seen) = async_channel::unbounded();
+    let mesh = Mesh::bind(config, Script(sender))
+        .await
+        .expect("loopback port");
+    Node { mesh, seen }
+}
+
+pub async fn node(name: &str) -> Node {
+    node_with(config(name, secrets(1, None))).await
+}
+
+/// Two nodes that know each other.
+pub async fn pair() -> (Node, Node) {
+    let (a, b) = (node("a").await, node("b").await);
+    a.mesh.set_peer(&id("b"), b.mesh.local_addr());
+    b.mesh.set_peer(&id("a"), a.mesh.local_addr());
+    (a, b)
+}
+
+pub fn forward(path: &str) -> CallBody {
+    CallBody::Forward {
+        path: path.to_owned(),
+        body: b"body".to_vec(),
+    }
+}
+
+pub fn replied() -> ReplyBody {
+    ReplyBody::Forwarded {
+        status: 200,
+        body: b"body".to_vec(),
+    }
+}
+
+pub fn serve(path: &str) -> ServeRequest {
+    ServeRequest {
+        id: RequestId(1),
+        team: None,
+        service: "s".parse().expect("valid name"),
+        class: Class::Interactive,
+        method: "GET".to_owned(),
+        path: path.to_owned(),
+        headers: Vec::new(),
+        body: Vec::new(),
+        timeout: Millis::from_secs(10),
+        idempotent: true,
+    }
+}
--- /dev/null
+++ b/crates/dandelion-net/tests/mesh_peers.rs
@@ -0,0 +1,243 @@
+//! Who may join the mesh, and connections that break or go silent.
+
+mod common;
+
+use std::time::Duration;
+
+use async_std::net::TcpListener;
+use async_std::net::TcpStream;
+use async_std::task::block_on;
+use async_std::task::sleep;
+use async_std::task::spawn;
+use common::Node;
+use common::Seen;
+use common::config;
+use common::forward;
+use common::id;
+use common::node;
+use common::node_with;
+use common::pair;
+use common::replied;
+use common::secrets;
+use common::serve;
+use dandelion_net::mesh::CallError;
+use dandelion_net::mesh::MeshError;
+use dandelion_net::mesh::Secret;
+use dandelion_net::mesh::decode_message;
+use dandelion_protocol::codec::encode;
+use dandelion_protocol::ids::CellId;
+use dandelion_protocol::ids::DaemonId;
+use dandelion_protocol::mesh::ReplyBody;
+use dandelion_protocol::mesh::ServePart;
+use futures::AsyncReadExt;
+use futures::AsyncWriteExt;
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+
+const LIMIT: Duration = Duration::from_secs(10);
+
+/// Calls until the peer replies, as after a connection failed.
+async fn call_until(node: &Node, peer: &DaemonId) -> ReplyBody {
+    loop {
+        let limit = Duration::from_secs(1);
+        match node.mesh.call(peer, forward("echo"), limit).await {
+            Ok(body) => return body,
+            Err(_not_yet) => sleep(Duration::from_millis(5)).await,
+        }
+    }
+}
+
+/// Tells whether a call from one node to another passes under these secrets.
+fn passes(from: (u8, Option<u8>), to: (u8, Option<u8>)) -> bool {
+    block_on(async {
+        let a = node_with(config("a", secrets(from.0, from.1))).await;
+        let b = node_with(config("b", secrets(to.0, to.1))).await;
+        a.mesh.set_peer(&id("b"), b.mesh.local_addr());
+        match a.mesh.call(&id("b"), forward("echo"), LIMIT).await {
+            Ok(body) => body == replied(),
+            Err(error) => {
+                assert_eq!((error, b.seen.is_empty()), (CallError::NotSent, true));
+                false
+            }
+        }
+    })
+}
+
+#[test]
+fn secrets_checked() {
+    assert!(passes((1, None), (1, None)));
+    assert!(!passes((1, None), (2, None)));
+    assert!(!passes((1, Some(3)), (2, Some(4))));
+    assert!(matches!(
+        Secret::new(&[1; 31]),
+        Err(MeshError::WeakSecret(31))
+    ));
+}
+
+#[test]
+fn secret_rolled() {
+    // Old only, then both accepted, then the new one in use, then new only.
+    let stages = [(1, None), (1, Some(2)), (2, Some(1)), (2, None)];
+    for pair in stages.windows(2) {
+        assert!(passes(pair[0], pair[1]), "{pair:?}");
+        assert!(passes(pair[1], pair[0]), "{pair:?}");
+    }
+    assert!(!passes(stages[0], stages[3]));
+}
+
+#[test]
+fn wrong_identity() {
+    block_on(async {
+        let (a, b) = (node("a").await, node("b").await);
+        a.mesh.set_peer(&id("c"), b.mesh.local_addr());
+        let call = a.mesh.call(&id("c"), forward("echo"), LIMIT).await;
+        assert_eq!(call, Err(CallError::NotSent));
+        let mut other = config("d", secrets(1, None));
+        other.hello.cell = CellId(7);
+        let d = node_with(other).await;
+        a.mesh.set_peer(&id("d"), d.mesh.local_addr());
+        let call = a.mesh.call(&id("d"), forward("echo"), LIMIT).await;
+        assert_eq!(call, Err(CallError::NotSent));
+    });
+}
+
+#[test]
+fn address_changes() {
+    block_on(async {
+        let a = node("a").await;
+        let first = node("b").await;
+        a.mesh.set_peer(&id("b"), first.mesh.local_addr());
+        assert_eq!(call_until(&a, &id("b")).await, replied());
+        drop(first);
+        let second = node("b").await;
+        a.mesh.set_peer(&id("b"), second.mesh.local_addr());
+        assert_eq!(call_until(&a, &id("b")).await, replied());
+        a.mesh.remove_peer(&id("b"));
+        let call = a.mesh.call(&id("b"), forward("echo"), LIMIT).await;
+        assert_eq!(call, Err(CallError::NotSent));
+    });
+}
+
+#[test]
+fn removal_ends() {
+    block_on(async {
+        let (a, _b) = pair().await;
+        let mut stream = a.mesh.serve(&id("b"), serve("hold")).expect("queued");
+        assert!(matches!(stream.next().await, Ok(ServePart::Head { .. })));
+        a.mesh.remove_peer(&id("b"));
+        assert_eq!(stream.next().await, Err(CallError::Unknown));
+    });
+}
+
+/// Forwards connections; those opened before `mute` lose every byte from then on.
+struct Relay {
+    address: std::net::SocketAddr,
+    mute: async_channel::Sender<()>,
+}
+
+async fn relay(target: std::net::SocketAddr) -> Relay {
+    let listener = TcpListener::bind(("127.0.0.1", 0))
+        .await
+        .expect("loopback port");
+    let address = listener.local_addr().expect("bound");
+    let (mute, muted) = async_channel::bounded(1);
+    spawn(async move {
+        let mut old = true;
+        while let Ok((near, _)) = listener.accept().await {
+            let far = TcpStream::connect(target).await.expect("the node listens");
+            let silenced = if old { Some(muted.clone()) } else { None };
+            old = false;
+            spawn(pump(near.clone(), far.clone(), silenced.clone()));
+            spawn(pump(far, near, silenced));
+        }
+    });
+    Relay { address, mute }
+}
+
+async fn pump(mut from: TcpStream, mut to: TcpStream, muted: Option<async_channel::Receiver<()>>) {
+    let mut bytes = [0; 4096];
+    while let Ok(count @ 1..) = from.read(&mut bytes).await {
+        if muted
+            .as_ref()
+            .is_some_and(async_channel::Receiver::is_closed)
+        {
+            continue;
+        }
+        if to.write_all(&bytes[..count]).await.is_err() {
+            return;
+        }
+    }
+}
+
+#[test]
+fn silent_replaced() {
+    block_on(async {
+        let (a, b) = (node("a").await, node("b").await);
+        let relay = relay(b.mesh.local_addr()).await;
+        a.mesh.set_peer(&id("b"), relay.address);
+        assert_eq!(call_until(&a, &id("b")).await, replied());
+        let mut stream = a.mesh.serve(&id("b"), serve("hold")).expect("queued");
+        assert!(matches!(stream.next().await, Ok(ServePart::Head { .. })));
+        relay.mute.close();
+        // What was on the silent connection is unknown; the next call takes the fresh one.
+        assert_eq!(stream.next().await, Err(CallError::Unknown));
+        assert_eq!(call_until(&a, &id("b")).await, replied());
+    });
+}
+
+#[test]
+fn partition_heals() {
+    block_on(async {
+        let (a, b) = pair().await;
+        assert_eq!(call_until(&a, &id("b")).await, replied());
+        b.mesh.set_cut(&id("a"), true);
+        let limit = Duration::from_millis(100);
+        let call = a.mesh.call(&id("b"), forward("echo"), limit).await;
+        assert_eq!(call, Err(CallError::Unknown));
+        b.mesh.set_cut(&id("a"), false);
+        assert_eq!(call_until(&a, &id("b")).await, replied());
+    });
+}
+
+#[test]
+fn garbage_closed() {
+    block_on(async {
+        let (a, b) = pair().await;
+        let mut honest = a.mesh.serve(&id("b"), serve("hold")).expect("queued");
+        assert!(matches!(honest.next().await, Ok(ServePart::Head { .. })));
+        let upgrade = "GET /mesh HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\n\
+                       Upgrade: websocket\r\nSec-WebSocket-Version: 13\r\n\
+                       Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
+        let frame = [b"\x82\x85abcd".as_slice(), b"12345"].concat();
+        let inputs = [
+            b"\x00\xff\x17 garbage\r\n\r\n".to_vec(),
+            b"GET / HTTP/1.1\r\nHost: a\r\n\r\n".to_vec(),
+            [upgrade.as_bytes(), b"\xff\xff\xff\xff"].concat(),
+            [upgrade.as_bytes(), &frame].concat(),
+        ];
+        for input in inputs {
+            let mut stream = TcpStream::connect(b.mesh.local_addr())
+                .await
+                .expect("connected");
+            stream.write_all(&input).await.expect("sent");
+            let mut rest = Vec::new();
+            // Closed by the node, with or without a reset.
+            let _closed = stream.read_to_end(&mut rest).await;
+        }
+        assert_eq!(call_until(&a, &id("b")).await, replied());
+        drop(honest);
+        while b.seen.recv().await != Ok(Seen::Dropped("hold".to_owned())) {}
+    });
+}
+
+#[test]
+fn garbage_decoded() {
+    let mut source = Gen::from_size_and_seed(300, 7);
+    for _ in 0..5000 {
+        let bytes = Vec::<u8>::arbitrary(&mut source);
+        match decode_message(&bytes) {
+            Ok(message) => assert!(encode(&message).is_ok(), "{bytes:?}"),
+            Err(error) => assert!(matches!(error, MeshError::Codec(_)), "{bytes:?}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/dandelion-net/tests/mesh_streams.rs
@@ -0,0 +1,214 @@
+//! Calls, answer streams, cancels and flow control on the mesh.
+
+mod common;
+
+use std::time::Duration;
+
+use async_std::future::timeout;
+use async_std::task::block_on;
+use async_std::task::sleep;
+use common::Node;
+use common::Seen;
+use common::forward;
+use common::id;
+use common::node;
+use common::pair;
+use common::replied;
+use common::serve;
+use dandelion_net::mesh::CallError;
+use dandelion_net::mesh::Family;
+use dandelion_net::mesh::MeshError;
+use dandelion_net::mesh::ServeStream;
+use dandelion_protocol::mesh::MeshMessage;
+use dandelion_protocol::mesh::ServePart;
+use dandelion_protocol::outcome::Ran;
+
+const LIMIT: Duration = Duration::from_secs(10);
+
+async fn collect(stream: &mut ServeStream) -> Result<Vec<u8>, CallError> {
+    let mut body = Vec::new();
+    loop {
+        match stream.next().await? {
+            ServePart::Chunk(bytes) => body.extend_from_slice(&bytes),
+            ServePart::End { bytes } => {
+                assert_eq!(bytes, body.len() as u64);
+                return Ok(body);
+            }
+            ServePart::Head { status, .. } => assert_eq!(status, 200),
+            ServePart::Failed(refusal) => panic!("failed: {refusal:?}"),
+        }
+    }
+}
+
+async fn wait_for(node: &Node, expected: Seen) {
+    while node.seen.recv().await.expect("the node runs") != expected {}
+}
+
+#[test]
+fn calls_reply() {
+    block_on(async {
+        let (a, b) = pair().await;
+        for target in ["b", "a"] {
+            let reply = a.mesh.call(&id(target), forward("echo"), LIMIT).await;
+            assert_eq!(reply, Ok(replied()));
+        }
+        wait_for(&b, Seen::Call("echo".to_owned())).await;
+        wait_for(&a, Seen::Call("echo".to_owned())).await;
+    });
+}
+
+#[test]
+fn messages_arrive() {
+    block_on(async {
+        let (a, b) = pair().await;
+        let message = MeshMessage::Raft(vec![1, 2, 3]);
+        for target in [&b, &a] {
+            a.mesh
+                .send(target.mesh.id(), message.clone())
+                .expect("room");
+            wait_for(target, Seen::Message(id("a"), message.clone())).await;
+        }
+        let sent = a.mesh.traffic(Family::Raft);
+        let received = b.mesh.traffic(Family::Raft);
+        assert_eq!((sent.sent, received.received), (1, 1));
+        assert_eq!(sent.sent_bytes, received.received_bytes);
+    });
+}
+
+#[test]
+fn unknown_peer() {
+    block_on(async {
+        let a = node("a").await;
+        let call = a.mesh.call(&id("x"), forward("echo"), LIMIT).await;
+        assert_eq!(call, Err(CallError::NotSent));
+        let sent = a.mesh.send(&id("x"), MeshMessage::Raft(Vec::new()));
+        assert!(matches!(sent, Err(MeshError::NoPeer(_))), "{sent:?}");
+        // Nobody listens there: the call did not run.
+        let gone = node("x").await;
+        a.mesh.set_peer(&id("x"), gone.mesh.local_addr());
+        drop(gone);
+        let call = a.mesh.call(&id("x"), forward("echo"), LIMIT).await;
+        assert_eq!(call, Err(CallError::NotSent));
+    });
+}
+
+#[test]
+fn lost_unknown() {
+    block_on(async {
+        let (a, b) = pair().await;
+        let mesh = a.mesh.clone();
+        let call =
+            async_std::task::spawn(
+                async move { mesh.call(&id("b"), forward("wait"), LIMIT).await },
+            );
+        wait_for(&b, Seen::Call("wait".to_owned())).await;
+        drop(b.mesh);
+        assert_eq!(call.await, Err(CallError::Unknown));
+    });
+}
+
+#[test]
+fn late_unknown() {
+    block_on(async {
+        let (a, b) = pair().await;
+        let limit = Duration::from_millis(100);
+        a.mesh
+            .call(&id("b"), forward("echo"), LIMIT)
+            .await
+            .expect("connected");
+        let call = a.mesh.call(&id("b"), forward("wait"), limit).await;
+        assert_eq!(call, Err(CallError::Unknown));
+        wait_for(&b, Seen::Call("wait".to_owned())).await;
+    });
+}
+
+#[test]
+fn stream_whole() {
+    block_on(async {
+        let (a, _b) = pair().await;
+        for target in ["b", "a"] {
+            let mut stream = a.mesh.serve(&id(target), serve("pieces")).expect("queued");
+            assert_eq!(collect(&mut stream).await.as_deref(), Ok(b"abc".as_slice()));
+        }
+    });
+}
+
+#[test]
+fn stream_lies() {
+    block_on(async {
+        let (a, _b) = pair().await;
+        let mut stream = a.mesh.serve(&id("b"), serve("lie")).expect("queued");
+        assert_eq!(collect(&mut stream).await, Err(CallError::Unknown));
+    });
+}
+
+#[test]
+fn stream_unfinished() {
+    block_on(async {
+        let (a, _b) = pair().await;
+        for target in ["b", "a"] {
+            let mut stream = a.mesh.serve(&id(target), serve("quit")).expect("queued");
+            assert!(matches!(stream.next().await, Ok(ServePart::Head { .. })));
+            let Ok(ServePart::Failed(refusal)) = stream.next().await else {
+                panic!("expected a failure");
+            };
+            assert_eq!(refusal.ran, Ran::Unknown);
+        }
+    });
+}
+
+#[test]
+fn stream_cancelled() {
+    block_on(async {
+        let (a, b) = pair().await;
+        for (target, seen) in [("b", &b), ("a", &a)] {
+            let mut stream = a.mesh.serve(&id(target), serve("hold")).expect("queued");
+            assert!(matches!(stream.next().await, Ok(ServePart::Head { .. })));
+            drop(stream);
+            wait_for(seen, Seen::Dropped("hold".to_owned())).await;
+        }
+    });
+}
+
+#[test]
+fn stream_lost() {
+    block_on(async {
+        let (a, b) = pair().await;
+        let mut stream = a.mesh.serve(&id("b"), serve("hold")).expect("queued");
+        assert!(matches!(stream.next().await, Ok(ServePart::Head { .. })));
+        drop(b.mesh);
+        assert_eq!(stream.next().await, Err(CallError::Unknown));
+        wait_for_drop(&b.seen).await;
+    });
+}
+
+async fn wait_for_drop(seen: &async_channel::Receiver<Seen>) {
+    while seen.recv().await.expect("the handler reports") != Seen::Dropped("hold".to_owned()) {}
+}
+
+#[test]
+fn slow_stream() {
+    // A stream that nobody reads is held back and does not hold up its neighbours.
+    block_on(async {
+        let (a, _b) = pair().await;
+        let mut flood = a.mesh.serve(&id("b"), serve("flood")).expect("queued");
+        assert!(matches!(flood.next().await, Ok(ServePart::Head { .. })));
+        sleep(Duration::from_millis(100)).await;
+        let held = a.mesh.traffic(Family::Serve).received_bytes;
+        sleep(Duration::from_millis(200)).await;
+        assert_eq!(a.mesh.traffic(Family::Serve).received_bytes, held);
+        let reply = a.mesh.call(&id("b"), forward("echo"), LIMIT).await;
+        assert_eq!(reply, Ok(replied()));
+        // Once it is read, it goes on past the first window.
+        let mut bytes = 0;
+        while bytes < 4 * held {
+            let next = timeout(LIMIT, flood.next())
+                .await
+                .expect("credit is granted");
+            let Ok(ServePart::Chunk(piece)) = next else {
+                panic!("expected a piece");
+            };
+            bytes += piece.len() as u64;
+        }
+    });
+}
--- /dev/null
+++ b/crates/dandelion-net/tests/server_answers.rs
@@ -0,0 +1,211 @@
+//! Answers towards callers: cancelled with the caller, broken visibly, finished in a drain.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_std::task::block_on;
+use async_std::task::sleep;
+use dandelion_net::http::body;
+use dandelion_net::http::client::Cause;
+use dandelion_net::http::client::Client;
+use dandelion_net::http::client::ClientOptions;
+use dandelion_net::http::client::Exchange;
+use dandelion_net::http::client::SendError;
+use dandelion_net::http::client::SendOptions;
+use dandelion_net::http::client::request;
+use dandelion_net::http::server::Handler;
+use dandelion_net::http::server::Limits;
+use dandelion_net::http::server::Server;
+use dandelion_net::http::server::streamed;
+use http_types::Request;
+use http_types::Response;
+
+/// Tells the test when the work of a request is dropped.
+struct Dropped(Sender<()>);
+
+impl Drop for Dropped {
+    fn drop(&mut self) {
+        let _gone = self.0.try_send(());
+    }
+}
+
+/// `/wait` never answers, `/stream` streams without end, `/break` breaks off, `/slow` takes its
+/// time, `/quick` answers at once.
+#[derive(Clone)]
+struct Paths {
+    dropped: Sender<()>,
+    started: Sender<()>,
+}
+
+impl Handler for Paths {
+    async fn handle(&self, request: Request, _peer: SocketAddr) -> Response {
+        let guard = Dropped(self.dropped.clone());
+        let _gone = self.started.try_send(());
+        match request.url().path() {
+            "/wait" => std::future::pending().await,
+            "/stream" => streamed(200, "text/plain", body::from_stream(endless(guard))),
+            "/break" => {
+                let (sender, body) = body::channel(4);
+                sender.send(b"half".to_vec()).await.expect("room");
+                streamed(200, "text/plain", body)
+            }
+            "/slow" => {
+                sleep(Duration::from_millis(150)).await;
+                Response::new(200)
+            }
+            _ => Response::new(200),
+        }
+    }
+}
+
+fn endless(
+    guard: Dropped,
+) -> impl futures::Stream<Item = Result<Vec<u8>, body::Broken>> + Send + 'static {
+    futures::stream::unfold(guard, |guard| async {
+        sleep(Duration::from_millis(5)).await;
+        Some((Ok(b"tick".to_vec()), guard))
+    })
+}
+
+struct Bench {
+    server: Server,
+    client: Client,
+    dropped: Receiver<()>,
+    started: Receiver<()>,
+}
+
+async fn bench() -> Bench {
+    let (dropped, drops) = async_channel::unbounded();
+    let (started, starts) = async_channel::unbounded();
+    let limits = Limits {
+        drain_idle: Duration::from_millis(100),
+        ..Limits::default()
+    };
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = Server::bind(address, limits, Paths { dropped, started }).await;
+    Bench {
+        server: server.expect("loopback port"),
+        client: Client::new(ClientOptions::default()),
+        dropped: drops,
+        started: starts,
+    }
+}
+
+async fn open(client: &Client, address: SocketAddr, path: &str) -> Result<Exchange, SendError> {
+    let request = request(address, "GET", path, &[], Vec::new()).expect("valid request");
+    let options = SendOptions {
+        deadline: Instant::now() + Duration::from_secs(20),
+        progress: Duration::from_secs(20),
+        idempotent: false,
+    };
+    client.send(address, request, &options).await
+}
+
+#[test]
+fn caller_gone() {
+    block_on(async {
+        let bench = bench().await;
+        let address = bench.server.local_addr();
+        let waiting = async_std::task::spawn(async move {
+            let client = Client::new(ClientOptions::default());
+            open(&client, address, "/wait").await
+        });
+        bench.started.recv().await.expect("the handler runs");
+        assert!(bench.dropped.is_empty());
+        waiting.cancel().await;
+        bench.dropped.recv().await.expect("the handler is dropped");
+    });
+}
+
+#[test]
+fn stream_dropped() {
+    block_on(async {
+        let bench = bench().await;
+        let mut exchange = open(&bench.client, bench.server.local_addr(), "/stream").await;
+        let exchange = exchange.as_mut().expect("a head");
+        for _ in 0..3 {
+            let piece = exchange.chunk().await.expect("a piece");
+            assert_eq!(piece.as_deref(), Some(b"tick".as_slice()));
+        }
+        assert!(bench.dropped.is_empty());
+        let cancelled = std::mem::replace(
+            exchange,
+            open(&bench.client, bench.server.local_addr(), "/quick")
+                .await
+                .expect("a head"),
+        );
+        drop(cancelled);
+        // One drop is the quick request's, the other the stream's.
+        bench.dropped.recv().await.expect("dropped");
+        bench.dropped.recv().await.expect("dropped");
+    });
+}
+
+#[test]
+fn broken_visibly() {
+    block_on(async {
+        let bench = bench().await;
+        let mut exchange = open(&bench.client, bench.server.local_addr(), "/break")
+            .await
+            .expect("a head");
+        let result = exchange.read_all(100).await;
+        assert!(
+            matches!(result, Err(SendError::Unknown(Cause::Closed(_)))),
+            "{result:?}"
+        );
+    });
+}
+
+#[test]
+fn drain_finishes() {
+    block_on(async {
+        let bench = bench().await;
+        let address = bench.server.local_addr();
+        let mut first = open(&bench.client, address, "/quick")
+            .await
+            .expect("a head");
+        first.read_all(100).await.expect("whole");
+        assert_eq!(
+            (first.header("connection"), bench.client.idle_count(address)),
+            (None, 1)
+        );
+
+        let client = bench.client.clone();
+        let slow = async_std::task::spawn(async move { open(&client, address, "/slow").await });
+        bench.started.recv().await.expect("the quick handler ran");
+        bench.started.recv().await.expect("the slow handler runs");
+        bench.server.begin_drain();
+        let mut during = open(&bench.client, address, "/quick")
+            .await
+            .expect("still served");
+        during.read_all(100).await.expect("whole");
+        assert_eq!(during.header("connection"), Some("close"));
+        assert_eq!(bench.server.shutdown(Duration::from_secs(20)).await, 0);
+        let mut slow = slow.await.expect("a head");
+        assert_eq!(
+            (slow.status(), slow.header("connection")),
+            (200, Some("close"))
+        );
+        slow.read_all(100).await.expect("whole");
+        assert!(!bench.client.probe(address).await);
+    });
+}
+
+#[test]
+fn shutdown_cuts() {
+    block_on(async {
+        let bench = bench().await;
+        let mut exchange = open(&bench.client, bench.server.local_addr(), "/stream")
+            .await
+            .expect("a head");
+        assert_eq!(bench.server.shutdown(Duration::from_millis(50)).await, 1);
+        let result = exchange.read_all(1 << 20).await;
+        assert!(
+            matches!(result, Err(SendError::Unknown(Cause::Closed(_)))),
+            "{result:?}"
+        );
+    });
+}
--- /dev/null
+++ b/crates/dandelion-net/tests/whole_answers.rs
@@ -0,0 +1,294 @@
+//! Answers of misbehaving upstreams: never taken as whole, never left on a kept connection.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use async_std::task::block_on;
+use dandelion_fakes::raw::RawServer;
+use dandelion_fakes::raw::Step;
+use dandelion_fakes::raw::chunked;
+use dandelion_fakes::raw::counted;
+use dandelion_fakes::raw::with_id;
+use dandelion_net::http::HeadError;
+use dandelion_net::http::client::Cause;
+use dandelion_net::http::client::Client;
+use dandelion_net::http::client::ClientOptions;
+use dandelion_net::http::client::SendError;
+use dandelion_net::http::client::SendOptions;
+use dandelion_net::http::client::request;
+use dandelion_protocol::mesh::Header;
+
+const WHOLE: &str = "0\r\n\r\n";
+
+fn options(idempotent: bool) -> SendOptions {
+    SendOptions {
+        deadline: Instant::now() + Duration::from_secs(20),
+        progress: Duration::from_millis(400),
+        idempotent,
+    }
+}
+
+async fn fetch(client: &Client, server: &RawServer, idempotent: bool) -> Result<String, SendError> {
+    let address = server.local_addr();
+    let id = Header {
+        name: "x-request-id".to_owned(),
+        value: "mine".to_owned(),
+    };
+    let request = request(address, "POST", "/x", &[id], b"{}".to_vec()).expect("valid request");
+    let mut exchange = client.send(address, request, &options(idempotent)).await?;
+    let body = exchange.read_all(1 << 20).await?;
+    Ok(String::from_utf8_lossy(&body).into_owned())
+}
+
+/// Runs one script against a fresh client; returns the result and the connections left idle.
+fn run(script: Vec<Step>) -> (Result<String, SendError>, usize) {
+    block_on(async {
+        let server = RawServer::bind(vec![script]).await.expect("loopback port");
+        let client = Client::new(ClientOptions::default());
+        let result = fetch(&client, &server, false).await;
+        (result, client.idle_count(server.local_addr()))
+    })
+}
+
+fn unknown(script: Vec<Step>) -> Cause {
+    let (result, idle) = run(script);
+    assert_eq!(idle, 0, "a failed connection was kept");
+    match result {
+        Err(SendError::Unknown(cause)) => cause,
+        other => panic!("expected an unknown outcome, got {other:?}"),
+    }
+}
+
+#[test]
+fn whole_reused() {
+    for bytes in [
+        counted(4, "good"),
+        chunked(&["go", "od"], WHOLE),
+        with_id("mine", "good"),
+    ] {
+        let (result, idle) = run(vec![Step::Write(bytes)]);
+        assert_eq!((result, idle), (Ok("good".to_owned()), 1));
+    }
+}
+
+#[test]
+fn trickled_whole() {
+    let pause = Duration::from_millis(1);
+    let (result, idle) = run(vec![Step::Trickle(chunked(&["go", "od"], WHOLE), pause)]);
+    assert_eq!((result, idle), (Ok("good".to_owned()), 1));
+}
+
+#[test]
+fn trailers_counted() {
+    let bytes = chunked(&["good"], "0\r\nX-Sum: 1\r\nX-More: 2\r\n\r\n");
+    let (result, idle) = run(vec![Step::Write(bytes)]);
+    assert_eq!((result, idle), (Ok("good".to_owned()), 1));
+}
+
+#[test]
+fn counted_cut() {
+    for body in ["goo", ""] {
+        let cause = unknown(vec![Step::Write(counted(4, body)), Step::Close]);
+        assert!(matches!(cause, Cause::Closed(_)), "{cause:?}");
+    }
+}
+
+#[test]
+fn chunked_cut() {
+    for last in ["", "0\r\n", "5\r\nab", "0\r\nX: y\r\n"] {
+        let cause = unknown(vec![Step::Write(chunked(&["good"], last)), Step::Close]);
+        assert!(matches!(cause, Cause::Closed(_)), "{last:?}: {cause:?}");
+    }
+}
+
+#[test]
+fn chunks_broken() {
+    for last in ["zz\r\n", "\r\n\r\n", "ffffffffffffffffff\r\n", "4;\n"] {
+        let cause = unknown(vec![Step::Write(chunked(&["good"], last)), Step::Hang]);
+        assert!(matches!(cause, Cause::Body(_)), "{last:?}: {cause:?}");
+    }
+}
+
+#[test]
+fn head_cut() {
+    let cause = unknown(vec![
+        Step::Write(b"HTTP/1.1 200 OK\r\nConte".to_vec()),
+        Step::Reset,
+    ]);
+    assert!(matches!(cause, Cause::Closed(_)), "{cause:?}");
+    let cause = unknown(vec![Step::Close]);
+    assert!(matches!(cause, Cause::Closed(_)), "{cause:?}");
+}
+
+#[test]
+fn doubtful_framing() {
+    let cases = [
+        ("", HeadError::Unframed),
+        (
+            "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+            HeadError::BothFramings,
+        ),
+        (
+            "Content-Length: 4\r\nContent-Length: 4\r\n",
+            HeadError::Repeated("content-length"),
+        ),
+        ("Content-Length: +4\r\n", HeadError::BadLength),
+        (
+            "Transfer-Encoding: gzip, chunked\r\n",
+            HeadError::BadEncoding,
+        ),
+    ];
+    for (headers, expected) in cases {
+        let bytes = format!("HTTP/1.1 200 OK\r\n{headers}\r\ngood").into_bytes();
+        assert_eq!(
+            unknown(vec![Step::Write(bytes), Step::Close]),
+            Cause::Head(expected)
+        );
+    }
+}
+
+#[test]
+fn surplus_dropped() {
+    for whole in [counted(4, "good"), chunked(&["good"], WHOLE)] {
+        for surplus in ["x", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad"] {
+            let mut bytes = whole.clone();
+            bytes.extend_from_slice(surplus.as_bytes());
+            let (result, idle) = run(vec![Step::Write(bytes)]);
+            assert_eq!((result, idle), (Ok("good".to_owned()), 0));
+        }
+    }
+}
+
+#[test]
+fn late_surplus() {
+    // The doubled answer comes after the connection went back to the pool.
+    block_on(async {
+        let late = vec![
+            Step::Write(counted(4, "good")),
+            Step::Pause(Duration::from_millis(20)),
+            Step::Write(counted(3, "bad")),
+        ];
+        let server = RawServer::bind(vec![late, vec![Step::Write(counted(4, "next"))]]).await;
+        let server = server.expect("loopback port");
+        let client = Client::new(ClientOptions::default());
+        assert_eq!(fetch(&client, &server, false).await.as_deref(), Ok("good"));
+        while client.idle_count(server.local_addr()) == 0 {
+            async_std::task::yield_now().await;
+        }
+        async_std::task::sleep(Duration::from_millis(200)).await;
+        assert_eq!(fetch(&client, &server, false).await.as_deref(), Ok("next"));
+        assert_eq!(server.connections(), 2);
+    });
+}
+
+#[test]
+fn crossed_ids() {
+    let cause = unknown(vec![Step::Write(with_id("other", "bad"))]);
+    let expected = Cause::Crossed {
+        sent: "mine".to_owned(),
+        got: "other".to_owned(),
+    };
+    assert_eq!(cause, expected);
+}
+
+#[test]
+fn timeout_drops() {
+    // The late answer of the first request must not become that of the second.
+    block_on(async {
+        let late = vec![
+            Step::Pause(Duration::from_millis(700)),
+            Step::Write(counted(4, "late")),
+        ];
+        let server = RawServer::bind(vec![late, vec![Step::Write(counted(4, "next"))]]).await;
+        let server = server.expect("loopback port");
+        let client = Client::new(ClientOptions::default());
+        let first = fetch(&client, &server, false).await;
+        assert_eq!(
+            first,
+            Err(SendError::Unknown(Cause::Silent { alive: true }))
+        );
+        assert_eq!(fetch(&client, &server, false).await.as_deref(), Ok("next"));
+    });
+}
+
+#[test]
+fn cancel_drops() {
+    block_on(async {
+        let half = vec![Step::Write(counted(8, "half")), Step::Hang];
+        let server = RawServer::bind(vec![half]).await.expect("loopback port");
+        let client = Client::new(ClientOptions::default());
+        let address = server.local_addr();
+        let request = request(address, "GET", "/x", &[], Vec::new()).expect("valid request");
+        let sent = client.send(address, request, &options(false)).await;
+        drop(sent.expect("a head"));
+        assert_eq!(client.idle_count(address), 0);
+    });
+}
+
+#[test]
+fn refused_connect() {
+    block_on(async {
+        let server = RawServer::bind(vec![vec![]]).await.expect("loopback port");
+        let address = server.local_addr();
+        drop(server);
+        let client = Client::new(ClientOptions::default());
+        while client.probe(address).await {
+            async_std::task::yield_now().await;
+        }
+        let request = request(address, "GET", "/x", &[], Vec::new()).expect("valid request");
+        let sent = client.send(address, request, &options(true)).await;
+        let error = sent.expect_err("nobody listens");
+        assert!(
+            matches!(error, SendError::NotSent(Cause::Connect(_))),
+            "{error:?}"
+        );
+    });
+}
+
+#[test]
+fn closed_resent() {
+    // A kept connection closes on its second request: only an idempotent one is sent again.
+    block_on(async {
+        let good = vec![Step::Write(counted(4, "good"))];
+        let scripts = vec![good.clone(), vec![Step::Close], good];
+        let client = Client::new(ClientOptions::default());
+        let server = RawServer::bind(scripts.clone())
+            .await
+            .expect("loopback port");
+        assert_eq!(fetch(&client, &server, true).await.as_deref(), Ok("good"));
+        assert_eq!(fetch(&client, &server, true).await.as_deref(), Ok("good"));
+        assert_eq!(server.requests(), 3);
+
+        let server = RawServer::bind(scripts).await.expect("loopback port");
+        assert_eq!(fetch(&client, &server, false).await.as_deref(), Ok("good"));
+        let second = fetch(&client, &server, false).await;
+        assert!(
+            matches!(second, Err(SendError::Unknown(Cause::Closed(_)))),
+            "{second:?}"
+        );
+        assert_eq!(server.requests(), 2);
+    });
+}
+
+#[test]
+fn silent_replaced() {
+    block_on(async {
+        let server = RawServer::bind(vec![vec![Step::Write(counted(4, "good"))]]).await;
+        let server = server.expect("loopback port");
+        let client = Client::new(ClientOptions::default());
+        let pair = futures::join!(
+            fetch(&client, &server, false),
+            fetch(&client, &server, false)
+        );
+        assert_eq!(pair, (Ok("good".to_owned()), Ok("good".to_owned())));
+        assert_eq!(client.idle_count(server.local_addr()), 2);
+        server.swallow_old();
+        let silent = fetch(&client, &server, true).await;
+        assert_eq!(
+            silent,
+            Err(SendError::Unknown(Cause::Silent { alive: true }))
+        );
+        // Every old connection is gone, so the next request is not lost as well.
+        assert_eq!(fetch(&client, &server, false).await.as_deref(), Ok("good"));
+    });
+}
--- a/crates/dandelion-protocol/src/mesh.rs
+++ b/crates/dandelion-protocol/src/mesh.rs
@@ -184,4 +184,11 @@
         /// Stream number.
         stream: u64,
     },
+    /// Lets the sender of an answer stream send further body bytes.
+    Credit {
+        /// Stream number.
+        stream: u64,
+        /// Body bytes.
+        bytes: u32,
+    },
 }
