Add settings, numbered events, log set-up and metrics

Cause: the daemon needs checked settings, events with a catalogue and metrics with bounded labels. Ruled out: typed values in clap (its errors name no remedy), so settings are text until the check. Before: nothing.

--- a/crates/dandelion-daemon/src/lib.rs
+++ b/crates/dandelion-daemon/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! The daemon: settings, roles and the wiring of every part.
+
+pub mod settings;
--- /dev/null
+++ b/crates/dandelion-daemon/src/settings/args.rs
@@ -0,0 +1,270 @@
+//! The settings as they stand on the command line and in the environment, unchecked.
+
+use std::path::PathBuf;
+
+use clap::Args;
+use clap::Parser;
+
+/// Daemon of dandelionrun: takes requests of callers, trainers and operators, owns upstreams of
+/// its zone and, with a data folder, holds the replicated state.
+#[derive(Debug, Clone, Parser)]
+#[command(
+    name = "dandelionrun",
+    version,
+    after_help = "Every setting is a flag and an environment variable; the flag goes first. A \
+                  setting that cannot be used ends the process with status 2 and a message that \
+                  names the setting, its value and the remedy."
+)]
+pub struct Settings {
+    /// Who the daemon is.
+    #[command(flatten)]
+    pub identity: IdentityArgs,
+    /// Where it listens.
+    #[command(flatten)]
+    pub listen: ListenArgs,
+    /// What it shares with others.
+    #[command(flatten)]
+    pub secrets: SecretArgs,
+    /// Replicated state.
+    #[command(flatten)]
+    pub control: ControlArgs,
+    /// Platform and usage.
+    #[command(flatten)]
+    pub platform: PlatformArgs,
+    /// Limits.
+    #[command(flatten)]
+    pub limits: LimitArgs,
+    /// Logs.
+    #[command(flatten)]
+    pub log: LogArgs,
+}
+
+/// Who the daemon is.
+#[derive(Debug, Clone, Args)]
+#[command(next_help_heading = "Identity")]
+pub struct IdentityArgs {
+    /// Name of the daemon, unique in its cell
+    #[arg(long, env = "DANDELION_NAME", value_name = "NAME")]
+    pub name: Option<String>,
+    /// Availability zone of the daemon
+    #[arg(long, env = "DANDELION_ZONE", value_name = "ZONE")]
+    pub zone: Option<String>,
+    /// Number of the control cell
+    #[arg(
+        long,
+        env = "DANDELION_CELL",
+        value_name = "NUMBER",
+        default_value = "0"
+    )]
+    pub cell: String,
+}
+
+/// Where the daemon listens.
+#[derive(Debug, Clone, Args)]
+#[command(next_help_heading = "Addresses")]
+pub struct ListenArgs {
+    /// Address for callers, trainers, upstreams and operators
+    #[arg(
+        long,
+        env = "DANDELION_HTTP_LISTEN",
+        value_name = "IP:PORT",
+        default_value = "127.0.0.1:7080"
+    )]
+    pub http_listen: String,
+    /// Address for other daemons
+    #[arg(
+        long,
+        env = "DANDELION_MESH_LISTEN",
+        value_name = "IP:PORT",
+        default_value = "127.0.0.1:7081"
+    )]
+    pub mesh_listen: String,
+    /// Address under which other daemons reach this one; the mesh listen address if absent
+    #[arg(long, env = "DANDELION_MESH_ADDRESS", value_name = "IP:PORT")]
+    pub mesh_address: Option<String>,
+}
+
+/// What the daemon shares with others.
+#[derive(Debug, Clone, Args)]
+#[command(next_help_heading = "Secrets")]
+pub struct SecretArgs {
+    /// Secrets between daemons: the first is shown to others, all are accepted
+    #[arg(
+        long,
+        env = "DANDELION_MESH_SECRETS",
+        value_name = "SECRET",
+        value_delimiter = ',',
+        hide_env_values = true
+    )]
+    pub mesh_secrets: Vec<String>,
+    /// File of secrets between daemons, one a line
+    #[arg(long, env = "DANDELION_MESH_SECRETS_FILE", value_name = "PATH")]
+    pub mesh_secrets_file: Option<PathBuf>,
+    /// Token that operators show; without one, operators are refused
+    #[arg(
+        long,
+        env = "DANDELION_OPERATOR_TOKEN",
+        value_name = "TOKEN",
+        hide_env_values = true
+    )]
+    pub operator_token: Option<String>,
+    /// File with the token that operators show
+    #[arg(long, env = "DANDELION_OPERATOR_TOKEN_FILE", value_name = "PATH")]
+    pub operator_token_file: Option<PathBuf>,
+    /// Secret that upstreams show when they announce themselves; without one, any may
+    #[arg(
+        long,
+        env = "DANDELION_ANNOUNCE_SECRET",
+        value_name = "SECRET",
+        hide_env_values = true
+    )]
+    pub announce_secret: Option<String>,
+    /// File with the secret that upstreams show
+    #[arg(long, env = "DANDELION_ANNOUNCE_SECRET_FILE", value_name = "PATH")]
+    pub announce_secret_file: Option<PathBuf>,
+}
+
+/// Replicated state.
+#[derive(Debug, Clone, Args)]
+#[command(next_help_heading = "Control")]
+pub struct ControlArgs {
+    /// Folder of the replicated state; makes this a control daemon
+    #[arg(long, env = "DANDELION_DATA_FOLDER", value_name = "PATH")]
+    pub data_folder: Option<PathBuf>,
+    /// Voters of a new cell, this daemon among them; used only while the data folder is empty
+    #[arg(
+        long,
+        env = "DANDELION_BOOTSTRAP",
+        value_name = "NAME@IP:PORT",
+        value_delimiter = ','
+    )]
+    pub bootstrap: Vec<String>,
+    /// Control daemons to renew the lease with, those of the own zone first
+    #[arg(
+        long,
+        env = "DANDELION_CONTROL_PEERS",
+        value_name = "NAME@IP:PORT",
+        value_delimiter = ','
+    )]
+    pub control_peers: Vec<String>,
+    /// Time between renewals of the lease, in milliseconds
+    #[arg(
+        long,
+        env = "DANDELION_FEED_PERIOD_MS",
+        value_name = "MS",
+        default_value = "500"
+    )]
+    pub feed_period_ms: String,
+}
+
+/// Platform and usage.
+#[derive(Debug, Clone, Args)]
+#[command(next_help_heading = "Platform")]
+pub struct PlatformArgs {
+    /// Address of the platform; without one, no upstream is ordered and no usage is reported
+    #[arg(long, env = "DANDELION_PLATFORM", value_name = "IP:PORT")]
+    pub platform: Option<String>,
+    /// Length of a usage window, in seconds; the same on every daemon of a cell
+    #[arg(
+        long,
+        env = "DANDELION_USAGE_WINDOW_S",
+        value_name = "S",
+        default_value = "60"
+    )]
+    pub usage_window_s: String,
+}
+
+/// Limits.
+#[derive(Debug, Clone, Args)]
+#[command(next_help_heading = "Limits")]
+pub struct LimitArgs {
+    /// Connections of callers at once
+    #[arg(
+        long,
+        env = "DANDELION_MAX_CONNECTIONS",
+        value_name = "COUNT",
+        default_value = "4096"
+    )]
+    pub max_connections: String,
+    /// Largest head of a request, in bytes
+    #[arg(
+        long,
+        env = "DANDELION_MAX_HEAD_BYTES",
+        value_name = "BYTES",
+        default_value = "16384"
+    )]
+    pub max_head_bytes: String,
+    /// Largest body of a request, in bytes
+    #[arg(
+        long,
+        env = "DANDELION_MAX_BODY_BYTES",
+        value_name = "BYTES",
+        default_value = "4194304"
+    )]
+    pub max_body_bytes: String,
+    /// Longest time that a caller may take to send a head, in milliseconds
+    #[arg(
+        long,
+        env = "DANDELION_HEAD_TIMEOUT_MS",
+        value_name = "MS",
+        default_value = "10000"
+    )]
+    pub head_timeout_ms: String,
+    /// Longest time that a caller's connection may be idle, in milliseconds
+    #[arg(
+        long,
+        env = "DANDELION_IDLE_TIMEOUT_MS",
+        value_name = "MS",
+        default_value = "60000"
+    )]
+    pub idle_timeout_ms: String,
+    /// Time between failing health and refusing connections when stopping, in milliseconds
+    #[arg(
+        long,
+        env = "DANDELION_BALANCER_GRACE_MS",
+        value_name = "MS",
+        default_value = "5000"
+    )]
+    pub balancer_grace_ms: String,
+    /// Longest wait for running requests when stopping, in milliseconds
+    #[arg(
+        long,
+        env = "DANDELION_STOP_TIMEOUT_MS",
+        value_name = "MS",
+        default_value = "600000"
+    )]
+    pub stop_timeout_ms: String,
+    /// Teams that have metrics of their own; further ones are counted as `other`
+    #[arg(
+        long,
+        env = "DANDELION_METRIC_TEAMS",
+        value_name = "COUNT",
+        default_value = "64"
+    )]
+    pub metric_teams: String,
+}
+
+/// Logs.
+#[derive(Debug, Clone, Args)]
+#[command(next_help_heading = "Logs")]
+pub struct LogArgs {
+    /// Least level of events: error, warn, info, debug or trace
+    #[arg(
+        long,
+        env = "DANDELION_LOG_LEVEL",
+        value_name = "LEVEL",
+        default_value = "info"
+    )]
+    pub log_level: String,
+    /// Form of events: text or json
+    #[arg(
+        long,
+        env = "DANDELION_LOG_FORMAT",
+        value_name = "FORM",
+        default_value = "text"
+    )]
+    pub log_format: String,
+    /// Folder of log files; without one, events go to standard error
+    #[arg(long, env = "DANDELION_LOG_FOLDER", value_name = "PATH")]
+    pub log_folder: Option<PathBuf>,
+}
--- /dev/null
+++ b/crates/dandelion-telemetry/src/events/catalogue.rs
@@ -0,0 +1,186 @@
+//! The catalogue of events, by hundreds: 100 start and stop, 200 control, 300 mesh and HTTP,
+//! 400 routing, 500 rollouts, 600 fleet, 700 usage, 800 keys and operators.
+
+use log::Level;
+
+macro_rules! events {
+    ($($number:literal $level:ident $variant:ident $name:literal $meaning:literal $remedy:literal;)*) => {
+        /// A numbered event. Numbers and names are never given to another event.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+        pub enum Event {
+            $(#[doc = $meaning] $variant,)*
+        }
+
+        impl Event {
+            /// Every event, by number.
+            pub const ALL: &[Self] = &[$(Self::$variant),*];
+
+            /// Returns the number.
+            pub const fn number(self) -> u16 {
+                match self {
+                    $(Self::$variant => $number,)*
+                }
+            }
+
+            /// Returns the level at which it is logged.
+            pub const fn level(self) -> Level {
+                match self {
+                    $(Self::$variant => Level::$level,)*
+                }
+            }
+
+            /// Returns the name.
+            pub const fn name(self) -> &'static str {
+                match self {
+                    $(Self::$variant => $name,)*
+                }
+            }
+
+            /// Returns what happened.
+            pub const fn meaning(self) -> &'static str {
+                match self {
+                    $(Self::$variant => $meaning,)*
+                }
+            }
+
+            /// Returns what an operator does about it; `none` if nothing.
+            pub const fn remedy(self) -> &'static str {
+                match self {
+                    $(Self::$variant => $remedy,)*
+                }
+            }
+        }
+    };
+}
+
+events! {
+    101 Info Started "daemon_started"
+        "The daemon serves." "none";
+    102 Info Stopping "daemon_stopping"
+        "The daemon fails its health check and finishes what runs." "none";
+    103 Info Stopped "daemon_stopped"
+        "The daemon has finished everything and ends." "none";
+    104 Error SettingRefused "setting_refused"
+        "A setting cannot be used; the daemon does not start." "Correct the named setting.";
+    105 Error BindFailed "bind_failed"
+        "An address cannot be bound." "Free the port or choose another address.";
+    106 Warn StopTimeout "stop_timeout"
+        "Requests still ran when the stop timeout was over; they were cut."
+        "Raise --stop-timeout-ms if requests may take longer.";
+
+    201 Info LeaderElected "leader_elected"
+        "A control leader was elected." "none";
+    202 Warn LeaderLost "leader_lost"
+        "The control leader was lost." "If no leader follows, check the voters' VMs and network.";
+    203 Info LeaseHeld "lease_held"
+        "The daemon holds a lease and serves keyed routes." "none";
+    204 Warn LeaseLost "lease_lost"
+        "The daemon's lease ran out; it serves open routes only."
+        "Check the network towards the control daemons.";
+    205 Info SnapshotWritten "snapshot_written"
+        "A snapshot was written and the log before it removed." "none";
+    206 Info SnapshotInstalled "snapshot_installed"
+        "A snapshot from the leader replaced the state." "none";
+    207 Warn LogTailCut "log_tail_cut"
+        "A torn record at the end of the log was cut off." "none; the record was never acknowledged";
+    208 Error StorageDamaged "storage_damaged"
+        "The data folder is damaged in the middle; the daemon does not start."
+        "Replace the voter by a daemon with a new name and an empty folder.";
+    209 Error StorageFailed "storage_failed"
+        "The data folder could not be written." "Free space or replace the disk.";
+    210 Error FolderLocked "folder_locked"
+        "Another process uses the data folder." "Stop it, or set another folder.";
+    211 Info VotersChanged "voters_changed"
+        "The voters of the control group changed." "none";
+    212 Info DaemonJoined "daemon_joined"
+        "A daemon became a member of the cell." "none";
+    213 Warn DaemonSuspected "daemon_suspected"
+        "A daemon was not heard for too long." "Check its VM and the network towards it.";
+    214 Info DaemonLeft "daemon_left"
+        "A daemon left the cell." "none";
+    215 Warn RevisionRefused "revision_refused"
+        "A feeder offered a lower revision than the one in force." "none; the daemon asks another";
+
+    301 Warn MeshRefused "mesh_refused"
+        "A connection on the mesh address failed its handshake."
+        "Check the mesh secrets, cell numbers and versions of both daemons.";
+    302 Warn MeshGarbage "mesh_garbage"
+        "A message on the mesh did not decode; the connection was closed."
+        "Check that both daemons run the same version.";
+    303 Info MeshConnected "mesh_connected"
+        "A mesh connection was opened." "none";
+    304 Warn MeshLost "mesh_lost"
+        "A mesh connection was closed or went silent." "none; it is replaced";
+    305 Warn RequestMalformed "request_malformed"
+        "A caller sent something that is not a valid HTTP request." "none; it was refused";
+    306 Warn LimitReached "limit_reached"
+        "A head, a body or the number of connections went beyond its limit."
+        "Raise the named limit if callers need more.";
+    307 Warn HeadTimeout "head_timeout"
+        "A caller took too long to send a request head." "none; the connection was closed";
+
+    401 Info UpstreamUp "upstream_up"
+        "An upstream announced itself and gets work." "none";
+    402 Warn UpstreamLost "upstream_lost"
+        "An upstream is no longer announced or reachable." "Check its VM.";
+    403 Warn UpstreamEjected "upstream_ejected"
+        "An upstream failed too often and gets probes only." "Check the upstream's log.";
+    404 Info UpstreamDrained "upstream_drained"
+        "A leaving upstream has finished its work." "none";
+    405 Info OwnerChanged "owner_changed"
+        "The owner of an upstream changed." "none";
+    406 Warn AnswerBroken "answer_broken"
+        "An upstream's answer was cut, too long or not for this request; it was not passed on as whole."
+        "Check the upstream if it happens again.";
+    407 Warn PoisonSuspected "poison_suspected"
+        "An upstream crashed while it ran a request." "none; suspects run alone";
+    408 Warn PoisonBlocked "poison_blocked"
+        "A request crashed upstreams again and is refused everywhere."
+        "Mend the engine, then lift the block by `dandelionctl upstream unpoison`.";
+    409 Warn ConnectionReplaced "connection_replaced"
+        "A silent connection was replaced." "none";
+
+    501 Info VersionPublished "version_published"
+        "A trainer published a weight version." "none";
+    502 Warn SampleDiscarded "sample_discarded"
+        "A sample was discarded as stale or not attributable." "none; it is generated again";
+    503 Warn SwapFailed "swap_failed"
+        "An engine did not load a weight version." "none; it is retried, then set aside";
+    504 Warn BudgetSpent "budget_spent"
+        "A job's token budget is spent." "Raise the budget or end the job.";
+    505 Info JobMoved "job_moved"
+        "Another daemon is in charge of a job." "none";
+
+    601 Info OrderSent "order_sent"
+        "An order was sent to the platform." "none";
+    602 Warn OrderFailed "order_failed"
+        "The platform refused or failed an order." "none; it backs off and tries elsewhere";
+    603 Warn OrderWithheld "order_withheld"
+        "An order was not sent because the lease was too short." "none; the next leader decides anew";
+    604 Warn StockOut "stock_out"
+        "The platform has no upstream of the asked kind in a zone." "none; other zones and kinds are tried";
+    605 Warn ZoneReclaimed "zone_reclaimed"
+        "The cheap upstreams of a zone were reclaimed." "none";
+
+    701 Info WindowFrozen "window_frozen"
+        "The figures of a usage window are final." "none";
+    702 Info WindowAccepted "window_accepted"
+        "The platform accepted a usage window." "none";
+    703 Warn WindowLate "window_late"
+        "A usage window was not accepted in time." "Check the platform and the control group.";
+    704 Warn CountsLate "counts_late"
+        "Counts arrived after their window was frozen; they go into a later one, marked late." "none";
+
+    801 Info KeyGranted "key_granted"
+        "A key was granted." "none";
+    802 Info KeyWithdrawn "key_withdrawn"
+        "A key was withdrawn; its streams and queued requests were ended." "none";
+    803 Warn KeyRefused "key_refused"
+        "A caller showed a key that is not in force." "none";
+    804 Warn OperatorRefused "operator_refused"
+        "An operator's token was missing or wrong." "Check DANDELION_OPERATOR_TOKEN of daemon and dandelionctl.";
+    805 Info ChangeAccepted "change_accepted"
+        "An operator's change was accepted." "none";
+    806 Warn ChangeRefused "change_refused"
+        "An operator's change was refused." "See the answer; it names the remedy.";
+}
--- /dev/null
+++ b/crates/dandelion-telemetry/src/logging/mod.rs
@@ -0,0 +1,12 @@
+//! Set-up of the log and the forms of its lines.
+
+mod format;
+mod open;
+
+pub use format::write_json;
+pub use format::write_text;
+pub use open::LogError;
+pub use open::LogForm;
+pub use open::LogHandle;
+pub use open::LogSettings;
+pub use open::open;
--- /dev/null
+++ b/crates/dandelion-telemetry/src/logging/open.rs
@@ -0,0 +1,86 @@
+//! Set-up of the log.
+
+use std::fmt;
+use std::path::PathBuf;
+
+use flexi_logger::Cleanup;
+use flexi_logger::Criterion;
+use flexi_logger::FileSpec;
+use flexi_logger::FlexiLoggerError;
+use flexi_logger::LogSpecification;
+use flexi_logger::Logger;
+use flexi_logger::LoggerHandle;
+use flexi_logger::Naming;
+use log::LevelFilter;
+use thiserror::Error;
+
+use super::format;
+
+/// Size at which a log file is closed and a new one begun, in bytes.
+const MAX_FILE_BYTES: u64 = 64 << 20;
+
+/// Closed log files that are kept.
+const KEPT_FILES: usize = 8;
+
+/// Form of a log line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogForm {
+    /// Text with `key=value` fields.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// How the log is written.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LogSettings {
+    /// Least level.
+    pub level: LevelFilter,
+    /// Form of a line.
+    pub form: LogForm,
+    /// Folder of log files; standard error if absent.
+    pub folder: Option<PathBuf>,
+}
+
+/// The log could not be set up.
+#[derive(Debug, Error)]
+#[error("the log could not be opened ({0}); check that the log folder is writable")]
+pub struct LogError(#[from] FlexiLoggerError);
+
+/// The running log; lines are flushed when it is dropped.
+#[derive(Clone)]
+pub struct LogHandle(LoggerHandle);
+
+impl LogHandle {
+    /// Writes out what is buffered.
+    pub fn flush(&self) {
+        self.0.flush();
+    }
+}
+
+impl fmt::Debug for LogHandle {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("LogHandle(..)")
+    }
+}
+
+/// Opens the process's log. Keep the handle until the process ends.
+pub fn open(settings: &LogSettings) -> Result<LogHandle, LogError> {
+    let level = LogSpecification::builder().default(settings.level).build();
+    let line = match settings.form {
+        LogForm::Text => format::write_text,
+        LogForm::Json => format::write_json,
+    };
+    let logger = Logger::with(level).format(line).use_utc();
+    let logger = match &settings.folder {
+        None => logger.log_to_stderr(),
+        Some(folder) => logger
+            .log_to_file(FileSpec::default().directory(folder))
+            .rotate(
+                Criterion::Size(MAX_FILE_BYTES),
+                Naming::Numbers,
+                Cleanup::KeepLogFiles(KEPT_FILES),
+            ),
+    };
+    Ok(LogHandle(logger.start()?))
+}
--- /dev/null
+++ b/crates/dandelion-telemetry/src/metrics/registry.rs
@@ -0,0 +1,93 @@
+//! The registry of a daemon.
+
+use dandelion_protocol::ids::TeamId;
+use dandelion_protocol::usage::Class;
+use prometheus::IntCounter;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+use prometheus::core::Collector;
+use thiserror::Error;
+
+use super::team::TeamMetrics;
+use super::team::TeamVectors;
+use super::teams::Teams;
+
+/// Prefix of every metric's name.
+const NAMESPACE: &str = "dandelion";
+
+/// A metric could not be registered or written.
+#[derive(Debug, Error)]
+#[error("metric could not be registered or written ({0}); give each metric one valid name")]
+pub struct MetricsError(#[from] prometheus::Error);
+
+/// Every metric of a daemon.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    vectors: TeamVectors,
+    teams: Teams,
+}
+
+impl Metrics {
+    /// Opens a registry in which at most `max_teams` teams have labels of their own.
+    pub fn open(max_teams: usize) -> Result<Self, MetricsError> {
+        let registry = Registry::new_custom(Some(NAMESPACE.to_owned()), None)?;
+        let vectors = TeamVectors::register(&registry)?;
+        Ok(Self {
+            registry,
+            vectors,
+            teams: Teams::new(max_teams),
+        })
+    }
+
+    /// Returns the metrics of a team and class; no team stands for open routes.
+    ///
+    /// The handle is cheap to clone and takes no lock to use; keep it while the team is served.
+    pub fn team(&self, team: Option<&TeamId>, class: Class) -> TeamMetrics {
+        self.vectors.of(&self.teams.label(team), class)
+    }
+
+    /// Removes a team's metrics and frees its label.
+    pub fn forget_team(&self, team: &TeamId) {
+        if self.teams.forget(team) {
+            self.vectors.remove(team.as_str());
+        }
+    }
+
+    /// Registers a counter.
+    pub fn counter(&self, name: &str, help: &str) -> Result<IntCounter, MetricsError> {
+        self.register(IntCounter::new(name, help)?)
+    }
+
+    /// Registers counters with one label. Its values must be few and fixed, such as error codes.
+    pub fn counters(
+        &self,
+        name: &str,
+        help: &str,
+        label: &str,
+    ) -> Result<IntCounterVec, MetricsError> {
+        self.register(IntCounterVec::new(Opts::new(name, help), &[label])?)
+    }
+
+    /// Registers a gauge.
+    pub fn gauge(&self, name: &str, help: &str) -> Result<IntGauge, MetricsError> {
+        self.register(IntGauge::new(name, help)?)
+    }
+
+    /// Writes every metric in the Prometheus text form.
+    pub fn render(&self) -> Result<String, MetricsError> {
+        let families = self.registry.gather();
+        Ok(TextEncoder::new().encode_to_string(&families)?)
+    }
+
+    fn register<C>(&self, collector: C) -> Result<C, MetricsError>
+    where
+        C: Collector + Clone + 'static,
+    {
+        self.registry.register(Box::new(collector.clone()))?;
+        Ok(collector)
+    }
+}
