--- a/crates/dandelion-control/src/node/apply.rs
+++ b/crates/dandelion-control/src/node/apply.rs
@@ -1,6 +1,6 @@
 //! Applying committed entries, restoring and taking snapshots.
 
-use std::rc::Rc;
+use std::sync::Arc;
 
 use dandelion_kernel::TableSet;
 use dandelion_protocol::codec;
@@ -99,7 +99,7 @@
         let hard = self.replica.hard_state();
         // Entries appended since the last sync are in the new log file already.
         self.storage
-            .save_snapshot(&Rc::clone(&snapshot), hard, &kept)
+            .save_snapshot(&Arc::clone(&snapshot), hard, &kept)
     }
 
     fn image(&self) -> Result<Vec<u8>, StorageError> {
--- a/crates/dandelion-control/src/raft/install.rs
+++ b/crates/dandelion-control/src/raft/install.rs
@@ -1,6 +1,6 @@
 //! Transfer of snapshots to replicas that lag behind the log.
 
-use std::rc::Rc;
+use std::sync::Arc;
 
 use dandelion_protocol::time::Millis;
 
@@ -164,7 +164,7 @@
         self.writes.snapshot = Some(snapshot.clone());
         self.log = Log::open(at, kept);
         self.commit = at.index;
-        self.snapshot = Rc::new(snapshot);
-        self.installed = Some(Rc::clone(&self.snapshot));
+        self.snapshot = Arc::new(snapshot);
+        self.installed = Some(Arc::clone(&self.snapshot));
     }
 }
--- a/crates/dandelion-control/src/raft/replica.rs
+++ b/crates/dandelion-control/src/raft/replica.rs
@@ -1,7 +1,7 @@
 //! One replica of the log as a plain state machine.
 
 use std::collections::BTreeMap;
-use std::rc::Rc;
+use std::sync::Arc;
 
 use dandelion_protocol::ids::DaemonId;
 use dandelion_protocol::ids::Term;
@@ -65,7 +65,7 @@
     pub(super) log: Log,
     /// Memberships in the log by index; the first one is the snapshot's.
     pub(super) members: Vec<(u64, Membership)>,
-    pub(super) snapshot: Rc<Snapshot>,
+    pub(super) snapshot: Arc<Snapshot>,
     pub(super) commit: u64,
     pub(super) role: Role,
     pub(super) leader: Option<ReplicaId>,
@@ -78,7 +78,7 @@
     pub(super) first: u64,
     pub(super) beat: Millis,
     pub(super) incoming: Option<Incoming>,
-    pub(super) installed: Option<Rc<Snapshot>>,
+    pub(super) installed: Option<Arc<Snapshot>>,
     pub(super) outbox: Vec<Envelope>,
     pub(super) writes: Writes,
 }
@@ -87,7 +87,7 @@
     /// Opens a replica on what storage recovered. It gives no vote before a promise that it may
     /// have made in an earlier life has run out.
     pub fn open(settings: Settings, recovered: Recovered, now: Millis, seed: u64) -> Self {
-        let snapshot = Rc::new(recovered.snapshot.unwrap_or_default());
+        let snapshot = Arc::new(recovered.snapshot.unwrap_or_default());
         let log = Log::open(snapshot.at, recovered.entries);
         let mut members = vec![(snapshot.at.index, snapshot.members.clone())];
         members.extend(log.iter().filter_map(|entry| match &entry.payload {
@@ -224,7 +224,7 @@
     }
 
     /// Takes a snapshot that replaced the log, for the tables to be restored from it.
-    pub fn take_installed(&mut self) -> Option<Rc<Snapshot>> {
+    pub fn take_installed(&mut self) -> Option<Arc<Snapshot>> {
         self.installed.take()
     }
 
@@ -252,19 +252,19 @@
 
     /// Replaces the entries up to `index` by a snapshot of the tables, keeping `keep` entries
     /// before it in memory for replicas that lag.
-    pub fn compact(&mut self, index: u64, data: Vec<u8>, keep: u64) -> Rc<Snapshot> {
+    pub fn compact(&mut self, index: u64, data: Vec<u8>, keep: u64) -> Arc<Snapshot> {
         let Some(at) = self.log.position(index) else {
-            return Rc::clone(&self.snapshot);
+            return Arc::clone(&self.snapshot);
         };
         let members = self.membership_at(index).clone();
-        self.snapshot = Rc::new(Snapshot { at, members, data });
+        self.snapshot = Arc::new(Snapshot { at, members, data });
         self.log.compact(index.saturating_sub(keep));
         let kept = self
             .members
             .iter()
             .rposition(|(at, _)| *at <= self.log.base().index);
         self.members.drain(..kept.unwrap_or(0));
-        Rc::clone(&self.snapshot)
+        Arc::clone(&self.snapshot)
     }
 
     /// Handles one message.
--- /dev/null
+++ b/crates/dandelion-daemon/src/api/operators.rs
@@ -0,0 +1,134 @@
+//! Operators' procedures over HTTP.
+
+use std::time::Duration;
+
+use dandelion_net::http::server;
+use dandelion_protocol::mesh::CallBody;
+use dandelion_protocol::mesh::ReplyBody;
+use dandelion_protocol::outcome::Refusal;
+use dandelion_protocol::outcome::RefusalCode;
+use dandelion_rpc::ErrorCode;
+use dandelion_rpc::RpcError;
+use dandelion_rpc::RpcResponse;
+use dandelion_rpc::dispatch::dispatch;
+use dandelion_telemetry::Event;
+use dandelion_telemetry::event;
+use http_types::Request;
+use http_types::Response;
+use http_types::StatusCode;
+use http_types::headers::AUTHORIZATION;
+use http_types::headers::CONTENT_TYPE;
+
+use crate::api::secrets;
+use crate::core::Handle;
+use crate::operator::OperatorServer;
+
+/// Procedures that read what only control daemons hold; they go to the leader.
+const LEADER_PROCEDURES: [&str; 11] = [
+    "ControlStatus",
+    "AddVoter",
+    "RemoveVoter",
+    "ReplaceVoter",
+    "ExportSnapshot",
+    "FleetPlan",
+    "FleetPause",
+    "FleetLimits",
+    "UsageShow",
+    "UsageExplain",
+    "Status",
+];
+
+/// Longest wait for the leader.
+const FORWARD_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Answers one procedure call.
+pub async fn call(core: &Handle, mut request: Request) -> Response {
+    if !is_operator(core, &request) {
+        event!(Event::OperatorRefused);
+        return respond(RpcResponse::refused(&RpcError::new(
+            ErrorCode::Unauthenticated,
+            "the operator's token is missing or wrong",
+            "set DANDELION_OPERATOR_TOKEN for dandelionctl as for the daemons",
+        )));
+    }
+    let path = request.url().path().to_owned();
+    let content_type = request.header(CONTENT_TYPE).map(|v| v.as_str().to_owned());
+    let content_type = content_type.unwrap_or_default();
+    match request.body_bytes().await {
+        Ok(body) => answer(core, &path, &content_type, body).await,
+        Err(error) => server::refusal(&Refusal::not_run(
+            RefusalCode::BadRequest,
+            &format!("the request's body could not be read: {error}"),
+            "send it again",
+        )),
+    }
+}
+
+async fn answer(core: &Handle, path: &str, content_type: &str, body: Vec<u8>) -> Response {
+    let for_leader = LEADER_PROCEDURES.iter().any(|name| path.ends_with(name));
+    let leader = core.control.leader();
+    let leader = leader.filter(|l| for_leader && l != &core.identity.daemon);
+    if let (Some(leader), Some(mesh)) = (leader, core.mesh()) {
+        let call = CallBody::Forward {
+            path: path.to_owned(),
+            content_type: content_type.to_owned(),
+            body: body.clone(),
+        };
+        let reply = mesh.call(&leader, call, FORWARD_TIMEOUT).await;
+        if let Ok(ReplyBody::Forwarded {
+            status,
+            content_type,
+            body,
+        }) = reply
+        {
+            return plain(status, &content_type, body);
+        }
+        if is_change(path) {
+            return respond(RpcResponse::refused(&lost_leader()));
+        }
+    }
+    let server = OperatorServer::new(core.clone());
+    respond(dispatch(&server, path, content_type, &body).await)
+}
+
+/// Returns whether a procedure for the leader changes something.
+fn is_change(path: &str) -> bool {
+    const READS: [&str; 6] = [
+        "ControlStatus",
+        "ExportSnapshot",
+        "FleetPlan",
+        "UsageShow",
+        "UsageExplain",
+        "Status",
+    ];
+    !READS.iter().any(|name| path.ends_with(name))
+}
+
+fn lost_leader() -> RpcError {
+    RpcError::new(
+        ErrorCode::Unknown,
+        "the control leader was lost before it answered",
+        "send it again with the same request id",
+    )
+}
+
+fn is_operator(core: &Handle, request: &Request) -> bool {
+    let Some(token) = &core.settings.secrets.operator else {
+        return false;
+    };
+    let shown = request.header(AUTHORIZATION).map(|v| v.as_str());
+    let shown = shown.and_then(|text| text.strip_prefix("Bearer "));
+    shown.is_some_and(|text| secrets::matches(token, text))
+}
+
+fn respond(answer: RpcResponse) -> Response {
+    plain(answer.status, answer.content_type, answer.body)
+}
+
+fn plain(status: u16, content_type: &str, body: Vec<u8>) -> Response {
+    let status = StatusCode::try_from(status).unwrap_or(StatusCode::InternalServerError);
+    let mut response = Response::new(status);
+    response.set_body(body);
+    response.insert_header(CONTENT_TYPE, content_type);
+    response
+}
--- /dev/null
+++ b/crates/dandelion-daemon/src/control/feed.rs
@@ -0,0 +1,92 @@
+//! Drives the feed client and tells the other parts of what changed.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::future::timeout;
+use dandelion_control::feed::FeedAction;
+use dandelion_control::feed::FeedEvent;
+use dandelion_net::clock;
+use dandelion_protocol::config::Member;
+
+use crate::control::view::View;
+use crate::core::Handle;
+
+/// Longest time between two ticks of the feed.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Runs the feed until the process ends.
+pub async fn run_feed(core: Handle) {
+    let queue = core.control.feed_queue();
+    let mut leased = false;
+    loop {
+        let event = match timeout(TICK, queue.recv()).await {
+            Ok(Ok(event)) => event,
+            Ok(Err(_)) | Err(_) => FeedEvent::Tick,
+        };
+        handle(&core, event);
+        let now_leased = core.control.is_leased();
+        if leased && !now_leased {
+            lose_lease(&core);
+        }
+        leased = now_leased;
+    }
+}
+
+fn handle(core: &Handle, event: FeedEvent) {
+    let mut actions = Vec::new();
+    core.control
+        .feed()
+        .handle(clock::boot_now(), event, &mut actions);
+    for action in actions {
+        match action {
+            FeedAction::Send { to, message } => {
+                if let Some(mesh) = core.mesh() {
+                    // A lost renewal is made good by the next one.
+                    let _lost = mesh.send(&to, message);
+                }
+            }
+            FeedAction::Applied { .. } => apply(core),
+        }
+    }
+}
+
+/// Makes a new revision take effect in every part of the daemon.
+fn apply(core: &Handle) {
+    let former = core.control.view();
+    let view = core.control.refresh();
+    if view.config_revision != former.config_revision {
+        core.streams.cut_withdrawn(&view.config);
+        core.owners.set_config(clock::boot_now(), &view.config);
+        core.rollouts.set_config(core, &view);
+    }
+    if view.members != former.members {
+        meet_members(core, &former, &view);
+    }
+}
+
+fn meet_members(core: &Handle, former: &View, view: &Arc<View>) {
+    if let Some(mesh) = core.mesh() {
+        for member in view.members.iter() {
+            if let Ok(address) = member.address.parse() {
+                mesh.set_peer(&member.id, address);
+            }
+        }
+        let control = core.settings.control.peers.iter().map(|p| &p.id);
+        let kept: Vec<_> = control.collect();
+        let gone = |m: &&Member| view.member(&m.id).is_none() && !kept.contains(&&m.id);
+        for member in former.members.iter().filter(gone) {
+            mesh.remove_peer(&member.id);
+        }
+    }
+    core.usage.members_changed(&view.members);
+    let zone = &core.identity.zone;
+    let own = &core.identity.daemon;
+    core.owners
+        .release_others(clock::boot_now(), |u| view.owner(zone, u) == Some(own));
+}
+
+fn lose_lease(core: &Handle) {
+    let cut = core.streams.cut_all();
+    log::warn!("the control lease ran out; {cut} keyed requests were cut");
+}
--- /dev/null
+++ b/crates/dandelion-daemon/src/control/handle.rs
@@ -0,0 +1,101 @@
+//! Handle to the feed and the replica.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+
+use arc_swap::ArcSwap;
+use async_channel::Receiver;
+use async_channel::Sender;
+use dandelion_control::FeedClient;
+use dandelion_control::feed::FeedEvent;
+use dandelion_control::tables::ConfigTable;
+use dandelion_net::clock;
+use dandelion_protocol::ids::DaemonId;
+use dandelion_protocol::ids::Revision;
+
+use crate::control::replica::ReplicaHandle;
+use crate::control::view::View;
+
+/// Feed messages that may wait to be handled.
+const FEED_QUEUE: usize = 1024;
+
+/// This daemon's copy of the spread tables, its lease and, on a control daemon, its replica.
+#[derive(Debug)]
+pub struct Control {
+    feed: Mutex<FeedClient>,
+    view: ArcSwap<View>,
+    replica: Option<ReplicaHandle>,
+    events: Sender<FeedEvent>,
+    queue: Receiver<FeedEvent>,
+}
+
+impl Control {
+    /// Wraps the feed client and, on a control daemon, the replica.
+    pub fn open(feed: FeedClient, replica: Option<ReplicaHandle>) -> Self {
+        let (events, queue) = async_channel::bounded(FEED_QUEUE);
+        Self {
+            feed: Mutex::new(feed),
+            view: ArcSwap::default(),
+            replica,
+            events,
+            queue,
+        }
+    }
+
+    /// Returns the spread tables at the revision held now.
+    pub fn view(&self) -> Arc<View> {
+        self.view.load_full()
+    }
+
+    /// Returns whether keyed routes may be served now.
+    pub fn is_leased(&self) -> bool {
+        self.feed().lease_valid(clock::boot_now())
+    }
+
+    /// Returns the control leader, as far as it is known.
+    pub fn leader(&self) -> Option<DaemonId> {
+        let own = self.replica.as_ref().and_then(ReplicaHandle::leader);
+        own.or_else(|| self.feed().leader_hint().cloned())
+    }
+
+    /// Returns the replica of a control daemon.
+    pub fn replica(&self) -> Option<&ReplicaHandle> {
+        self.replica.as_ref()
+    }
+
+    /// Runs `read` on the spread configuration table.
+    pub fn read_config<R, F>(&self, read: F) -> Option<R>
+    where
+        F: FnOnce(&ConfigTable) -> R,
+    {
+        self.feed().tables().table::<ConfigTable>().map(read)
+    }
+
+    /// Queues an event of the feed; one that finds the queue full is lost, as on a network.
+    pub fn push_feed(&self, event: FeedEvent) {
+        let _lost = self.events.try_send(event);
+    }
+
+    /// Returns the queue of feed events.
+    pub(super) fn feed_queue(&self) -> Receiver<FeedEvent> {
+        self.queue.clone()
+    }
+
+    pub(super) fn feed(&self) -> MutexGuard<'_, FeedClient> {
+        self.feed.lock().expect("no holder of this lock panics")
+    }
+
+    /// Takes over the tables that the feed holds; returns the new view.
+    pub(super) fn refresh(&self) -> Arc<View> {
+        let former = self.view.load();
+        let view = Arc::new(View::read(self.feed().tables(), &former));
+        self.view.store(Arc::clone(&view));
+        view
+    }
+
+    /// Returns the revision that this daemon has applied.
+    pub fn revision(&self) -> Revision {
+        self.view.load().revision
+    }
+}
--- /dev/null
+++ b/crates/dandelion-daemon/src/control/view.rs
@@ -0,0 +1,82 @@
+//! The spread tables as the request path reads them.
+
+use std::sync::Arc;
+
+use dandelion_control::keys::KeyIndex;
+use dandelion_control::tables::ConfigTable;
+use dandelion_control::tables::MembersTable;
+use dandelion_kernel::TableSet;
+use dandelion_protocol::config::Config;
+use dandelion_protocol::config::Member;
+use dandelion_protocol::ids::DaemonId;
+use dandelion_protocol::ids::JobId;
+use dandelion_protocol::ids::Revision;
+use dandelion_protocol::ids::UpstreamId;
+use dandelion_protocol::ids::ZoneId;
+use dandelion_route::ownership;
+
+/// One revision of the spread tables, indexed.
+#[derive(Debug, Clone, Default)]
+pub struct View {
+    /// Revision of the feed.
+    pub revision: Revision,
+    /// Revision of the configuration's last change.
+    pub config_revision: Revision,
+    /// Configuration.
+    pub config: Arc<Config>,
+    /// Keys by digest.
+    pub keys: Arc<KeyIndex>,
+    /// Daemons, ordered by name.
+    pub members: Arc<Vec<Member>>,
+}
+
+impl View {
+    /// Reads the tables; parts that have not changed since `former` are shared with it.
+    pub fn read(tables: &TableSet, former: &Self) -> Self {
+        let config_revision = change_of::<ConfigTable>(tables);
+        let same = former.revision > Revision(0) && config_revision == former.config_revision;
+        let (config, keys) = if same {
+            (Arc::clone(&former.config), Arc::clone(&former.keys))
+        } else {
+            let config = tables.table::<ConfigTable>().map(ConfigTable::config);
+            let config = Arc::new(config.cloned().unwrap_or_default());
+            let keys = Arc::new(KeyIndex::open(&config));
+            (config, keys)
+        };
+        let members = tables.table::<MembersTable>();
+        let members = members.map(|m| m.daemons().values().cloned().collect());
+        Self {
+            revision: tables.revision(),
+            config_revision,
+            config,
+            keys,
+            members: Arc::new(members.unwrap_or_default()),
+        }
+    }
+
+    /// Returns a daemon by name.
+    pub fn member(&self, id: &DaemonId) -> Option<&Member> {
+        self.members.iter().find(|m| &m.id == id)
+    }
+
+    /// Returns the daemon in charge of a rollout job.
+    pub fn coordinator(&self, job: &JobId) -> Option<&DaemonId> {
+        let staying = self.members.iter().filter(|m| !m.leaving).map(|m| &m.id);
+        ownership::rendezvous(job.as_str().as_bytes(), staying)
+    }
+
+    /// Returns the owner of an upstream among the daemons of its zone.
+    pub fn owner(&self, zone: &ZoneId, upstream: &UpstreamId) -> Option<&DaemonId> {
+        let in_zone = self.members.iter().filter(|m| &m.zone == zone);
+        ownership::owner_of(upstream, in_zone)
+    }
+}
+
+fn change_of<T>(tables: &TableSet) -> Revision
+where
+    T: dandelion_kernel::Table,
+{
+    tables
+        .last_change(T::NAME)
+        .map_or(Revision(0), |c| c.revision)
+}
--- a/crates/dandelion-daemon/src/lib.rs
+++ b/crates/dandelion-daemon/src/lib.rs
@@ -1,3 +1,16 @@
-//! The daemon: settings, roles and the wiring of every part.
+//! The daemon: settings, roles and the wiring of the deterministic parts to the net.
 
+pub mod api;
+pub mod control;
+pub mod core;
+pub mod duties;
+pub mod membership;
+pub mod metrics;
+pub mod node;
+pub mod operator;
+pub mod rollouts;
+pub mod run;
+pub mod serve;
 pub mod settings;
+pub mod usage;
+pub mod zone;
--- /dev/null
+++ b/crates/dandelion-daemon/src/membership.rs
@@ -0,0 +1,131 @@
+//! Joins the cell, stays in it, and leaves it; on the leader, removes daemons that are gone.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use async_std::task;
+use dandelion_control::tables::MembersTable;
+use dandelion_net::clock;
+use dandelion_protocol::config::Member;
+use dandelion_protocol::control::MemberCommand;
+use dandelion_protocol::ids::DaemonId;
+use dandelion_protocol::ids::Incarnation;
+use dandelion_protocol::mesh::CallBody;
+use dandelion_protocol::time::Millis;
+use dandelion_telemetry::Event;
+use dandelion_telemetry::event;
+use futures::future::join_all;
+
+use crate::control::Failed;
+use crate::core::Handle;
+
+/// Time between two looks at the own membership.
+const JOIN_PERIOD: Duration = Duration::from_millis(500);
+
+/// Time between two rounds of probes by the leader.
+const PROBE_PERIOD: Duration = Duration::from_secs(1);
+
+/// Longest wait for the answer to a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Probes missed in a row after which a daemon is removed.
+const MAX_MISSED: u32 = 4;
+
+/// Joins the cell, and joins again whenever the daemon was removed.
+pub async fn run_join(core: Handle) {
+    loop {
+        if !core.is_stopping() && !is_joined(&core) {
+            let joined = join(&core, false).await;
+            match joined {
+                Ok(()) => event!(Event::DaemonJoined, daemon = core.identity.daemon),
+                Err(error) => log::debug!("not joined yet: {error}"),
+            }
+        }
+        task::sleep(JOIN_PERIOD).await;
+    }
+}
+
+fn is_joined(core: &Handle) -> bool {
+    let view = core.control.view();
+    let member = view.member(&core.identity.daemon);
+    member.is_some_and(|m| m.incarnation >= core.identity.incarnation && !m.leaving)
+}
+
+/// Joins under a life that is newer than any before, or announces that the daemon leaves.
+pub async fn join(core: &Handle, leaving: bool) -> Result<(), Failed> {
+    let address = core.mesh_address();
+    let member = Member {
+        id: core.identity.daemon.clone(),
+        zone: core.identity.zone.clone(),
+        address: address.to_string(),
+        incarnation: Incarnation(clock::wall_now().0),
+        leaving,
+    };
+    let command = MemberCommand::Join(member);
+    core.propose_own::<MembersTable>(&command).await?;
+    Ok(())
+}
+
+/// Leaves the cell for good.
+pub async fn leave(core: &Handle) -> Result<(), Failed> {
+    remove(core, &core.identity.daemon.clone()).await
+}
+
+async fn remove(core: &Handle, id: &DaemonId) -> Result<(), Failed> {
+    let view = core.control.view();
+    let Some(member) = view.member(id) else {
+        return Ok(());
+    };
+    let command = MemberCommand::Leave {
+        id: id.clone(),
+        incarnation: member.incarnation,
+    };
+    core.propose_own::<MembersTable>(&command).await?;
+    Ok(())
+}
+
+/// On the leader, probes every daemon and removes those that miss several probes in a row.
+pub async fn run_probes(core: Handle) {
+    let mut missed: BTreeMap<DaemonId, u32> = BTreeMap::new();
+    loop {
+        task::sleep(PROBE_PERIOD).await;
+        let leads = core
+            .control
+            .replica()
+            .and_then(|r| r.in_charge(Millis::ZERO));
+        if leads.is_none() {
+            missed.clear();
+            continue;
+        }
+        let silent = probe_all(&core).await;
+        missed.retain(|id, _| silent.contains(id));
+        for id in silent {
+            let count = missed.entry(id.clone()).or_default();
+            *count += 1;
+            if *count >= MAX_MISSED {
+                expel(&core, &id).await;
+            }
+        }
+    }
+}
+
+/// Returns the daemons that did not answer.
+async fn probe_all(core: &Handle) -> Vec<DaemonId> {
+    let view = core.control.view();
+    let probes = view.members.iter().map(|m| probe(core, &m.id));
+    join_all(probes).await.into_iter().flatten().collect()
+}
+
+async fn probe(core: &Handle, id: &DaemonId) -> Option<DaemonId> {
+    let mesh = core.mesh()?;
+    let answer = mesh.call(id, CallBody::Probe, PROBE_TIMEOUT).await;
+    answer.is_err().then(|| id.clone())
+}
+
+async fn expel(core: &Handle, id: &DaemonId) {
+    event!(Event::DaemonSuspected, daemon = id);
+    match remove(core, id).await {
+        Ok(()) => event!(Event::DaemonLeft, daemon = id),
+        Err(error) => log::warn!("daemon {id} could not be removed: {error}"),
+    }
+}
--- /dev/null
+++ b/crates/dandelion-daemon/src/metrics.rs
@@ -0,0 +1,73 @@
+//! Metrics of the daemon.
+
+use dandelion_net::mesh::Family;
+use dandelion_protocol::ids::TeamId;
+use dandelion_protocol::usage::Class;
+use dandelion_telemetry::Metrics;
+use dandelion_telemetry::metrics::MetricsError;
+use dandelion_telemetry::metrics::TeamMetrics;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+
+use crate::core::Handle;
+
+/// Metrics by team and class, and those of the daemon itself.
+#[derive(Debug)]
+pub struct DaemonMetrics {
+    metrics: Metrics,
+    revision: IntGauge,
+    leased: IntGauge,
+    members: IntGauge,
+    upstreams: IntGauge,
+    mesh_bytes: IntCounterVec,
+}
+
+impl DaemonMetrics {
+    /// Opens the registry with labels for at most `teams` teams.
+    pub fn open(teams: usize) -> Result<Self, MetricsError> {
+        let metrics = Metrics::open(teams)?;
+        Ok(Self {
+            revision: metrics.gauge("revision", "Revision of the replicated state held.")?,
+            leased: metrics.gauge("leased", "Whether keyed routes are served.")?,
+            members: metrics.gauge("members", "Daemons known.")?,
+            upstreams: metrics.gauge("owned_upstreams", "Upstreams owned.")?,
+            mesh_bytes: metrics.counters(
+                "mesh_sent_bytes_total",
+                "Payload bytes sent to other daemons.",
+                "family",
+            )?,
+            metrics,
+        })
+    }
+
+    /// Returns the metrics of a team and class.
+    pub fn team(&self, team: Option<&TeamId>, class: Class) -> TeamMetrics {
+        self.metrics.team(team, class)
+    }
+
+    /// Writes every metric in the text form of Prometheus.
+    pub fn render(&self, core: &Handle) -> String {
+        let view = core.control.view();
+        self.revision.set(view.revision.0 as i64);
+        self.leased.set(i64::from(core.control.is_leased()));
+        self.members.set(view.members.len() as i64);
+        self.upstreams.set(core.owners.records().len() as i64);
+        self.count_mesh(core);
+        match self.metrics.render() {
+            Ok(text) => text,
+            Err(error) => format!("# {error}\n"),
+        }
+    }
+
+    fn count_mesh(&self, core: &Handle) {
+        let Some(mesh) = core.mesh() else {
+            return;
+        };
+        for family in Family::ALL {
+            let label = format!("{family:?}").to_lowercase();
+            let counter = self.mesh_bytes.with_label_values(&[label.as_str()]);
+            let sent = mesh.traffic(family).sent_bytes;
+            counter.inc_by(sent.saturating_sub(counter.get()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/dandelion-daemon/src/node.rs
@@ -0,0 +1,88 @@
+//! Handles messages of other daemons.
+
+use dandelion_control::feed::FeedEvent;
+use dandelion_net::clock;
+use dandelion_net::mesh::MeshHandler;
+use dandelion_net::mesh::PartSender;
+use dandelion_protocol::ids::DaemonId;
+use dandelion_protocol::mesh::CallBody;
+use dandelion_protocol::mesh::MeshMessage;
+use dandelion_protocol::mesh::ReplyBody;
+use dandelion_protocol::mesh::ServeRequest;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+
+use crate::api;
+use crate::core::Handle;
+use crate::operator;
+use crate::rollouts;
+use crate::serve;
+
+/// The daemon as its peers see it.
+#[derive(Debug, Clone)]
+pub struct Node(Handle);
+
+impl Node {
+    /// Wraps the shared state.
+    pub fn new(core: Handle) -> Self {
+        Self(core)
+    }
+}
+
+impl MeshHandler for Node {
+    fn on_message(&self, from: &DaemonId, message: MeshMessage) {
+        let core = &self.0;
+        match message {
+            MeshMessage::Raft(bytes) => {
+                if let Some(replica) = core.control.replica() {
+                    replica.push_raft(from, bytes);
+                }
+            }
+            MeshMessage::Feed(bytes) => {
+                if let Some(replica) = core.control.replica() {
+                    replica.push_feed(from, bytes.clone());
+                }
+                let from = from.clone();
+                core.control.push_feed(FeedEvent::Message { from, bytes });
+            }
+            MeshMessage::Digest(bytes) => serve::hear(core, from, &bytes),
+            _ => log::debug!("daemon {from} sent a message of another kind"),
+        }
+    }
+
+    /// Boxed, because a call to the daemon itself makes its future part of itself.
+    #[expect(refining_impl_trait_reachable, reason = "the named type ends the recursion")]
+    fn on_call(&self, _from: &DaemonId, body: CallBody) -> BoxFuture<'_, ReplyBody> {
+        answer(&self.0, body).boxed()
+    }
+
+    async fn on_serve(&self, _from: &DaemonId, request: ServeRequest, parts: &mut PartSender) {
+        serve::serve_owned(&self.0, request, parts).await;
+    }
+}
+
+async fn answer(core: &Handle, body: CallBody) -> ReplyBody {
+    match body {
+        CallBody::Propose(proposal) => ReplyBody::Proposed(core.propose_here(proposal).await),
+        CallBody::Announce(announcement) => {
+            core.owners.announced(clock::boot_now(), announcement);
+            ReplyBody::Announced
+        }
+        CallBody::CopyUsage(reports) => {
+            core.usage.keep(reports);
+            ReplyBody::Copied
+        }
+        CallBody::Probe => ReplyBody::Alive,
+        CallBody::InForce(revision) => {
+            ReplyBody::InForce(operator::spread_here(core, revision))
+        }
+        CallBody::KeepPayload(_) | CallBody::FetchPayload(_) | CallBody::ReleasePayload(_) => {
+            rollouts::answer_payload(core, &body)
+        }
+        CallBody::Forward {
+            path,
+            content_type,
+            body,
+        } => api::forwarded(core, &path, &content_type, body).await,
+    }
+}
--- /dev/null
+++ b/crates/dandelion-daemon/src/operator/changes.rs
@@ -0,0 +1,188 @@
+//! Operators' changes: proposed once, answered with how far they have spread.
+
+use std::time::Duration;
+
+use async_std::task;
+use dandelion_control::tables::ConfigTable;
+use dandelion_fleet::orders::OrderCommand;
+use dandelion_fleet::orders::OrdersTable;
+use dandelion_kernel::Table;
+use dandelion_net::clock;
+use dandelion_protocol::config::ConfigCommand;
+use dandelion_protocol::ids::Revision;
+use dandelion_protocol::mesh::CallBody;
+use dandelion_protocol::mesh::ReplyBody;
+use dandelion_protocol::mesh::Spread;
+use dandelion_protocol::time::Millis;
+use dandelion_rpc::Author as ChangeAuthor;
+use dandelion_rpc::ErrorCode;
+use dandelion_rpc::RpcError;
+use dandelion_rpc::convert;
+use dandelion_rpc::generated as rpc;
+use dandelion_rpc::secret;
+use dandelion_telemetry::Event;
+use dandelion_telemetry::event;
+use rand::Rng;
+
+use crate::control::Author;
+use crate::control::Failed;
+use crate::core::Handle;
+
+/// Longest wait until a withdrawal is in force everywhere.
+const WITHDRAW_LIMIT: Millis = Millis::from_secs(5);
+
+/// Time between two looks at how far a change has spread.
+const POLL: Duration = Duration::from_millis(20);
+
+/// Longest wait for the leader's word on the spread.
+const SPREAD_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Changes the configuration.
+pub async fn configure(
+    core: &Handle,
+    change: Option<&rpc::Change>,
+    command: &ConfigCommand,
+) -> Result<rpc::ChangeAnswer, RpcError> {
+    propose::<ConfigTable>(core, change, command).await
+}
+
+/// Changes the limits of the fleet.
+pub async fn order(
+    core: &Handle,
+    change: Option<&rpc::Change>,
+    command: &OrderCommand,
+) -> Result<rpc::ChangeAnswer, RpcError> {
+    propose::<OrdersTable>(core, change, command).await
+}
+
+async fn propose<T>(
+    core: &Handle,
+    change: Option<&rpc::Change>,
+    command: &T::Command,
+) -> Result<rpc::ChangeAnswer, RpcError>
+where
+    T: Table,
+{
+    let author = ChangeAuthor::check(change)?;
+    let operator = author.operator.clone();
+    let author = Author {
+        request: author.request,
+        name: author.operator,
+        expected: author.expected,
+    };
+    match core.propose::<T>(author, command).await {
+        Ok(applied) => {
+            event!(
+                Event::ChangeAccepted,
+                operator = operator,
+                revision = applied.revision
+            );
+            let spread = spread(core, applied.revision).await.unwrap_or_default();
+            Ok(answer(applied.revision, &spread))
+        }
+        Err(error) => {
+            event!(Event::ChangeRefused, operator = operator, reason = error);
+            Err(refused(error))
+        }
+    }
+}
+
+/// Grants a key; the secret is made here unless the operator sent its digest.
+pub async fn grant(
+    core: &Handle,
+    request: &rpc::GrantKeyRequest,
+) -> Result<rpc::GrantKeyAnswer, RpcError> {
+    let (digest, shown) = if let Some(digest) = convert::sent_digest(request)? {
+        (digest, String::new())
+    } else {
+        let made = secret::format_secret(&rand::rng().random());
+        (secret::digest_secret(&made), made)
+    };
+    let key = convert::key_of(request, digest)?;
+    let command = ConfigCommand::GrantKey(key);
+    let change = configure(core, request.change.as_ref(), &command).await?;
+    Ok(rpc::GrantKeyAnswer {
+        change: Some(change),
+        secret: shown,
+    })
+}
+
+/// Withdraws a key; answered once no daemon can accept it any more.
+pub async fn withdraw(
+    core: &Handle,
+    request: &rpc::NameRequest,
+) -> Result<rpc::ChangeAnswer, RpcError> {
+    let key = convert::parse_name("name", &request.name)?;
+    let command = ConfigCommand::WithdrawKey(key);
+    let change = configure(core, request.change.as_ref(), &command).await?;
+    let revision = Revision(change.revision);
+    if let Some(spread) = wait_complete(core, revision, WITHDRAW_LIMIT).await {
+        event!(Event::KeyWithdrawn, key = request.name, revision = revision);
+        return Ok(answer(revision, &spread));
+    }
+    Err(RpcError::new(
+        ErrorCode::DeadlineExceeded,
+        &format!("the withdrawal is recorded at revision {revision} but not known everywhere"),
+        "send it again with the same request id, or watch `dandelionctl status --wait`",
+    ))
+}
+
+/// Waits until `revision` is in force everywhere.
+pub async fn wait_complete(core: &Handle, revision: Revision, limit: Millis) -> Option<Spread> {
+    let until = clock::boot_now() + limit;
+    loop {
+        let spread = spread(core, revision).await;
+        if let Some(spread) = spread.filter(|s| s.complete) {
+            return Some(spread);
+        }
+        if clock::boot_now() >= until {
+            return None;
+        }
+        task::sleep(POLL).await;
+    }
+}
+
+/// Asks the leader how far `revision` has reached.
+pub async fn spread(core: &Handle, revision: Revision) -> Option<Spread> {
+    if let Some(found) = spread_here(core, revision) {
+        return Some(found);
+    }
+    let leader = core.control.leader();
+    let leader = leader.filter(|l| l != &core.identity.daemon)?;
+    let call = CallBody::InForce(revision);
+    match core.mesh()?.call(&leader, call, SPREAD_TIMEOUT).await {
+        Ok(ReplyBody::InForce(spread)) => spread,
+        Ok(_) | Err(_) => None,
+    }
+}
+
+/// Returns how far `revision` has reached if this daemon leads.
+pub fn spread_here(core: &Handle, revision: Revision) -> Option<Spread> {
+    let found = core.control.replica()?.in_force(revision)?;
+    Some(Spread {
+        applied: found.applied,
+        total: found.total,
+        complete: found.is_complete(),
+    })
+}
+
+fn answer(revision: Revision, spread: &Spread) -> rpc::ChangeAnswer {
+    rpc::ChangeAnswer {
+        revision: revision.0,
+        daemons_applied: spread.applied,
+        daemons_total: spread.total,
+    }
+}
+
+/// Puts a failed proposal into the operators' error shape.
+pub fn refused(failed: Failed) -> RpcError {
+    match failed {
+        Failed::Unanswered(error) => error.into(),
+        Failed::Rejected(rejection) => rejection.into(),
+        Failed::Codec(error) => RpcError::new(
+            ErrorCode::Internal,
+            &error.to_string(),
+            "upgrade the older daemons",
+        ),
+    }
+}
--- /dev/null
+++ b/crates/dandelion-daemon/src/run.rs
@@ -0,0 +1,318 @@
+//! Starts a daemon, runs it until it is told to stop, and stops it without cutting anything.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use anyhow::Context;
+use async_channel::Receiver;
+use async_std::task;
+use clap::Parser;
+use dandelion_control::ControlNode;
+use dandelion_control::FeedClient;
+use dandelion_control::FileStorage;
+use dandelion_control::Timing;
+use dandelion_control::feed::FeedSettings;
+use dandelion_control::feed::Feeder;
+use dandelion_control::node::NodeSettings;
+use dandelion_control::raft::ReplicaId;
+use dandelion_net::clock;
+use dandelion_net::http::client::Client;
+use dandelion_net::http::client::ClientOptions;
+use dandelion_net::http::server::Limits;
+use dandelion_net::http::server::Server;
+use dandelion_net::mesh::Mesh;
+use dandelion_net::mesh::MeshConfig;
+use dandelion_net::mesh::Secret;
+use dandelion_net::mesh::Secrets;
+use dandelion_net::mesh::Timing as MeshTiming;
+use dandelion_protocol::ids::DaemonId;
+use dandelion_protocol::ids::Incarnation;
+use dandelion_protocol::mesh::Hello;
+use dandelion_protocol::mesh::MESH_VERSION;
+use dandelion_protocol::time::Millis;
+use dandelion_telemetry::Event;
+use dandelion_telemetry::event;
+use dandelion_telemetry::logging;
+use futures::StreamExt;
+use rand::Rng;
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+use signal_hook_async_std::Signals;
+
+use crate::api::Api;
+use crate::control::Control;
+use crate::control::Outgoing;
+use crate::control::ReplicaHandle;
+use crate::control::run_feed;
+use crate::core::Core;
+use crate::core::CoreParts;
+use crate::core::Handle;
+use crate::core::Identity;
+use crate::duties;
+use crate::membership;
+use crate::metrics::DaemonMetrics;
+use crate::node::Node;
+use crate::rollouts;
+use crate::settings::Checked;
+use crate::settings::EXIT_USAGE;
+use crate::settings::Settings;
+use crate::usage;
+use crate::zone;
+
+/// Voters of a control group.
+const VOTERS: usize = 3;
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    core: Handle,
+    server: Server,
+}
+
+/// Runs the daemon with the process's arguments and returns its exit code.
+pub fn main() -> ExitCode {
+    run_from(std::env::args_os())
+}
+
+/// Runs the daemon with the given arguments, the program's name first.
+pub fn run_from<I, T>(arguments: I) -> ExitCode
+where
+    I: IntoIterator<Item = T>,
+    T: Into<std::ffi::OsString> + Clone,
+{
+    let settings = match Settings::parse_from(arguments).check() {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("dandelionrun: {error}");
+            return ExitCode::from(EXIT_USAGE as u8);
+        }
+    };
+    match task::block_on(run(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("dandelionrun: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(settings: Checked) -> anyhow::Result<()> {
+    let _log = logging::open(&settings.log)?;
+    let signals = Signals::new([SIGTERM, SIGINT]).context("signals cannot be handled")?;
+    let daemon = Daemon::spawn(settings).await?;
+    daemon.announce();
+    wait_for_stop(signals).await;
+    daemon.stop().await;
+    Ok(())
+}
+
+async fn wait_for_stop(mut signals: Signals) {
+    signals.next().await;
+}
+
+impl Daemon {
+    /// Starts every part and returns once callers can be taken.
+    pub async fn spawn(settings: Checked) -> anyhow::Result<Self> {
+        let identity = Identity {
+            daemon: settings.name.clone(),
+            zone: settings.zone.clone(),
+            incarnation: Incarnation(clock::wall_now().0),
+        };
+        let (replica, outgoing) = open_replica(&settings)?;
+        let control = Control::open(open_feed(&settings), replica);
+        let metrics = DaemonMetrics::open(settings.limits.metric_teams)?;
+        let listen = settings.listen.http;
+        let limits = http_limits(&settings);
+        let parts = CoreParts {
+            identity,
+            settings,
+            control,
+            metrics,
+        };
+        let core = Handle::new(Core::open(parts, Client::new(ClientOptions::default())));
+        bind_mesh(&core).await?;
+        spawn_tasks(&core, outgoing);
+        let server = Server::bind(listen, limits, Api::new(core.clone())).await;
+        let server = server.with_context(|| {
+            format!("--http-listen {listen} cannot be bound; free it or choose another address")
+        })?;
+        Ok(Self { core, server })
+    }
+
+    /// Returns the address for callers, trainers, upstreams and operators.
+    pub fn http_address(&self) -> SocketAddr {
+        self.server.local_addr()
+    }
+
+    fn announce(&self) {
+        event!(
+            Event::Started,
+            daemon = self.core.identity.daemon,
+            zone = self.core.identity.zone,
+            http = self.http_address(),
+            mesh = self.core.mesh_address()
+        );
+    }
+
+    /// Stops gracefully: health fails first, upstreams are handed over, requests finish.
+    pub async fn stop(self) {
+        event!(Event::Stopping, daemon = self.core.identity.daemon);
+        self.core.begin_stop();
+        if let Err(error) = membership::join(&self.core, true).await {
+            log::warn!("the other daemons do not know of the stop: {error}");
+        }
+        let limits = self.core.settings.limits;
+        task::sleep(Duration::from_millis(limits.balancer_grace.0)).await;
+        self.server.begin_drain();
+        wait_for_owned(&self.core, limits.stop_timeout).await;
+        let grace = Duration::from_millis(limits.stop_timeout.0);
+        let cut = self.server.shutdown(grace).await;
+        if cut > 0 {
+            event!(Event::StopTimeout, requests = cut);
+        }
+        usage::submit_all(&self.core).await;
+        if let Err(error) = membership::leave(&self.core).await {
+            log::warn!("the daemon could not leave the cell: {error}");
+        }
+        event!(Event::Stopped, daemon = self.core.identity.daemon);
+    }
+}
+
+/// Waits until the owned upstreams have finished what other daemons' callers asked for.
+async fn wait_for_owned(core: &Handle, limit: Millis) {
+    const POLL: Duration = Duration::from_millis(50);
+    let until = clock::boot_now() + limit;
+    while clock::boot_now() < until {
+        let busy = |shard: &crate::serve::Shard| shard.read(|q| q.inflight() + q.waiting() > 0);
+        if !core.owners.shards().iter().any(|(_, shard)| busy(shard)) {
+            return;
+        }
+        task::sleep(POLL).await;
+    }
+}
+
+fn http_limits(settings: &Checked) -> Limits {
+    let limits = &settings.limits;
+    let defaults = Limits::default();
+    Limits {
+        head_bytes: limits.head_bytes.min(defaults.head_bytes),
+        head_time: Duration::from_millis(limits.head_timeout.0),
+        body_bytes: limits.body_bytes,
+        idle_time: Duration::from_millis(limits.idle_timeout.0),
+        ..defaults
+    }
+}
+
+fn open_replica(
+    settings: &Checked,
+) -> anyhow::Result<(Option<ReplicaHandle>, Option<Receiver<Outgoing>>)> {
+    let Some(folder) = &settings.control.folder else {
+        return Ok((None, None));
+    };
+    let mut rng = rand::rng();
+    let storage = FileStorage::open(folder, ReplicaId(rng.random()))
+        .with_context(|| format!("--data-folder {}", folder.display()))?;
+    let mut peers: Vec<DaemonId> = settings
+        .control
+        .bootstrap
+        .iter()
+        .map(|p| p.id.clone())
+        .collect();
+    if !peers.contains(&settings.name) {
+        peers.push(settings.name.clone());
+    }
+    let node = NodeSettings {
+        voters: VOTERS,
+        timing: timing(settings),
+        ..NodeSettings::new(settings.name.clone(), settings.zone.clone(), peers)
+    };
+    let node = ControlNode::open(node, storage, clock::boot_now(), rng.random())?;
+    let (replica, outgoing) = ReplicaHandle::spawn(node);
+    Ok((Some(replica), Some(outgoing)))
+}
+
+fn timing(settings: &Checked) -> Timing {
+    Timing {
+        feed_period: settings.control.feed_period,
+        ..Timing::default()
+    }
+}
+
+fn open_feed(settings: &Checked) -> FeedClient {
+    let own = settings
+        .control
+        .folder
+        .is_some()
+        .then(|| settings.name.clone());
+    let peers = settings.control.peers.iter().map(|p| p.id.clone());
+    let feeders = own.into_iter().chain(peers).map(|daemon| Feeder {
+        daemon,
+        zone: settings.zone.clone(),
+    });
+    let feed = FeedSettings {
+        zone: settings.zone.clone(),
+        feeders: feeders.collect(),
+        timing: timing(settings),
+    };
+    FeedClient::open(feed, rand::rng().random())
+}
+
+async fn bind_mesh(core: &Handle) -> anyhow::Result<()> {
+    let settings = &core.settings;
+    let secrets: Result<Vec<Secret>, _> = settings
+        .secrets
+        .mesh
+        .iter()
+        .map(|s| Secret::new(s.reveal().as_bytes()))
+        .collect();
+    let mut secrets = secrets.context("--mesh-secrets")?.into_iter();
+    let current = secrets.next().context("--mesh-secrets names no secret; give one")?;
+    let other = secrets.next();
+    let hello = Hello {
+        version: MESH_VERSION,
+        cell: settings.cell,
+        daemon: settings.name.clone(),
+        zone: settings.zone.clone(),
+        incarnation: core.identity.incarnation,
+        address: settings.listen.mesh_address.to_string(),
+    };
+    let config = MeshConfig {
+        hello,
+        listen: settings.listen.mesh,
+        secrets: Secrets { current, other },
+        timing: MeshTiming::default(),
+    };
+    let listen = settings.listen.mesh;
+    let mesh = Mesh::bind(config, Node::new(core.clone())).await;
+    let mesh = mesh.with_context(|| {
+        format!("--mesh-listen {listen} cannot be bound; free it or choose another address")
+    })?;
+    for peer in &settings.control.peers {
+        mesh.set_peer(&peer.id, peer.address);
+    }
+    core.attach(mesh);
+    Ok(())
+}
+
+fn spawn_tasks(core: &Handle, outgoing: Option<Receiver<Outgoing>>) {
+    if let Some(outgoing) = outgoing {
+        task::spawn(send_outgoing(core.clone(), outgoing));
+        task::spawn(duties::run_usage_duty(core.clone()));
+        task::spawn(membership::run_probes(core.clone()));
+    }
+    task::spawn(run_feed(core.clone()));
+    task::spawn(membership::run_join(core.clone()));
+    task::spawn(zone::run_zone(core.clone()));
+    task::spawn(usage::run_usage(core.clone()));
+    task::spawn(rollouts::run_rollouts(core.clone()));
+}
+
+async fn send_outgoing(core: Handle, outgoing: Receiver<Outgoing>) {
+    while let Ok(Outgoing { to, message }) = outgoing.recv().await {
+        if let Some(mesh) = core.mesh() {
+            // Replication and feed make good what is lost.
+            let _lost = mesh.send(&to, message);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dandelion-daemon/src/serve/claim.rs
@@ -0,0 +1,242 @@
+//! Non-idempotent requests: claimed by the caller's id before the first byte is sent.
+
+use std::time::Duration;
+
+use async_std::task;
+use dandelion_net::clock;
+use dandelion_protocol::mesh::ServePart;
+use dandelion_protocol::mesh::ServeRequest;
+use dandelion_protocol::outcome::Ran;
+use dandelion_protocol::outcome::Refusal;
+use dandelion_protocol::outcome::RefusalCode;
+use dandelion_protocol::time::Millis;
+use dandelion_protocol::time::WallMillis;
+use dandelion_route::claims::AttemptId;
+use dandelion_route::claims::CallerId;
+use dandelion_route::claims::Claim;
+use dandelion_route::claims::ClaimBatch;
+use dandelion_route::claims::ClaimKey;
+use dandelion_route::claims::ClaimReply;
+use dandelion_route::claims::ClaimResult;
+use dandelion_route::claims::ClaimStep;
+use dandelion_route::claims::ClaimsTable;
+use dandelion_route::claims::StoredAnswer;
+use dandelion_route::claims::request_digest;
+use http_types::Response;
+use http_types::StatusCode;
+
+use crate::control::Failed;
+use crate::core::Handle;
+use crate::serve::entry;
+use crate::serve::entry::AnswerHead;
+use crate::serve::streams::StreamGuard;
+
+/// Header that carries the caller's id.
+const ID_HEADER: &str = "idempotency-key";
+
+/// Attempts to record the end of a granted attempt.
+const SETTLE_TRIES: u32 = 5;
+
+/// Delay between two attempts to record an end.
+const SETTLE_DELAY: Duration = Duration::from_millis(300);
+
+/// Time beyond the request's own limit after which its attempt has surely ended.
+const SETTLE_MARGIN: Millis = Millis::from_secs(5);
+
+/// Runs the request at most once over all resends, through whichever daemon they come.
+pub async fn serve_once(
+    core: &Handle,
+    request: ServeRequest,
+    guard: StreamGuard,
+) -> Result<Response, Refusal> {
+    let claim = make_claim(core, &request)?;
+    match step(core, ClaimStep::Claim(claim.clone())).await {
+        Ok(ClaimReply::Granted) => run(core, request, claim, guard).await,
+        Ok(ClaimReply::Answered(answer)) => Ok(replay(&answer)),
+        Ok(reply) => Err(refuse(&reply)),
+        Err(_) => Err(no_quorum()),
+    }
+}
+
+fn make_claim(core: &Handle, request: &ServeRequest) -> Result<Claim, Refusal> {
+    let team = request
+        .team
+        .clone()
+        .ok_or_else(|| bad_id("an open route has no team"))?;
+    let header = request.headers.iter().find(|h| h.name == ID_HEADER);
+    let header = header.ok_or_else(|| bad_id("the request has no Idempotency-Key"))?;
+    let caller: Result<CallerId, _> = header.value.parse();
+    let caller = caller.map_err(|error| bad_id(&error.to_string()))?;
+    Ok(Claim {
+        key: ClaimKey {
+            caller,
+            cell: core.settings.cell,
+            team,
+            service: request.service.clone(),
+        },
+        digest: request_digest(&request.method, &request.path, &request.body),
+        attempt: AttemptId {
+            daemon: core.identity.daemon.clone(),
+            incarnation: core.identity.incarnation,
+            sequence: core.next_number(),
+        },
+        timeout: request.timeout + SETTLE_MARGIN,
+    })
+}
+
+/// Runs a granted attempt to its end, even if the caller leaves, so that a resend finds the
+/// answer.
+async fn run(
+    core: &Handle,
+    request: ServeRequest,
+    claim: Claim,
+    guard: StreamGuard,
+) -> Result<Response, Refusal> {
+    let core = core.clone();
+    let work = task::spawn(async move {
+        let outcome = attempt_whole(&core, &request, &guard).await;
+        let result = match &outcome {
+            Ok(answer) => ClaimResult::Answered(answer.clone()),
+            Err(refusal) if refusal.ran == Ran::NotRun => ClaimResult::NotRun,
+            Err(_) => ClaimResult::Unknown,
+        };
+        settle(&core, &claim, result).await;
+        outcome
+    });
+    work.await.map(|answer| replay(&answer))
+}
+
+async fn attempt_whole(
+    core: &Handle,
+    request: &ServeRequest,
+    guard: &StreamGuard,
+) -> Result<StoredAnswer, Refusal> {
+    let head = entry::attempt(core, request, guard).await?;
+    collect(head).await
+}
+
+async fn collect(mut head: AnswerHead) -> Result<StoredAnswer, Refusal> {
+    let mut body = Vec::new();
+    loop {
+        match head.stream.next().await {
+            Ok(ServePart::Chunk(bytes)) => body.extend_from_slice(&bytes),
+            Ok(ServePart::End { .. }) => break,
+            Ok(ServePart::Failed(refusal)) => return Err(refusal.with_ran(Ran::Unknown)),
+            Ok(ServePart::Head { .. }) | Err(_) => return Err(unknown()),
+        }
+    }
+    Ok(StoredAnswer {
+        status: head.status,
+        headers: head.headers,
+        body,
+    })
+}
+
+async fn settle(core: &Handle, claim: &Claim, result: ClaimResult) {
+    let settlement = ClaimStep::Settle {
+        key: claim.key.clone(),
+        attempt: claim.attempt.clone(),
+        result,
+    };
+    for _ in 0..SETTLE_TRIES {
+        if step(core, settlement.clone()).await.is_ok() {
+            return;
+        }
+        task::sleep(SETTLE_DELAY).await;
+    }
+    log::warn!("the end of a claimed request was not recorded; resends get `unknown`");
+}
+
+async fn step(core: &Handle, step: ClaimStep) -> Result<ClaimReply, Failed> {
+    let batch = ClaimBatch { steps: vec![step] };
+    let applied = core.propose_own::<ClaimsTable>(&batch).await?;
+    let reply = applied.reply.replies.into_iter().next();
+    Ok(reply.unwrap_or(ClaimReply::Ignored))
+}
+
+fn replay(answer: &StoredAnswer) -> Response {
+    let status = StatusCode::try_from(answer.status).unwrap_or(StatusCode::BadGateway);
+    let mut response = Response::new(status);
+    response.set_body(answer.body.clone());
+    for header in &answer.headers {
+        response.insert_header(header.name.as_str(), header.value.as_str());
+    }
+    response
+}
+
+fn refuse(reply: &ClaimReply) -> Refusal {
+    let conflict =
+        |message: &str, remedy: &str| Refusal::not_run(RefusalCode::Conflict, message, remedy);
+    match reply {
+        ClaimReply::Running { until } => {
+            let wait = Millis(until.0.saturating_sub(clock::wall_now().0));
+            conflict(
+                "a request with this id is running",
+                "ask again for its answer",
+            )
+            .with_ran(Ran::Unknown)
+            .with_retry_after(wait)
+        }
+        ClaimReply::NotKept { status } => Refusal::not_run(
+            RefusalCode::OutcomeUnknown,
+            &format!("it ran and answered {status}; the body was too large to keep"),
+            "look the result up at the service; do not send it under a new id",
+        )
+        .with_ran(Ran::Ran),
+        ClaimReply::Conflict => conflict(
+            "this id names another request",
+            "use a new id for a new request",
+        ),
+        ClaimReply::Expired { oldest } => expired(*oldest),
+        ClaimReply::TooNew => bad_id("its creation time lies ahead of ours"),
+        ClaimReply::Full { free_at } => {
+            let wait = Millis(free_at.0.saturating_sub(clock::wall_now().0));
+            Refusal::not_run(
+                RefusalCode::LimitExceeded,
+                "too many ids are remembered",
+                "come back later",
+            )
+            .with_retry_after(wait)
+        }
+        _ => unknown(),
+    }
+}
+
+fn expired(oldest: WallMillis) -> Refusal {
+    Refusal::not_run(
+        RefusalCode::OutcomeUnknown,
+        &format!(
+            "the id is older than the retention (oldest accepted: {} ms)",
+            oldest.0
+        ),
+        "look the result up at the service; this call ran nothing",
+    )
+    .with_ran(Ran::Unknown)
+}
+
+fn bad_id(message: &str) -> Refusal {
+    Refusal::not_run(
+        RefusalCode::BadRequest,
+        message,
+        "send Idempotency-Key: UNIX_SECONDS-UNIQUE, the same on every resend",
+    )
+}
+
+/// The claim may or may not have been recorded, but nothing was sent to an upstream.
+fn no_quorum() -> Refusal {
+    Refusal::not_run(
+        RefusalCode::NoQuorum,
+        "the request could not be claimed",
+        "send it again with the same id",
+    )
+    .with_retry_after(Millis::from_secs(1))
+}
+
+fn unknown() -> Refusal {
+    Refusal::not_run(
+        RefusalCode::OutcomeUnknown,
+        "the request may have run; its answer is lost",
+        "look the result up at the service; do not send it under a new id",
+    )
+    .with_ran(Ran::Unknown)
+}
--- /dev/null
+++ b/crates/dandelion-daemon/src/serve/entry.rs
@@ -0,0 +1,283 @@
+//! Takes a caller's request, chooses an owner, retries what may be retried and answers.
+
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+
+use dandelion_net::clock;
+use dandelion_net::http::server;
+use dandelion_net::mesh::CallError;
+use dandelion_net::mesh::ServeStream;
+use dandelion_protocol::codec;
+use dandelion_protocol::config::Service;
+use dandelion_protocol::ids::DaemonId;
+use dandelion_protocol::ids::ZoneId;
+use dandelion_protocol::mesh::Header;
+use dandelion_protocol::mesh::ServePart;
+use dandelion_protocol::mesh::ServeRequest;
+use dandelion_protocol::outcome::Ran;
+use dandelion_protocol::outcome::Refusal;
+use dandelion_protocol::outcome::RefusalCode;
+use dandelion_protocol::time::Millis;
+use dandelion_route::digest::ZoneMessage;
+use dandelion_route::entry::EntryView;
+use dandelion_route::entry::Wanted;
+use dandelion_route::outcome::AttemptOutcome;
+use dandelion_route::queue::QueueEvent;
+use dandelion_route::retry;
+use dandelion_route::retry::RetryBudget;
+use dandelion_route::ticket::PrefixHash;
+use futures::FutureExt;
+use futures::select_biased;
+use http_types::Request;
+use http_types::Response;
+
+use crate::core::Handle;
+use crate::core::new_request_id;
+use crate::serve::answer::CallerStream;
+use crate::serve::answer::REQUEST_ID_HEADER;
+use crate::serve::auth;
+use crate::serve::claim;
+use crate::serve::prepare;
+use crate::serve::streams::StreamGuard;
+
+/// Time after which a caller may try again when no upstream is known.
+const NO_UPSTREAM_RETRY: Millis = Millis::from_secs(2);
+
+/// Choice of owners and the retry budget of this entry.
+#[derive(Debug)]
+pub struct Entry {
+    owners: Mutex<EntryView>,
+    budget: Mutex<RetryBudget>,
+}
+
+impl Entry {
+    /// Opens the view of an entry in `zone`.
+    pub fn open(zone: &ZoneId) -> Self {
+        Self {
+            owners: Mutex::new(EntryView::open(zone.clone())),
+            budget: Mutex::default(),
+        }
+    }
+
+    /// Borrows the view of the owners.
+    pub fn owners(&self) -> MutexGuard<'_, EntryView> {
+        self.owners.lock().expect("no holder of this lock panics")
+    }
+
+    fn budget(&self) -> MutexGuard<'_, RetryBudget> {
+        self.budget.lock().expect("no holder of this lock panics")
+    }
+}
+
+/// Takes in a digest or notes of another daemon.
+pub fn hear(core: &Handle, from: &DaemonId, bytes: &[u8]) {
+    let now = clock::boot_now();
+    match codec::decode(bytes) {
+        Ok(ZoneMessage::Digest(digest)) => {
+            let view = core.control.view();
+            if let Some(member) = view.member(from) {
+                core.entry.owners().hear(now, from, &member.zone, &digest);
+            }
+        }
+        Ok(ZoneMessage::Notes(notes)) => {
+            for (_, shard) in core.owners.shards() {
+                shard.handle(now, QueueEvent::Notes(notes.clone()));
+            }
+        }
+        Err(error) => log::debug!("daemon {from} sent no digest: {error}"),
+    }
+}
+
+/// Answers a caller's request.
+pub async fn serve_caller(core: &Handle, mut request: Request) -> Response {
+    let id = new_request_id();
+    let mut response = match answer(core, &mut request, id).await {
+        Ok(response) => response,
+        Err(refusal) => server::refusal(&refusal),
+    };
+    response.insert_header(REQUEST_ID_HEADER, format!("{:032x}", id.0));
+    response
+}
+
+async fn answer(
+    core: &Handle,
+    request: &mut Request,
+    id: dandelion_protocol::ids::RequestId,
+) -> Result<Response, Refusal> {
+    let route = prepare::route(request)?;
+    let view = core.control.view();
+    let service = view.config.services.get(&route.service);
+    let service = service.ok_or_else(prepare::no_route)?;
+    let secret = auth::shown_secret(request).map(str::to_owned);
+    let leased = core.control.is_leased();
+    let wall = clock::wall_now();
+    let caller = auth::authenticate(&view, leased, wall, service, secret.as_deref())?;
+    let guard = core.streams.enter(caller.key.clone(), core.next_number());
+    // The key may have been withdrawn between the lookup and the entry of the stream.
+    auth::recheck(&core.control.view(), &caller)?;
+    let received = prepare::receive(request).await?;
+    let request = prepare::build(
+        id,
+        caller.team,
+        service,
+        &route,
+        received,
+        secret.as_deref(),
+    )?;
+    if service.idempotent {
+        core.entry.budget().earn();
+        return forward(core, service, request, guard).await;
+    }
+    claim::serve_once(core, request, guard).await
+}
+
+/// Sends the request to owners until one answers or no retry is allowed.
+async fn forward(
+    core: &Handle,
+    service: &Service,
+    request: ServeRequest,
+    guard: StreamGuard,
+) -> Result<Response, Refusal> {
+    let deadline = clock::boot_now() + request.timeout;
+    let mut request = request;
+    loop {
+        request.timeout = deadline.since(clock::boot_now());
+        let refusal = match attempt(core, &request, &guard).await {
+            Ok(head) => return Ok(head.into_response(guard)),
+            Err(refusal) => refusal,
+        };
+        let outcome = outcome_of(refusal.ran);
+        let left = deadline.since(clock::boot_now());
+        if !is_worth_retrying(&refusal)
+            || !retry::may_retry(outcome, service.idempotent, &mut core.entry.budget(), left)
+        {
+            return Err(refusal);
+        }
+    }
+}
+
+/// A whole head of an answer, with the stream that follows it.
+#[derive(Debug)]
+pub struct AnswerHead {
+    /// HTTP status.
+    pub status: u16,
+    /// Allow-listed headers.
+    pub headers: Vec<Header>,
+    /// The parts after the head.
+    pub stream: ServeStream,
+}
+
+impl AnswerHead {
+    fn into_response(self, guard: StreamGuard) -> Response {
+        CallerStream::new(self.stream, guard).into_response(self.status, &self.headers)
+    }
+}
+
+/// Makes one attempt at one owner and waits for the head of the answer.
+pub async fn attempt(
+    core: &Handle,
+    request: &ServeRequest,
+    guard: &StreamGuard,
+) -> Result<AnswerHead, Refusal> {
+    let owner = pick(core, request)?;
+    let mesh = core.mesh().ok_or_else(no_upstream)?;
+    let stream = mesh
+        .serve(&owner, request.clone())
+        .map_err(|e| lost_owner(&e))?;
+    core.entry.owners().begin(&owner, &request.service);
+    let result = first_part(stream, guard).await;
+    core.entry.owners().end(&owner, &request.service);
+    result
+}
+
+/// Opens an answer stream of this daemon's own request, without waiting for its head.
+pub fn open(core: &Handle, request: &ServeRequest) -> Result<ServeStream, Refusal> {
+    let owner = pick(core, request)?;
+    let mesh = core.mesh().ok_or_else(no_upstream)?;
+    mesh.serve(&owner, request.clone())
+        .map_err(|e| lost_owner(&e))
+}
+
+async fn first_part(mut stream: ServeStream, guard: &StreamGuard) -> Result<AnswerHead, Refusal> {
+    let cut = guard.signal();
+    let part = {
+        let next = stream.next().fuse();
+        let cut = cut.raised().fuse();
+        futures::pin_mut!(next, cut);
+        select_biased! {
+            () = cut => return Err(withdrawn()),
+            part = next => part,
+        }
+    };
+    match part {
+        Ok(ServePart::Head {
+            status, headers, ..
+        }) => Ok(AnswerHead {
+            status,
+            headers,
+            stream,
+        }),
+        Ok(ServePart::Failed(refusal)) => Err(refusal),
+        Ok(ServePart::Chunk(_) | ServePart::End { .. }) => Err(lost_owner(&CallError::Unknown)),
+        Err(error) => Err(lost_owner(&error)),
+    }
+}
+
+fn pick(core: &Handle, request: &ServeRequest) -> Result<DaemonId, Refusal> {
+    let wanted = Wanted {
+        service: &request.service,
+        prefix: Some(PrefixHash::of(&request.body)),
+        suspect: None,
+        may_spill: true,
+    };
+    let owners = core.entry.owners();
+    let choice = owners.pick_owner(clock::boot_now(), &wanted, &mut rand::rng());
+    choice.map(|c| c.owner).ok_or_else(no_upstream)
+}
+
+/// Overload is answered at once with a time to come back; only failures are tried elsewhere.
+fn is_worth_retrying(refusal: &Refusal) -> bool {
+    matches!(
+        refusal.code,
+        RefusalCode::UpstreamFailed | RefusalCode::NoUpstream | RefusalCode::ShuttingDown
+    )
+}
+
+fn outcome_of(ran: Ran) -> AttemptOutcome {
+    match ran {
+        Ran::NotRun => AttemptOutcome::NotSent,
+        Ran::Unknown => AttemptOutcome::Unknown,
+        Ran::Ran => AttemptOutcome::Answered,
+    }
+}
+
+fn no_upstream() -> Refusal {
+    let refusal = Refusal::not_run(
+        RefusalCode::NoUpstream,
+        "no upstream of this service is known here",
+        "come back later; operators see `dandelionctl upstream list`",
+    );
+    refusal.with_retry_after(NO_UPSTREAM_RETRY)
+}
+
+fn withdrawn() -> Refusal {
+    let refusal = Refusal::not_run(
+        RefusalCode::Unauthorized,
+        "the key was withdrawn, or this daemon lost its lease, while the request waited",
+        "send it again with a valid key, if it may run twice",
+    );
+    refusal.with_ran(Ran::Unknown)
+}
+
+fn lost_owner(error: &CallError) -> Refusal {
+    let ran = match error {
+        CallError::NotSent => Ran::NotRun,
+        CallError::Unknown => Ran::Unknown,
+    };
+    let refusal = Refusal::not_run(
+        RefusalCode::UpstreamFailed,
+        "the daemon that owns the upstream was lost",
+        "send the request again if it may run twice",
+    );
+    refusal.with_ran(ran)
+}
--- /dev/null
+++ b/crates/dandelion-daemon/src/serve/mod.rs
@@ -0,0 +1,30 @@
+//! The request path: entry, owner's queue, exchange with the upstream, answer to the caller.
+
+mod answer;
+mod auth;
+mod claim;
+mod entry;
+mod exchange;
+mod meter;
+mod owners;
+mod prepare;
+mod shard;
+mod streams;
+
+pub use answer::CallerStream;
+pub use auth::Caller;
+pub use auth::authenticate;
+pub use auth::identify;
+pub use auth::shown_secret;
+pub use entry::Entry;
+pub use entry::hear;
+pub use entry::open;
+pub use entry::serve_caller;
+pub use exchange::serve_owned;
+pub use meter::TokenMeter;
+pub use owners::Owners;
+pub use shard::Outbox;
+pub use shard::Shard;
+pub use shard::Verdict;
+pub use streams::OpenStreams;
+pub use streams::StreamGuard;
--- /dev/null
+++ b/crates/dandelion-daemon/src/serve/owners.rs
@@ -0,0 +1,150 @@
+//! Upstreams that this daemon owns, and one queue for each of their services.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::RwLock;
+
+use dandelion_protocol::config::Config;
+use dandelion_protocol::ids::Incarnation;
+use dandelion_protocol::ids::ServiceId;
+use dandelion_protocol::ids::UpstreamId;
+use dandelion_protocol::time::Millis;
+use dandelion_protocol::upstream::Announcement;
+use dandelion_route::queue::QueueEvent;
+use dandelion_route::registry::Change;
+use dandelion_route::registry::Record;
+use dandelion_route::registry::Registry;
+
+use crate::serve::shard::Shard;
+
+/// Full share of a service's slots, in thousandths.
+const FULL_SHARE: u32 = 1000;
+
+/// Owned upstreams and their queues.
+#[derive(Debug, Default)]
+pub struct Owners {
+    registry: Mutex<Registry>,
+    shards: RwLock<BTreeMap<ServiceId, Arc<Shard>>>,
+}
+
+impl Owners {
+    /// Returns the queue of a service, opening it if needed.
+    pub fn shard(&self, service: &ServiceId) -> Arc<Shard> {
+        let known = self.shards.read().expect("no holder of this lock panics");
+        if let Some(shard) = known.get(service) {
+            return Arc::clone(shard);
+        }
+        drop(known);
+        let mut shards = self.shards.write().expect("no holder of this lock panics");
+        let shard = shards
+            .entry(service.clone())
+            .or_insert_with(|| Arc::new(Shard::open(service)));
+        Arc::clone(shard)
+    }
+
+    /// Returns all queues with their services.
+    pub fn shards(&self) -> Vec<(ServiceId, Arc<Shard>)> {
+        let shards = self.shards.read().expect("no holder of this lock panics");
+        shards
+            .iter()
+            .map(|(service, shard)| (service.clone(), Arc::clone(shard)))
+            .collect()
+    }
+
+    /// Takes in an announcement of an upstream that this daemon owns.
+    pub fn announced(&self, now: Millis, heard: Announcement) {
+        let service = heard.service.clone();
+        let change = self.registry().accept(now, heard);
+        if let Some(change) = change {
+            self.shard(&service)
+                .handle(now, QueueEvent::Upstream(change));
+        }
+    }
+
+    /// Takes over drain marks, limits and blocks.
+    pub fn set_config(&self, now: Millis, config: &Config) {
+        let changes = self.with_services(|registry| registry.set_drains(&config.drains));
+        self.feed(now, changes);
+        for (_, shard) in self.shards() {
+            shard.set_config(now, config, FULL_SHARE);
+        }
+    }
+
+    /// Lets time pass for all upstreams and queues.
+    pub fn tick(&self, now: Millis) {
+        let changes = self.with_services(|registry| registry.tick(now));
+        self.feed(now, changes);
+        for (_, shard) in self.shards() {
+            shard.handle(now, QueueEvent::Tick);
+        }
+    }
+
+    /// Gives up the upstreams that another daemon owns by now.
+    pub fn release_others<F>(&self, now: Millis, is_own: F)
+    where
+        F: Fn(&UpstreamId) -> bool,
+    {
+        let foreign: Vec<UpstreamId> = self
+            .registry()
+            .records()
+            .map(|r| r.last.upstream.clone())
+            .filter(|u| !is_own(u))
+            .collect();
+        for upstream in foreign {
+            let changes = self.with_services(|r| r.release(now, &upstream).into_iter().collect());
+            self.feed(now, changes);
+        }
+    }
+
+    /// Returns the address of one life of an upstream.
+    pub fn address(&self, upstream: &UpstreamId, boot: Incarnation) -> Option<SocketAddr> {
+        let registry = self.registry();
+        let record = registry.get(upstream).filter(|r| r.last.boot == boot)?;
+        record.last.address.parse().ok()
+    }
+
+    /// Returns copies of all records.
+    pub fn records(&self) -> Vec<Record> {
+        self.registry().records().cloned().collect()
+    }
+
+    fn registry(&self) -> std::sync::MutexGuard<'_, Registry> {
+        self.registry.lock().expect("no holder of this lock panics")
+    }
+
+    /// Changes the registry and names the service of each change.
+    fn with_services<F>(&self, change: F) -> Vec<(ServiceId, Change)>
+    where
+        F: FnOnce(&mut Registry) -> Vec<Change>,
+    {
+        let mut registry = self.registry();
+        let services: BTreeMap<UpstreamId, ServiceId> = registry
+            .records()
+            .map(|r| (r.last.upstream.clone(), r.last.service.clone()))
+            .collect();
+        let changes = change(&mut registry);
+        changes
+            .into_iter()
+            .filter_map(|change| {
+                let service = services.get(upstream_of(&change))?;
+                Some((service.clone(), change))
+            })
+            .collect()
+    }
+
+    fn feed(&self, now: Millis, changes: Vec<(ServiceId, Change)>) {
+        for (service, change) in changes {
+            self.shard(&service)
+                .handle(now, QueueEvent::Upstream(change));
+        }
+    }
+}
+
+fn upstream_of(change: &Change) -> &UpstreamId {
+    match change {
+        Change::Joined(heard) | Change::Reported(heard) => &heard.upstream,
+        Change::Leaving(upstream) | Change::Silent(upstream) | Change::Gone(upstream) => upstream,
+    }
+}
--- /dev/null
+++ b/crates/dandelion-daemon/src/serve/prepare.rs
@@ -0,0 +1,166 @@
+//! From a caller's HTTP request to the request that goes to an owner, and on to the upstream.
+
+use dandelion_protocol::config::Service;
+use dandelion_protocol::ids::RequestId;
+use dandelion_protocol::ids::ServiceId;
+use dandelion_protocol::ids::TeamId;
+use dandelion_protocol::mesh::Header;
+use dandelion_protocol::mesh::ServeRequest;
+use dandelion_protocol::outcome::Refusal;
+use dandelion_protocol::outcome::RefusalCode;
+use dandelion_protocol::time::Millis;
+use dandelion_protocol::usage::Class;
+use dandelion_route::queue::Arrival;
+use dandelion_route::scrub;
+use dandelion_route::scrub::KeyPatterns;
+use dandelion_route::ticket::Fingerprint;
+use dandelion_route::ticket::PrefixHash;
+use dandelion_route::ticket::Ticket;
+use http_types::Request;
+
+use crate::serve::answer::REQUEST_ID_HEADER;
+
+/// Header in which a caller shortens the service's time limit, in milliseconds.
+const TIMEOUT_HEADER: &str = "x-timeout-ms";
+
+/// Predicted tokens of a request whose answer length is not known.
+const PREDICTED_TOKENS: u64 = 256;
+
+/// Bytes of a prompt for one predicted token.
+const BYTES_PER_TOKEN: u64 = 4;
+
+/// Start of every caller's path.
+const PREFIX: &str = "/v1/";
+
+/// Service and path at the upstream that a caller's path names.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Route {
+    /// Service.
+    pub service: ServiceId,
+    /// Path and query at the upstream.
+    pub target: String,
+}
+
+/// Splits `/v1/SERVICE/REST?QUERY`.
+pub fn route(request: &Request) -> Result<Route, Refusal> {
+    let url = request.url();
+    let rest = url.path().strip_prefix(PREFIX).ok_or_else(no_route)?;
+    let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let service = service.parse().map_err(|_| no_route())?;
+    let target = match url.query() {
+        Some(query) => format!("/{path}?{query}"),
+        None => format!("/{path}"),
+    };
+    Ok(Route { service, target })
+}
+
+/// Refusal of a path that names no service.
+pub fn no_route() -> Refusal {
+    Refusal::not_run(
+        RefusalCode::NotFound,
+        "no such route",
+        "use /v1/SERVICE/PATH with the name of a configured service",
+    )
+}
+
+/// Parts of a caller's request, read to its end.
+#[derive(Debug)]
+pub struct Received {
+    /// Method.
+    pub method: String,
+    /// Headers.
+    pub headers: Vec<Header>,
+    /// Body.
+    pub body: Vec<u8>,
+    /// Time that the caller allows, if it says so.
+    pub timeout: Option<Millis>,
+}
+
+/// Reads a caller's request.
+pub async fn receive(request: &mut Request) -> Result<Received, Refusal> {
+    let body = request.body_bytes().await.map_err(|error| {
+        Refusal::not_run(
+            RefusalCode::BadRequest,
+            &format!("the body could not be read: {error}"),
+            "send the whole body within the limits",
+        )
+    })?;
+    let pairs = request.iter().flat_map(|(name, values)| {
+        values.iter().map(move |value| Header {
+            name: name.as_str().to_owned(),
+            value: value.as_str().to_owned(),
+        })
+    });
+    let timeout = request.header(TIMEOUT_HEADER).map(|v| v.as_str().parse());
+    Ok(Received {
+        method: request.method().to_string(),
+        headers: pairs.collect(),
+        body,
+        timeout: timeout.and_then(Result::ok).map(Millis),
+    })
+}
+
+/// Takes the caller's key out and makes the request for the owner.
+pub fn build(
+    id: RequestId,
+    team: Option<TeamId>,
+    service: &Service,
+    route: &Route,
+    received: Received,
+    secret: Option<&str>,
+) -> Result<ServeRequest, Refusal> {
+    let patterns = KeyPatterns::of(secret.unwrap_or_default());
+    let scrubbed =
+        scrub::scrub_request(&route.target, &received.headers, &received.body, &patterns);
+    let scrubbed = scrubbed.map_err(|error| {
+        Refusal::not_run(
+            RefusalCode::BadRequest,
+            &error.to_string(),
+            "send the key in the authorization header only",
+        )
+    })?;
+    let timeout = received
+        .timeout
+        .map_or(service.timeout, |t| t.min(service.timeout));
+    Ok(ServeRequest {
+        id,
+        team,
+        service: service.id.clone(),
+        class: Class::Interactive,
+        method: received.method,
+        path: scrubbed.target,
+        headers: scrubbed.headers,
+        body: received.body,
+        timeout,
+        idempotent: service.idempotent,
+    })
+}
+
+/// Headers of a request as the upstream gets them, with our own request id.
+pub fn upstream_headers(request: &ServeRequest) -> Vec<Header> {
+    let others = request
+        .headers
+        .iter()
+        .filter(|h| h.name != REQUEST_ID_HEADER);
+    let mut headers: Vec<Header> = others.cloned().collect();
+    headers.push(Header {
+        name: REQUEST_ID_HEADER.to_owned(),
+        value: format!("{:032x}", request.id.0),
+    });
+    headers
+}
+
+/// Describes a request to the owner's queue.
+pub fn arrival(ticket: Ticket, now: Millis, request: &ServeRequest) -> Arrival {
+    let prompt_tokens = request.body.len() as u64 / BYTES_PER_TOKEN;
+    Arrival {
+        ticket,
+        team: request.team.clone(),
+        class: request.class,
+        cost: PREDICTED_TOKENS + prompt_tokens,
+        deadline: now + request.timeout,
+        fingerprint: Fingerprint::of(request.team.as_ref(), &request.service, &request.body),
+        prefix: Some(PrefixHash::of(&request.body)),
+        resumable: request.class == Class::Rollout,
+    }
+}
--- a/crates/dandelion-daemon/src/settings/secret.rs
+++ b/crates/dandelion-daemon/src/settings/secret.rs
@@ -7,7 +7,7 @@
 use crate::settings::error::SettingsError;
 
 /// Shortest accepted secret, in bytes.
-pub const MIN_SECRET_BYTES: usize = 16;
+pub const MIN_SECRET_BYTES: usize = 32;
 
 /// A secret; its debug form shows nothing of it.
 #[derive(Clone, PartialEq, Eq)]
@@ -25,7 +25,7 @@
                 setting,
                 &format!("{} bytes", text.len()),
                 "it is too short for a secret",
-                "use 16 bytes or more from a random source",
+                "use 32 bytes or more from a random source",
             ));
         }
         Ok(Self(text.to_owned()))
--- a/crates/dandelion-fleet/src/usage/copies.rs
+++ b/crates/dandelion-fleet/src/usage/copies.rs
@@ -1,6 +1,7 @@
 //! Copies of other daemons' counters, kept so that a lost daemon's usage is still billed.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use dandelion_protocol::ids::DaemonId;
 use dandelion_protocol::ids::Incarnation;
@@ -43,6 +44,11 @@
             .collect()
     }
 
+    /// Returns the daemons whose reports are held.
+    pub fn daemons(&self) -> BTreeSet<DaemonId> {
+        self.reports.keys().map(|source| source.0.clone()).collect()
+    }
+
     /// Forgets windows that are past being submitted.
     pub fn trim(&mut self, current: WindowId) {
         let oldest = WindowId(current.0.saturating_sub(KEPT_WINDOWS));
--- a/crates/dandelion-fleet/src/usage/table.rs
+++ b/crates/dandelion-fleet/src/usage/table.rs
@@ -1,6 +1,7 @@
 //! The replicated usage windows: sources, frozen figures and what the platform accepted.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use dandelion_kernel::ApplyContext;
 use dandelion_kernel::TABLES;
@@ -126,12 +127,10 @@
         self.frozen.values().find(|w| w.accepted_at.is_none())
     }
 
-    /// Returns whether the daemon's life has closed `window`.
-    pub fn is_closed_by(&self, window: WindowId, daemon: &DaemonId, life: Incarnation) -> bool {
-        self.sources.get(&window).is_some_and(|list| {
-            list.iter()
-                .any(|s| &s.daemon == daemon && s.incarnation == life && s.closed)
-        })
+    /// Returns the daemons that have closed `window`.
+    pub fn closed_daemons(&self, window: WindowId) -> BTreeSet<&DaemonId> {
+        let sources = self.sources.get(&window).into_iter().flatten();
+        sources.filter(|s| s.closed).map(|s| &s.daemon).collect()
     }
 
     /// Returns the counts that wait for the next window because they came late.
--- a/crates/dandelion-protocol/src/mesh.rs
+++ b/crates/dandelion-protocol/src/mesh.rs
@@ -2,6 +2,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde_bytes::ByteBuf;
 
 use crate::control::Answer;
 use crate::control::Proposal;
@@ -10,6 +11,7 @@
 use crate::ids::DaemonId;
 use crate::ids::Incarnation;
 use crate::ids::RequestId;
+use crate::ids::Revision;
 use crate::ids::ServiceId;
 use crate::ids::TeamId;
 use crate::ids::ZoneId;
@@ -98,6 +100,17 @@
     Failed(Refusal),
 }
 
+/// How far a revision has reached.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Spread {
+    /// Daemons under a lease that have applied it.
+    pub applied: u32,
+    /// Daemons under a lease.
+    pub total: u32,
+    /// Whether no daemon can act on an older revision any more.
+    pub complete: bool,
+}
+
 /// Body of a call that expects one reply.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -106,12 +119,24 @@
     Propose(Proposal),
     /// Forwards an announcement to the owner.
     Announce(Announcement),
+    /// Asks whether the daemon is alive.
+    Probe,
     /// Copies usage counters to a daemon of another zone.
     CopyUsage(Vec<CounterReport>),
+    /// Asks the control leader how far a revision has reached.
+    InForce(Revision),
+    /// Keeps a payload of a rollout job, encoded by the rollout package.
+    KeepPayload(#[serde(with = "serde_bytes")] Vec<u8>),
+    /// Fetches a payload, named as the rollout package encodes it.
+    FetchPayload(#[serde(with = "serde_bytes")] Vec<u8>),
+    /// Lets a payload go.
+    ReleasePayload(#[serde(with = "serde_bytes")] Vec<u8>),
     /// Forwards a trainer's or operator's HTTP request to the daemon in charge of it.
     Forward {
         /// Path with query.
         path: String,
+        /// Content type of the body.
+        content_type: String,
         /// Request body.
         #[serde(with = "serde_bytes")]
         body: Vec<u8>,
@@ -126,16 +151,26 @@
     Proposed(Result<Answer, ProposeError>),
     /// Reply to `Announce`.
     Announced,
+    /// Reply to `Probe`.
+    Alive,
     /// Reply to `CopyUsage`.
     Copied,
     /// Reply to `Forward`.
     Forwarded {
         /// HTTP status.
         status: u16,
+        /// Content type of the body.
+        content_type: String,
         /// Body.
         #[serde(with = "serde_bytes")]
         body: Vec<u8>,
     },
+    /// Reply to `InForce`; nothing if the daemon does not lead.
+    InForce(Option<Spread>),
+    /// Reply to `KeepPayload`: whether the payload is kept.
+    Kept(bool),
+    /// Reply to `FetchPayload`.
+    Payload(Option<ByteBuf>),
     /// The call was refused.
     Refused(Refusal),
 }
--- a/crates/dandelion-route/src/claims/command.rs
+++ b/crates/dandelion-route/src/claims/command.rs
@@ -10,6 +10,7 @@
 use dandelion_protocol::time::WallMillis;
 use serde::Deserialize;
 use serde::Serialize;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::claims::caller_id::CallerId;
 
@@ -147,3 +148,13 @@
     /// Replies.
     pub replies: Vec<ClaimReply>,
 }
+
+/// Digests what a claimed request asks for.
+pub fn request_digest(method: &str, path: &str, body: &[u8]) -> u128 {
+    let mut hasher = Xxh3::new();
+    for part in [method.as_bytes(), path.as_bytes(), body] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.digest128()
+}
--- a/crates/dandelion-route/src/claims/mod.rs
+++ b/crates/dandelion-route/src/claims/mod.rs
@@ -15,4 +15,5 @@
 pub use command::ClaimResult;
 pub use command::ClaimStep;
 pub use command::StoredAnswer;
+pub use command::request_digest;
 pub use table::ClaimsTable;
--- a/crates/dandelion-route/src/entry.rs
+++ b/crates/dandelion-route/src/entry.rs
@@ -140,6 +140,13 @@
         self.owners.remove(owner);
     }
 
+    /// Returns the slots of a service over all owners that are known now.
+    pub fn slots(&self, now: Millis, service: &ServiceId) -> u64 {
+        let tag = ServiceTag::of(service);
+        let candidates = self.candidates(now, tag, |_| true);
+        candidates.iter().map(|(_, load)| load.slots).sum()
+    }
+
     /// Counts a request sent to an owner.
     pub fn begin(&mut self, owner: &DaemonId, service: &ServiceId) {
         if let Some(load) = self.load_mut(owner, service) {
--- a/crates/dandelion-rpc/src/error.rs
+++ b/crates/dandelion-rpc/src/error.rs
@@ -105,7 +105,7 @@
     /// The control group is not reachable or gave no answer.
     pub fn not_proposed(error: &ProposeError) -> Self {
         let code = match error {
-            ProposeError::NoLeader => ErrorCode::Unavailable,
+            ProposeError::NoLeader | ProposeError::Overloaded => ErrorCode::Unavailable,
             ProposeError::Unknown => ErrorCode::Unknown,
         };
         split(code, &error.to_string())
--- a/crates/dandelion-rpc/src/secret.rs
+++ b/crates/dandelion-rpc/src/secret.rs
@@ -21,6 +21,11 @@
     Sha256::digest(secret.as_bytes()).into()
 }
 
+/// Returns the SHA-256 digest of data as hexadecimal digits.
+pub fn digest_hex(data: &[u8]) -> String {
+    hex::encode(Sha256::digest(data))
+}
+
 /// Reads a digest from a request.
 pub fn parse_digest(text: &str) -> Result<[u8; 32], RpcError> {
     let mut digest = [0; 32];
--- a/crates/dandelion-telemetry/src/events/catalogue.rs
+++ b/crates/dandelion-telemetry/src/events/catalogue.rs
@@ -170,6 +170,9 @@
         "A usage window was not accepted in time." "Check the platform and the control group.";
     704 Warn CountsLate "counts_late"
         "Counts arrived after their window was frozen; they go into a later one, marked late." "none";
+    705 Error WindowDisputed "window_disputed"
+        "The platform holds other figures for a usage window; it is not reported again."
+        "Compare both figures with `dandelionctl usage explain`; never change the frozen one.";
 
     801 Info KeyGranted "key_granted"
         "A key was granted." "none";
--- a/crates/dandelionrun/src/main.rs
+++ b/crates/dandelionrun/src/main.rs
@@ -1,3 +1,7 @@
-//! Placeholder.
+//! The dandelionrun daemon.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    dandelion_daemon::run::main()
+}
