Add the fakes: engine, plain service, platform, weight store, scorer, raw server

Ruled out: mocks inside the client; only bytes on a socket show what a peer really gets. Before: a scripted raw server only. Conclusion: the daemon can be wired against them.

--- /dev/null
+++ b/crates/dandelion-fakes/src/announce.rs
@@ -0,0 +1,140 @@
+//! Posts an upstream's announcements to daemons.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use dandelion_net::Signal;
+use dandelion_net::Trigger;
+use dandelion_net::http::client::Client;
+use dandelion_net::http::client::ClientOptions;
+use dandelion_net::http::client::SendOptions;
+use dandelion_net::http::client::request;
+use dandelion_protocol::ids::Incarnation;
+use dandelion_protocol::ids::ServiceId;
+use dandelion_protocol::ids::UpstreamId;
+use dandelion_protocol::ids::ZoneId;
+use dandelion_protocol::mesh::Header;
+use dandelion_protocol::upstream::Announcement;
+use dandelion_protocol::upstream::PriceKind;
+use futures::FutureExt;
+use futures::future::join_all;
+use futures::select_biased;
+
+/// Time for one post.
+const POST_TIME: Duration = Duration::from_secs(1);
+
+/// Who announces, and to whom.
+#[derive(Debug, Clone)]
+pub struct Identity {
+    /// Name of the upstream.
+    pub upstream: UpstreamId,
+    /// Its life; a later start has a greater number.
+    pub boot: Incarnation,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Service it serves.
+    pub service: ServiceId,
+    /// Price kind.
+    pub price: PriceKind,
+    /// Caller addresses of the daemons that get the announcements; none announces nothing.
+    pub daemons: Vec<SocketAddr>,
+    /// Value of `x-announce-secret`, if set.
+    pub secret: Option<String>,
+    /// Time between announcements.
+    pub period: Duration,
+}
+
+impl Identity {
+    /// Makes an identity with boot 1 that announces every second to `daemons`.
+    pub fn new(upstream: &str, zone: &str, service: &str, daemons: &[SocketAddr]) -> Self {
+        let valid = "the names of fakes are valid";
+        Self {
+            upstream: upstream.parse().expect(valid),
+            boot: Incarnation(1),
+            zone: zone.parse().expect(valid),
+            service: service.parse().expect(valid),
+            price: PriceKind::Regular,
+            daemons: daemons.to_vec(),
+            secret: None,
+            period: Duration::from_secs(1),
+        }
+    }
+}
+
+/// Announces until it is dropped.
+#[derive(Debug)]
+pub struct Announcer {
+    stop: Trigger,
+}
+
+impl Announcer {
+    /// Starts to announce what `report` returns; the sequence number is filled in here.
+    pub fn spawn<F>(identity: Identity, report: F) -> Self
+    where
+        F: Fn(&Identity) -> Announcement + Send + Sync + 'static,
+    {
+        let (stop, stopped) = Signal::new();
+        async_std::task::spawn(async move {
+            let posts = post_all(identity, report).fuse();
+            futures::pin_mut!(posts);
+            select_biased! {
+                () = stopped.raised().fuse() => (),
+                () = posts => (),
+            }
+        });
+        Self { stop }
+    }
+
+    /// Stops announcing.
+    pub fn stop(&self) {
+        self.stop.raise();
+    }
+}
+
+async fn post_all<F>(identity: Identity, report: F)
+where
+    F: Fn(&Identity) -> Announcement,
+{
+    let client = Client::new(ClientOptions::default());
+    let mut sequence = 0;
+    loop {
+        sequence += 1;
+        let mut announcement = report(&identity);
+        announcement.sequence = sequence;
+        let posts = identity.daemons.iter();
+        join_all(posts.map(|to| post(&client, *to, &identity, &announcement))).await;
+        async_std::task::sleep(identity.period).await;
+    }
+}
+
+/// Posts one announcement. A lost one is made good by the next.
+async fn post(client: &Client, to: SocketAddr, identity: &Identity, announcement: &Announcement) {
+    let mut headers = vec![header("content-type", "application/json")];
+    if let Some(secret) = &identity.secret {
+        headers.push(header("x-announce-secret", secret));
+    }
+    let body = serde_json::to_vec(announcement).unwrap_or_default();
+    let Ok(request) = request(to, "POST", "/v1/announce", &headers, body) else {
+        return;
+    };
+    let options = SendOptions {
+        deadline: Instant::now() + POST_TIME,
+        progress: POST_TIME,
+        idempotent: true,
+    };
+    let posted = async {
+        let mut exchange = client.send(to, request, &options).await?;
+        exchange.read_all(1 << 16).await
+    };
+    if let Err(error) = posted.await {
+        log::debug!("announcement to {to} was lost: {error}");
+    }
+}
+
+fn header(name: &str, value: &str) -> Header {
+    Header {
+        name: name.to_owned(),
+        value: value.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/dandelion-fakes/src/engine/server.rs
@@ -0,0 +1,140 @@
+//! The running fake engine.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use dandelion_net::Signal;
+use dandelion_net::http::server::Limits;
+use dandelion_net::http::server::Server;
+use dandelion_protocol::ids::WeightVersion;
+use dandelion_protocol::upstream::Announcement;
+use dandelion_protocol::upstream::ReportedLoad;
+use dandelion_protocol::upstream::UpstreamKind;
+
+use crate::announce::Announcer;
+use crate::announce::Identity;
+use crate::engine::config::EngineConfig;
+use crate::engine::handler::EngineHandler;
+use crate::engine::state::EngineCounts;
+use crate::engine::state::SeenOrder;
+use crate::engine::state::State;
+use crate::intake::Seen;
+use crate::intake::lock;
+
+/// A running engine. Dropping it is a crash.
+#[derive(Debug)]
+pub struct Engine {
+    address: SocketAddr,
+    state: Arc<State>,
+}
+
+impl Engine {
+    /// Starts the engine and its announcements.
+    pub async fn bind(config: EngineConfig) -> io::Result<Self> {
+        let (crash, crashed) = Signal::new();
+        let identity = config.identity.clone();
+        let listen = config.listen;
+        let state = Arc::new(State::new(config, crash));
+        let handler = EngineHandler(Arc::clone(&state));
+        let server = Server::bind(listen, Limits::default(), handler).await?;
+        let address = server.local_addr();
+        let reported = Arc::clone(&state);
+        let report = move |identity: &Identity| announcement(identity, address, &reported);
+        let announcer = Announcer::spawn(identity, report);
+        async_std::task::spawn(async move {
+            crashed.raised().await;
+            announcer.stop();
+            drop(server);
+        });
+        Ok(Self { address, state })
+    }
+
+    /// Returns the address that the engine listens on.
+    pub fn local_addr(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Announces from now on that it is leaving; it goes on serving.
+    pub fn leave(&self) {
+        self.state.leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Dies at once, as on a poison prompt.
+    pub fn crash(&self) {
+        self.state.die();
+    }
+
+    /// Tells whether it has died.
+    pub fn is_crashed(&self) -> bool {
+        self.state.crashed.load(Ordering::SeqCst)
+    }
+
+    /// Swaps the version at once, also under running streams.
+    pub fn set_version(&self, version: WeightVersion) {
+        self.state.version.store(version.0, Ordering::SeqCst);
+    }
+
+    /// Returns the loaded version.
+    pub fn version(&self) -> WeightVersion {
+        self.state.loaded()
+    }
+
+    /// Returns the counts.
+    pub fn counts(&self) -> EngineCounts {
+        *lock(&self.state.counts)
+    }
+
+    /// Counts how often the request `id` was given a place.
+    pub fn runs(&self, id: &str) -> u64 {
+        lock(&self.state.runs).get(id).copied().unwrap_or(0)
+    }
+
+    /// Counts the requests that are now in the batch.
+    pub fn running(&self) -> u32 {
+        self.state.running.load(Ordering::SeqCst)
+    }
+
+    /// Returns every order that came.
+    pub fn orders(&self) -> Vec<SeenOrder> {
+        lock(&self.state.orders).clone()
+    }
+
+    /// Returns what was sent to it.
+    pub fn seen(&self) -> &Seen {
+        &self.state.seen
+    }
+}
+
+impl Drop for Engine {
+    fn drop(&mut self) {
+        self.state.die();
+    }
+}
+
+fn announcement(identity: &Identity, address: SocketAddr, state: &State) -> Announcement {
+    let waiting = state.waiting.load(Ordering::SeqCst);
+    let running = state.running.load(Ordering::SeqCst);
+    let share = running * 1000 / state.config.capacity.max(1);
+    Announcement {
+        upstream: identity.upstream.clone(),
+        boot: identity.boot,
+        sequence: 0,
+        zone: identity.zone.clone(),
+        address: address.to_string(),
+        service: identity.service.clone(),
+        kind: UpstreamKind::Engine,
+        price: identity.price,
+        capacity: state.config.capacity,
+        version: Some(state.loaded()),
+        checks_fencing: state.config.checks_fencing,
+        resumes: state.config.resumes,
+        leaving: state.leaving.load(Ordering::SeqCst),
+        load: ReportedLoad {
+            running,
+            waiting,
+            cache_permille: share.min(1000) as u16,
+        },
+    }
+}
--- a/crates/dandelion-fakes/src/lib.rs
+++ b/crates/dandelion-fakes/src/lib.rs
@@ -1,3 +1,12 @@
 //! Stand-ins for the outside systems, for tests and the load tool. Not shipped.
 
+pub mod announce;
+pub mod engine;
+mod intake;
+pub mod plain;
+pub mod platform;
 pub mod raw;
+pub mod scorer;
+pub mod weights;
+
+pub use intake::Seen;
