Add dandelionctl: every procedure as a command, apply with a diff

Cause: operators need a command line over the generated client. Ruled out: JSON on the wire (an older client would refuse new answer fields); request ids made by the daemon (a resend would be another change). Before: an empty binary.

--- a/crates/dandelion-rpc/src/error.rs
+++ b/crates/dandelion-rpc/src/error.rs
@@ -42,11 +42,12 @@
         match self {
             Self::InvalidArgument => 400,
             Self::Unauthenticated => 401,
+            Self::DeadlineExceeded => 408,
             Self::UnknownMethod | Self::NotFound => 404,
             Self::Conflict | Self::IdReused => 409,
             Self::Unsupported => 501,
             Self::Unavailable => 503,
-            Self::Unknown | Self::DeadlineExceeded => 504,
+            Self::Unknown => 504,
             Self::Internal => 500,
         }
     }
--- a/crates/dandelion-rpc/src/secret.rs
+++ b/crates/dandelion-rpc/src/secret.rs
@@ -41,3 +41,8 @@
             .finish_non_exhaustive()
     }
 }
+
+/// Returns the digest that goes with an exported snapshot.
+pub fn digest_bytes(data: &[u8]) -> [u8; 32] {
+    Sha256::digest(data).into()
+}
--- /dev/null
+++ b/crates/dandelionctl/src/apply/mod.rs
@@ -0,0 +1,17 @@
+//! Declarative configuration: a TOML file, the difference from the cell, and the changes.
+
+mod carry;
+mod cell;
+mod file;
+mod plan;
+
+pub use carry::ask;
+pub use carry::carry_out;
+pub use cell::Seen;
+pub use cell::read_cell;
+pub use file::FileConfig;
+pub use file::parse;
+pub use file::read_file;
+pub use plan::Plan;
+pub use plan::Step;
+pub use plan::plan;
--- /dev/null
+++ b/crates/dandelionctl/src/commands/cell/apply.rs
@@ -0,0 +1,46 @@
+//! Makes the configuration equal to a file.
+
+use std::path::PathBuf;
+
+use clap::Args;
+
+use crate::apply;
+use crate::commands::Run;
+use crate::error::CtlError;
+use crate::session::Session;
+
+/// Makes teams, services and jobs equal to a TOML file, after showing the difference.
+#[derive(Debug, Args)]
+pub struct Apply {
+    /// File with `[[team]]`, `[[service]]` and `[[job]]` tables
+    pub file: PathBuf,
+    /// Apply without asking
+    #[arg(long)]
+    pub yes: bool,
+    /// Show the difference and stop
+    #[arg(long, conflicts_with = "yes")]
+    pub dry_run: bool,
+    /// Also remove teams and services and end jobs that the file does not list
+    #[arg(long)]
+    pub prune: bool,
+}
+
+impl Run for Apply {
+    async fn run(&self, session: &Session) -> Result<String, CtlError> {
+        let wanted = apply::read_file(&self.file)?;
+        let seen = apply::read_cell(session).await?;
+        let plan = apply::plan(&seen.config, &wanted, self.prune);
+        if plan.steps.is_empty() {
+            return Ok("no difference\n".to_owned());
+        }
+        if self.dry_run {
+            return Ok(plan.diff);
+        }
+        if !self.yes {
+            apply::ask(&plan.diff)?;
+        }
+        let done = apply::carry_out(session, &wanted, self.prune, seen, &plan).await?;
+        let shown = if self.yes { plan.diff } else { String::new() };
+        Ok(shown + &session.show(&done))
+    }
+}
--- /dev/null
+++ b/crates/dandelionctl/src/commands/fleet/pause.rs
@@ -0,0 +1,23 @@
+//! Pauses upstream orders.
+
+use clap::Args;
+use dandelion_rpc::generated::FleetPauseRequest;
+
+use crate::commands::Run;
+use crate::error::CtlError;
+use crate::session::Session;
+
+/// Pauses upstream orders.
+#[derive(Debug, Args)]
+pub struct Pause {}
+
+impl Run for Pause {
+    async fn run(&self, session: &Session) -> Result<String, CtlError> {
+        let request = FleetPauseRequest {
+            change: session.change()?,
+            paused: true,
+        };
+        let answer = session.client().fleet_pause(&request).await?;
+        Ok(session.show(&answer))
+    }
+}
--- /dev/null
+++ b/crates/dandelionctl/src/commands/job/list.rs
@@ -0,0 +1,20 @@
+//! Lists rollout jobs.
+
+use clap::Args;
+use dandelion_rpc::generated::ListRequest;
+
+use crate::commands::Run;
+use crate::error::CtlError;
+use crate::session::Session;
+
+/// Lists rollout jobs.
+#[derive(Debug, Args)]
+pub struct List {}
+
+impl Run for List {
+    async fn run(&self, session: &Session) -> Result<String, CtlError> {
+        let request = ListRequest {};
+        let answer = session.client().list_jobs(&request).await?;
+        Ok(session.show(&answer))
+    }
+}
--- /dev/null
+++ b/crates/dandelionctl/src/commands/key/grant.rs
@@ -0,0 +1,66 @@
+//! Grants a key and shows its secret once.
+
+use clap::Args;
+use dandelion_rpc::generated::GrantKeyRequest;
+use dandelion_rpc::generated::Key;
+use dandelion_rpc::secret;
+
+use crate::commands::Run;
+use crate::error::CtlError;
+use crate::session::Session;
+use crate::session::random_bytes;
+
+/// Grants a key and shows its secret once.
+#[derive(Debug, Args)]
+pub struct Grant {
+    /// Name of the key
+    pub key: String,
+    /// Team that it stands for
+    #[arg(long)]
+    pub team: String,
+    /// Service that it opens; without one, all of them
+    #[arg(long = "service")]
+    pub services: Vec<String>,
+    /// When it stops working, in milliseconds since the Unix epoch
+    #[arg(long)]
+    pub expires_ms: Option<u64>,
+    /// SHA-256 digest of a secret that you made yourself, as hexadecimal digits
+    #[arg(long)]
+    pub digest: Option<String>,
+}
+
+impl Run for Grant {
+    async fn run(&self, session: &Session) -> Result<String, CtlError> {
+        let made = match self.digest {
+            Some(_) => None,
+            None => Some(secret::format_secret(&random_bytes()?)),
+        };
+        let digest = self.digest.clone().or_else(|| {
+            let digest = secret::digest_secret(made.as_deref()?);
+            Some(hex::encode(digest))
+        });
+        let request = self.request(session, digest.unwrap_or_default())?;
+        let mut answer = session.client().grant_key(&request).await?;
+        match (made, &answer.change) {
+            (Some(made), _) => answer.secret = made,
+            (None, Some(change)) => return Ok(session.show(change)),
+            (None, None) => {}
+        }
+        Ok(session.show(&answer))
+    }
+}
+
+impl Grant {
+    fn request(&self, session: &Session, digest: String) -> Result<GrantKeyRequest, CtlError> {
+        Ok(GrantKeyRequest {
+            change: session.change()?,
+            key: Some(Key {
+                id: self.key.clone(),
+                team: self.team.clone(),
+                scopes: self.services.clone(),
+                expires_ms: self.expires_ms,
+            }),
+            secret_digest: digest,
+        })
+    }
+}
--- /dev/null
+++ b/crates/dandelionctl/src/commands/registry.rs
@@ -0,0 +1,138 @@
+//! The one place where commands are registered.
+
+use clap::Subcommand;
+
+use crate::commands::cell;
+use crate::commands::control;
+use crate::commands::fleet;
+use crate::commands::job;
+use crate::commands::key;
+use crate::commands::run::Run;
+use crate::commands::service;
+use crate::commands::team;
+use crate::commands::upstream;
+use crate::commands::usage;
+use crate::error::CtlError;
+use crate::session::Session;
+
+macro_rules! commands {
+    ($(#[$doc:meta])* $name:ident { $($(#[$note:meta])* $variant:ident($command:ty),)* }) => {
+        $(#[$doc])*
+        #[derive(Debug, Subcommand)]
+        pub enum $name {
+            $($(#[$note])* #[expect(missing_docs, reason = "the command's own type has them")]
+            $variant($command),)*
+        }
+
+        impl Run for $name {
+            async fn run(&self, session: &Session) -> Result<String, CtlError> {
+                match self {
+                    $(Self::$variant(command) => command.run(session).await,)*
+                }
+            }
+        }
+    };
+}
+
+commands! {
+    /// Every command.
+    TopCommand {
+        #[command(subcommand)]
+        Team(TeamCommand),
+        #[command(subcommand)]
+        Key(KeyCommand),
+        #[command(subcommand)]
+        Service(ServiceCommand),
+        #[command(subcommand)]
+        Job(JobCommand),
+        #[command(subcommand)]
+        Upstream(UpstreamCommand),
+        #[command(subcommand)]
+        Control(ControlCommand),
+        #[command(subcommand)]
+        Fleet(FleetCommand),
+        #[command(subcommand)]
+        Usage(UsageCommand),
+        Status(cell::Status),
+        History(cell::History),
+        Explain(cell::Explain),
+        Apply(cell::Apply),
+        Completions(cell::Completions),
+    }
+}
+
+commands! {
+    /// Teams.
+    TeamCommand {
+        Put(team::Put),
+        Remove(team::Remove),
+        List(team::List),
+    }
+}
+
+commands! {
+    /// Keys of callers.
+    KeyCommand {
+        Grant(key::Grant),
+        Withdraw(key::Withdraw),
+        List(key::List),
+    }
+}
+
+commands! {
+    /// Routed services.
+    ServiceCommand {
+        Put(service::Put),
+        Remove(service::Remove),
+        List(service::List),
+    }
+}
+
+commands! {
+    /// Rollout jobs.
+    JobCommand {
+        Put(job::Put),
+        End(job::End),
+        List(job::List),
+        Show(job::Show),
+    }
+}
+
+commands! {
+    /// Upstreams.
+    UpstreamCommand {
+        Drain(upstream::Drain),
+        List(upstream::List),
+        Poisoned(upstream::Poisoned),
+        Unpoison(upstream::Unpoison),
+    }
+}
+
+commands! {
+    /// The control group.
+    ControlCommand {
+        Status(control::Status),
+        AddVoter(control::AddVoter),
+        RemoveVoter(control::RemoveVoter),
+        ReplaceVoter(control::ReplaceVoter),
+        Export(control::Export),
+    }
+}
+
+commands! {
+    /// Orders of upstreams.
+    FleetCommand {
+        Plan(fleet::Plan),
+        Pause(fleet::Pause),
+        Resume(fleet::Resume),
+        Limits(fleet::Limits),
+    }
+}
+
+commands! {
+    /// Usage windows.
+    UsageCommand {
+        Show(usage::Show),
+        Explain(usage::Explain),
+    }
+}
--- /dev/null
+++ b/crates/dandelionctl/src/commands/upstream/drain.rs
@@ -0,0 +1,30 @@
+//! Marks an upstream as leaving; it gets no new work.
+
+use clap::Args;
+use dandelion_rpc::generated::DrainUpstreamRequest;
+
+use crate::commands::Run;
+use crate::error::CtlError;
+use crate::session::Session;
+
+/// Marks an upstream as leaving; it gets no new work.
+#[derive(Debug, Args)]
+pub struct Drain {
+    /// Name of the upstream
+    pub upstream: String,
+    /// Boot that is meant; the one now announced if absent
+    #[arg(long)]
+    pub boot: Option<u64>,
+}
+
+impl Run for Drain {
+    async fn run(&self, session: &Session) -> Result<String, CtlError> {
+        let request = DrainUpstreamRequest {
+            change: session.change()?,
+            upstream: self.upstream.clone(),
+            boot: self.boot,
+        };
+        let answer = session.client().drain_upstream(&request).await?;
+        Ok(session.show(&answer))
+    }
+}
--- /dev/null
+++ b/crates/dandelionctl/src/commands/usage/explain.rs
@@ -0,0 +1,25 @@
+//! Says how the figures of a usage window came about.
+
+use clap::Args;
+use dandelion_rpc::generated::UsageExplainRequest;
+
+use crate::commands::Run;
+use crate::error::CtlError;
+use crate::session::Session;
+
+/// Says how the figures of a usage window came about.
+#[derive(Debug, Args)]
+pub struct Explain {
+    /// Window
+    pub window: u64,
+}
+
+impl Run for Explain {
+    async fn run(&self, session: &Session) -> Result<String, CtlError> {
+        let request = UsageExplainRequest {
+            window: self.window,
+        };
+        let answer = session.client().usage_explain(&request).await?;
+        Ok(session.show(&answer))
+    }
+}
--- /dev/null
+++ b/crates/dandelionctl/src/commands/usage/mod.rs
@@ -0,0 +1,7 @@
+//! Usage windows.
+
+mod explain;
+mod show;
+
+pub use explain::Explain;
+pub use show::Show;
--- /dev/null
+++ b/crates/dandelionctl/src/lib.rs
@@ -0,0 +1,13 @@
+//! The operators' command line: one command a file, registered in `commands::registry`.
+
+pub mod apply;
+pub mod cli;
+pub mod commands;
+pub mod error;
+pub mod output;
+pub mod session;
+pub mod transport;
+
+pub use cli::Cli;
+pub use error::CtlError;
+pub use session::Session;
--- /dev/null
+++ b/crates/dandelionctl/src/output/tables.rs
@@ -0,0 +1,336 @@
+//! Tables of the answers.
+
+use dandelion_rpc::generated;
+
+use super::show::Grid;
+use super::show::Show;
+
+/// Shown for an absent value.
+const NONE: &str = "-";
+
+fn option<V>(value: Option<V>) -> String
+where
+    V: ToString,
+{
+    value.map_or_else(|| NONE.to_owned(), |value| value.to_string())
+}
+
+fn text(value: &str) -> String {
+    if value.is_empty() {
+        return NONE.to_owned();
+    }
+    value.to_owned()
+}
+
+fn yes(value: bool) -> String {
+    if value { "yes" } else { "no" }.to_owned()
+}
+
+impl Show for generated::ChangeAnswer {
+    fn show(&self) -> String {
+        format!(
+            "revision {}, in force on {} of {} daemons\n",
+            self.revision, self.daemons_applied, self.daemons_total
+        )
+    }
+}
+
+impl Show for generated::GrantKeyAnswer {
+    fn show(&self) -> String {
+        let change = self.change.unwrap_or_default().show();
+        format!("secret (shown only now): {}\n{change}", self.secret)
+    }
+}
+
+impl Show for generated::ListTeamsAnswer {
+    fn show(&self) -> String {
+        Grid::new(&["team", "weight", "max inflight", "tokens a minute"])
+            .rows(&self.teams, |team| {
+                vec![
+                    team.id.clone(),
+                    team.weight.to_string(),
+                    option(team.max_inflight),
+                    option(team.token_rate),
+                ]
+            })
+            .text()
+    }
+}
+
+impl Show for generated::ListKeysAnswer {
+    fn show(&self) -> String {
+        Grid::new(&["key", "team", "services", "expires (ms)"])
+            .rows(&self.keys, |key| {
+                vec![
+                    key.id.clone(),
+                    key.team.clone(),
+                    if key.scopes.is_empty() {
+                        "all".to_owned()
+                    } else {
+                        key.scopes.join(",")
+                    },
+                    option(key.expires_ms),
+                ]
+            })
+            .text()
+    }
+}
+
+impl Show for generated::ListServicesAnswer {
+    fn show(&self) -> String {
+        Grid::new(&[
+            "service",
+            "kind",
+            "open",
+            "idempotent",
+            "timeout (ms)",
+            "floor",
+            "ceiling",
+        ])
+        .rows(&self.services, |service| {
+            vec![
+                service.id.clone(),
+                service.kind.clone(),
+                yes(service.open),
+                yes(service.idempotent),
+                service.timeout_ms.to_string(),
+                service.floor.to_string(),
+                service.ceiling.to_string(),
+            ]
+        })
+        .text()
+    }
+}
+
+impl Show for generated::ListJobsAnswer {
+    fn show(&self) -> String {
+        Grid::new(&[
+            "job",
+            "team",
+            "service",
+            "group",
+            "step groups",
+            "staleness",
+            "token budget",
+            "ended",
+        ])
+        .rows(&self.jobs, |job| {
+            vec![
+                job.id.clone(),
+                job.team.clone(),
+                job.service.clone(),
+                job.group_size.to_string(),
+                job.step_groups.to_string(),
+                job.max_staleness.to_string(),
+                job.token_budget.to_string(),
+                yes(job.ended),
+            ]
+        })
+        .text()
+    }
+}
+
+impl Show for generated::GetJobAnswer {
+    fn show(&self) -> String {
+        let job = self.job.clone().unwrap_or_default();
+        let progress = self.progress.clone().unwrap_or_default();
+        let grid = Grid::new(&["job", &job.id])
+            .row(&[&"daemon", &text(&self.daemon)])
+            .row(&[&"newest version", &option(progress.version)])
+            .row(&[&"cursor", &progress.cursor])
+            .row(&[&"groups waiting", &progress.groups_waiting])
+            .row(&[&"groups running", &progress.groups_running])
+            .row(&[&"groups ready", &progress.groups_ready])
+            .row(&[&"samples acknowledged", &progress.samples_acknowledged])
+            .row(&[&"token budget", &job.token_budget])
+            .row(&[&"tokens spent", &progress.tokens_spent])
+            .row(&[&"tokens reserved", &progress.tokens_reserved])
+            .row(&[&"tokens wasted", &progress.tokens_wasted])
+            .row(&[&"ended", &yes(job.ended)]);
+        let grid = grid.rows(&progress.discarded, |discarded| {
+            let name = format!("discarded: {}", discarded.reason);
+            vec![name, discarded.samples.to_string()]
+        });
+        grid.text()
+    }
+}
+
+impl Show for generated::ListUpstreamsAnswer {
+    fn show(&self) -> String {
+        Grid::new(&[
+            "upstream", "zone", "service", "kind", "price", "address", "owner", "state",
+            "inflight", "capacity", "version",
+        ])
+        .rows(&self.upstreams, |upstream| {
+            vec![
+                upstream.id.clone(),
+                upstream.zone.clone(),
+                upstream.service.clone(),
+                upstream.kind.clone(),
+                upstream.price.clone(),
+                upstream.address.clone(),
+                text(&upstream.owner),
+                upstream.state.clone(),
+                upstream.inflight.to_string(),
+                upstream.capacity.to_string(),
+                option(upstream.version),
+            ]
+        })
+        .text()
+    }
+}
+
+impl Show for generated::ListPoisonedAnswer {
+    fn show(&self) -> String {
+        Grid::new(&["fingerprint", "since (ms)"])
+            .rows(&self.poisoned, |poisoned| {
+                vec![poisoned.fingerprint.clone(), poisoned.since_ms.to_string()]
+            })
+            .text()
+    }
+}
+
+impl Show for generated::StatusAnswer {
+    fn show(&self) -> String {
+        let head = format!(
+            "cell {}, leader {} in term {}, revision {}, in force on {} of {} daemons, zones {}\n\n",
+            self.cell,
+            text(&self.leader),
+            self.term,
+            self.revision,
+            self.daemons_applied,
+            self.daemons_total,
+            text(&self.zones.join(",")),
+        );
+        let grid = Grid::new(&["daemon", "zone", "address", "revision", "leased", "leaving"]).rows(
+            &self.daemons,
+            |daemon| {
+                vec![
+                    daemon.id.clone(),
+                    daemon.zone.clone(),
+                    daemon.address.clone(),
+                    daemon.revision.to_string(),
+                    yes(daemon.leased),
+                    yes(daemon.leaving),
+                ]
+            },
+        );
+        head + &grid.text()
+    }
+}
+
+impl Show for generated::ControlStatusAnswer {
+    fn show(&self) -> String {
+        let head = format!(
+            "leader {} in term {}, committed {}, applied {}, log from {}\n\n",
+            text(&self.leader),
+            self.term,
+            self.committed,
+            self.applied,
+            self.first,
+        );
+        let grid = Grid::new(&["daemon", "address", "role", "matched", "silent (ms)"]).rows(
+            &self.voters,
+            |voter| {
+                vec![
+                    voter.id.clone(),
+                    voter.address.clone(),
+                    voter.role.clone(),
+                    voter.matched.to_string(),
+                    voter.silent_ms.to_string(),
+                ]
+            },
+        );
+        head + &grid.text()
+    }
+}
+
+impl Show for generated::HistoryAnswer {
+    fn show(&self) -> String {
+        Grid::new(&[
+            "revision", "at (ms)", "operator", "request", "table", "change",
+        ])
+        .rows(&self.entries, |entry| {
+            vec![
+                entry.revision.to_string(),
+                entry.at_ms.to_string(),
+                entry.operator.clone(),
+                entry.request_id.clone(),
+                entry.table.clone(),
+                entry.summary.clone(),
+            ]
+        })
+        .text()
+    }
+}
+
+impl Show for generated::ExplainAnswer {
+    fn show(&self) -> String {
+        Grid::new(&["at (ms)", "decision"])
+            .rows(&self.lines, |line| {
+                let at = (line.at_ms > 0).then_some(line.at_ms);
+                vec![option(at), line.text.clone()]
+            })
+            .text()
+    }
+}
+
+impl Show for generated::FleetPlanAnswer {
+    fn show(&self) -> String {
+        let bounds = self.bounds.unwrap_or_default();
+        let head = format!(
+            "orders {}, cost ceiling {}, starts a minute {}\n\n",
+            if self.paused { "paused" } else { "running" },
+            option(bounds.max_cost),
+            option(bounds.starts_minute),
+        );
+        let grid = Grid::new(&[
+            "order", "action", "service", "zone", "price", "upstream", "state", "reason",
+        ])
+        .rows(&self.orders, |order| {
+            vec![
+                text(&order.order_id),
+                order.action.clone(),
+                order.service.clone(),
+                order.zone.clone(),
+                order.price.clone(),
+                text(&order.upstream),
+                order.state.clone(),
+                order.reason.clone(),
+            ]
+        });
+        head + &grid.text()
+    }
+}
+
+impl Show for generated::UsageShowAnswer {
+    fn show(&self) -> String {
+        let mut grid = Grid::new(&[
+            "window",
+            "state",
+            "team",
+            "class",
+            "requests",
+            "prompt",
+            "output",
+            "busy (ms)",
+            "late",
+        ]);
+        for window in &self.windows {
+            grid = grid.rows(&window.rows, |row| {
+                vec![
+                    window.window.to_string(),
+                    window.state.clone(),
+                    row.team.clone(),
+                    row.class.clone(),
+                    row.requests.to_string(),
+                    row.prompt_tokens.to_string(),
+                    row.output_tokens.to_string(),
+                    row.busy_ms.to_string(),
+                    yes(row.late),
+                ]
+            });
+        }
+        grid.text()
+    }
+}
--- /dev/null
+++ b/crates/dandelionctl/src/session.rs
@@ -0,0 +1,144 @@
+//! What a command works with: the client, the operator's identity and the output form.
+
+use std::path::Path;
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use dandelion_protocol::ids::RequestId;
+use dandelion_rpc::OperatorClient;
+use dandelion_rpc::change;
+use dandelion_rpc::generated::Change;
+
+use crate::cli::Options;
+use crate::error::CtlError;
+use crate::output::OutputForm;
+use crate::output::Show;
+use crate::output::render;
+use crate::transport::HttpTransport;
+
+/// One run of the command line.
+#[derive(Debug)]
+pub struct Session {
+    client: OperatorClient<HttpTransport>,
+    options: Options,
+    sent: OnceLock<String>,
+}
+
+impl Session {
+    /// Opens a session; nothing is sent yet.
+    pub fn open(options: &Options) -> Result<Self, CtlError> {
+        let token = match (&options.token, &options.token_file) {
+            (Some(token), _) => Some(token.trim().to_owned()),
+            (None, Some(path)) => Some(read_token(path)?),
+            (None, None) => None,
+        };
+        let transport = HttpTransport {
+            daemons: options.daemon.clone(),
+            token,
+            timeout: Duration::from_millis(options.timeout_ms),
+            resends: options.resends,
+        };
+        Ok(Self {
+            client: OperatorClient::new(transport),
+            options: options.clone(),
+            sent: OnceLock::new(),
+        })
+    }
+
+    /// Borrows the client.
+    pub fn client(&self) -> &OperatorClient<HttpTransport> {
+        &self.client
+    }
+
+    /// Returns the form of the output.
+    pub fn form(&self) -> OutputForm {
+        self.options.output
+    }
+
+    /// Writes an answer in the chosen form.
+    pub fn show<A>(&self, answer: &A) -> String
+    where
+        A: Show,
+    {
+        render(self.options.output, answer)
+    }
+
+    /// Returns the request id of this run's change, if it makes one.
+    pub fn sent(&self) -> Option<&str> {
+        self.sent.get().map(String::as_str)
+    }
+
+    /// Returns what the change of this run carries.
+    pub fn change(&self) -> Result<Option<Change>, CtlError> {
+        let request = self.first_id()?;
+        self.sent.get_or_init(|| change::format_request_id(request));
+        self.change_with(request, self.options.expected_revision)
+    }
+
+    /// Returns what a change with the given identity carries.
+    pub fn change_with(
+        &self,
+        request: RequestId,
+        expected_revision: Option<u64>,
+    ) -> Result<Option<Change>, CtlError> {
+        let Some(operator) = &self.options.operator else {
+            return Err(CtlError::usage(
+                "--operator",
+                "",
+                "a change needs a name for the history",
+                "set --operator or DANDELION_OPERATOR",
+            ));
+        };
+        Ok(Some(Change {
+            request_id: change::format_request_id(request),
+            operator: operator.clone(),
+            expected_revision,
+        }))
+    }
+
+    /// Returns a random request id.
+    pub fn fresh_id(&self) -> Result<RequestId, CtlError> {
+        Ok(RequestId(u128::from_be_bytes(random_bytes()?)))
+    }
+
+    /// Returns the request id given by flag, or a random one.
+    pub fn first_id(&self) -> Result<RequestId, CtlError> {
+        match &self.options.request_id {
+            None => self.fresh_id(),
+            Some(text) => change::parse_request_id(text).map_err(|error| {
+                CtlError::usage(
+                    "--request-id",
+                    text,
+                    &error.message,
+                    "give 1 to 32 hexadecimal digits that are not all zero",
+                )
+            }),
+        }
+    }
+}
+
+/// Returns bytes from the system's random source.
+pub fn random_bytes<const N: usize>() -> Result<[u8; N], CtlError> {
+    let mut bytes = [0; N];
+    match getrandom::fill(&mut bytes) {
+        Ok(()) => Ok(bytes),
+        Err(error) => Err(CtlError::usage(
+            "random source",
+            "getrandom",
+            &error.to_string(),
+            "run on a system that offers one",
+        )),
+    }
+}
+
+fn read_token(path: &Path) -> Result<String, CtlError> {
+    match std::fs::read_to_string(path) {
+        Ok(text) => Ok(text.trim().to_owned()),
+        Err(error) => Err(CtlError::usage(
+            "--token-file",
+            &path.display().to_string(),
+            &error.to_string(),
+            "name a text file that you can read",
+        )),
+    }
+}
--- /dev/null
+++ b/crates/dandelionctl/src/transport/mod.rs
@@ -0,0 +1,6 @@
+//! Requests to daemons over HTTP.
+
+mod exchange;
+mod http;
+
+pub use http::HttpTransport;
