Test dandelionctl against a stand-in daemon with faults

Cause: lost, cut and unframed answers must not double a change or report a lost one as not sent. Before: no test. Conclusion: each fault ends in one change; a race on the same records stops apply, one elsewhere does not.

--- /dev/null
+++ b/crates/dandelionctl/tests/cli/apply.rs
@@ -0,0 +1,210 @@
+//! Declarative configuration.
+
+use async_std::task::block_on;
+use clap::Parser;
+use dandelion_rpc::generated::Team;
+use dandelionctl::Cli;
+use dandelionctl::CtlError;
+use dandelionctl::apply::FileConfig;
+use dandelionctl::apply::Step;
+use dandelionctl::apply::parse;
+use dandelionctl::apply::plan;
+use dandelionctl::error;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+
+use crate::daemon::Daemon;
+
+const FILE: &str = r#"
+[[job]]
+id = "draft"
+team = "claims"
+service = "model"
+group_size = 8
+step_groups = 16
+max_staleness = 2
+token_budget = 1000000
+max_tokens = 512
+
+[[team]]
+id = "claims"
+weight = 2
+
+[[team]]
+id = "bonds"
+weight = 1
+
+[[service]]
+id = "model"
+kind = "engine"
+idempotent = true
+timeout_ms = 60000
+"#;
+
+fn team(name: &str, weight: u32) -> Team {
+    Team {
+        id: name.to_owned(),
+        weight,
+        ..Team::default()
+    }
+}
+
+fn wanted() -> FileConfig {
+    parse(FILE).expect("valid")
+}
+
+async fn apply(daemon: &Daemon, text: &str, flags: &[&str]) -> Result<String, CtlError> {
+    let folder = tempfile::tempdir().expect("folder");
+    let file = folder.path().join("cell.toml");
+    std::fs::write(&file, text).expect("written");
+    let file = file.to_str().expect("text");
+    let address = daemon.address.to_string();
+    let base = [
+        "dandelionctl",
+        "--operator=anna",
+        "--daemon",
+        &address,
+        "apply",
+        file,
+    ];
+    let cli = Cli::try_parse_from([&base[..], flags].concat());
+    cli.expect("flags parse").run().await
+}
+
+#[test]
+fn plan_order() {
+    let plan = plan(&FileConfig::default(), &wanted(), false);
+    let kinds: Vec<&str> = plan
+        .steps
+        .iter()
+        .map(|step| match step {
+            Step::PutTeam(team) => team.id.as_str(),
+            Step::PutService(service) => service.id.as_str(),
+            Step::PutJob(job) => job.id.as_str(),
+            other => panic!("unexpected {other:?}"),
+        })
+        .collect();
+    assert_eq!(kinds, ["bonds", "claims", "model", "draft"]);
+}
+
+#[test]
+fn diff_shown() {
+    let mut seen = wanted();
+    seen.teams[1].weight = 9;
+    let plan = plan(&seen, &wanted(), false);
+    assert_eq!(plan.steps, [Step::PutTeam(team("claims", 2))]);
+    assert!(
+        plan.diff.contains("\n-weight = 9\n+weight = 2\n"),
+        "{}",
+        plan.diff
+    );
+    assert!(plan.diff.starts_with("--- in force\n+++ wanted\n"));
+}
+
+#[test]
+fn keep_or_prune() {
+    let mut seen = wanted();
+    seen.teams.push(team("old", 1));
+    seen.services[0].id = "older".to_owned();
+    seen.jobs[0].id = "oldest".to_owned();
+    let kept = plan(&seen, &wanted(), false).steps;
+    assert!(
+        matches!(&kept[..], [Step::PutService(_), Step::PutJob(_)]),
+        "{kept:?}"
+    );
+    let pruned = plan(&seen, &wanted(), true).steps;
+    let removed = [
+        Step::EndJob("oldest".to_owned()),
+        Step::RemoveService("older".to_owned()),
+        Step::RemoveTeam("old".to_owned()),
+    ];
+    assert_eq!(pruned[2..], removed);
+}
+
+#[test]
+fn ended_stays() {
+    let mut seen = wanted();
+    seen.jobs[0].ended = true;
+    assert_eq!(plan(&seen, &wanted(), true).steps, []);
+}
+
+#[test]
+fn applied_twice() {
+    block_on(async {
+        let daemon = Daemon::bind(&[]).await;
+        let text = apply(&daemon, FILE, &["--yes"]).await.expect("applied");
+        assert!(text.contains("+id = \"draft\""), "{text}");
+        assert_eq!(daemon.cell.state().revision, 4);
+        let text = apply(&daemon, FILE, &["--yes"]).await.expect("applied");
+        assert_eq!(text, "no difference\n");
+        let text = apply(&daemon, "", &["--dry-run", "--prune"])
+            .await
+            .expect("shown");
+        assert!(text.contains("-id = \"bonds\""), "{text}");
+        assert_eq!(daemon.cell.state().revision, 4);
+    });
+}
+
+#[test]
+fn race_elsewhere() {
+    block_on(async {
+        let daemon = Daemon::bind(&[]).await;
+        daemon.cell.state().raced = vec![team("other", 1)];
+        apply(&daemon, FILE, &["--yes"]).await.expect("applied");
+        let state = daemon.cell.state();
+        assert_eq!(state.revision, 5);
+        assert_eq!(state.config.teams.len(), 3);
+    });
+}
+
+#[test]
+fn race_here() {
+    block_on(async {
+        let daemon = Daemon::bind(&[]).await;
+        daemon.cell.state().raced = vec![team("bonds", 1)];
+        let error = apply(&daemon, FILE, &["--yes"]).await.expect_err("raced");
+        assert_eq!(error.exit_code(), error::EXIT_REFUSED);
+        assert!(error.to_string().contains("history"), "{error}");
+        assert_eq!(daemon.cell.state().revision, 1);
+    });
+}
+
+#[test]
+fn bad_files() {
+    block_on(async {
+        let daemon = Daemon::bind(&[]).await;
+        for (text, named) in [
+            ("[[team]]\nid = \"a\"\nwieght = 1", "wieght"),
+            ("[[team]]\nid = \"Big Team\"", "Big Team"),
+            ("[[team]]\nid = \"a\"\n[[team]]\nid = \"a\"", "twice"),
+            ("[[service]]\nid = \"a\"\nkind = \"lathe\"", "lathe"),
+            ("[[team]]\nid = \"a\"\nweight = -1", "line 3"),
+            ("[team", "line 1"),
+        ] {
+            let error = apply(&daemon, text, &["--yes"]).await.expect_err(text);
+            assert_eq!(error.exit_code(), error::EXIT_USAGE);
+            assert!(error.to_string().contains(named), "{named} in {error}");
+        }
+        assert_eq!(daemon.cell.state().revision, 0);
+    });
+}
+
+#[expect(clippy::needless_pass_by_value, reason = "quickcheck passes values")]
+fn garbage_holds(text: String, at: usize) -> bool {
+    let starts: Vec<usize> = FILE.char_indices().map(|(start, _)| start).collect();
+    let (head, tail) = FILE.split_at(starts[at % starts.len()]);
+    let mixed = format!("{head}{text}{tail}");
+    let holds = |text: &str| match parse(text) {
+        Ok(config) => parse(&config.to_toml()) == Ok(config),
+        Err(reason) => !reason.is_empty(),
+    };
+    holds(&text) && holds(&mixed)
+}
+
+#[test]
+fn garbage_files() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(40, 8))
+        .tests(3_000)
+        .quickcheck(garbage_holds as fn(String, usize) -> bool);
+}
--- /dev/null
+++ b/crates/dandelionctl/tests/cli/commands.rs
@@ -0,0 +1,121 @@
+//! The commands as a whole.
+
+use async_std::task::block_on;
+use clap::Command;
+use clap::CommandFactory;
+use clap::Parser;
+use dandelion_rpc::secret;
+use dandelionctl::Cli;
+use dandelionctl::CtlError;
+use dandelionctl::error;
+use serde_json::Value;
+
+use crate::daemon::Daemon;
+
+async fn run(daemon: &Daemon, words: &str) -> Result<String, CtlError> {
+    let line = format!("dandelionctl --daemon {} {words}", daemon.address);
+    let cli = Cli::try_parse_from(line.split_whitespace());
+    cli.expect("flags parse").run().await
+}
+
+#[test]
+fn put_and_list() {
+    block_on(async {
+        let daemon = Daemon::bind(&[]).await;
+        let words = "--operator anna team put claims --weight 4 --token-rate 900";
+        run(&daemon, words).await.expect("put");
+        let table = run(&daemon, "team list").await.expect("listed");
+        let rows: Vec<Vec<&str>> = table
+            .lines()
+            .map(|l| l.split_whitespace().collect())
+            .collect();
+        assert_eq!(rows[1], ["claims", "4", "-", "900"]);
+        let json = run(&daemon, "team list --output json")
+            .await
+            .expect("listed");
+        let json: Value = serde_json::from_str(&json).expect("JSON");
+        assert_eq!(json["teams"][0]["token_rate"], 900);
+        assert_eq!(json["revision"], 1);
+    });
+}
+
+#[test]
+fn secret_once() {
+    block_on(async {
+        let daemon = Daemon::bind(&[]).await;
+        let words = "--operator anna --output json key grant night --team claims";
+        let answer = run(&daemon, words).await.expect("granted");
+        let answer: Value = serde_json::from_str(&answer).expect("JSON");
+        let shown = answer["secret"].as_str().expect("a secret");
+        let digest = hex::encode(secret::digest_secret(shown));
+        assert_eq!(daemon.cell.state().digests, [digest]);
+        let again = run(&daemon, words).await.expect("granted");
+        assert!(!again.contains(shown), "each grant makes its own secret");
+    });
+}
+
+#[test]
+fn operator_missing() {
+    block_on(async {
+        let daemon = Daemon::bind(&[]).await;
+        let error = run(&daemon, "team put claims").await.expect_err("no name");
+        assert_eq!(error.exit_code(), error::EXIT_USAGE);
+        assert!(error.to_string().contains("DANDELION_OPERATOR"));
+        assert_eq!(daemon.cell.state().revision, 0);
+    });
+}
+
+#[test]
+fn bad_request_id() {
+    block_on(async {
+        let daemon = Daemon::bind(&[]).await;
+        let words = "--operator anna --request-id xyz team put claims";
+        let error = run(&daemon, words).await.expect_err("not an id");
+        assert_eq!(error.exit_code(), error::EXIT_USAGE);
+        assert!(error.to_string().contains("xyz"));
+    });
+}
+
+#[test]
+fn status_wait() {
+    block_on(async {
+        let daemon = Daemon::bind(&[]).await;
+        run(&daemon, "status --wait 0").await.expect("reached");
+        let error = run(&daemon, "status --wait 7 --wait-ms 0").await;
+        let error = error.expect_err("not reached");
+        assert_eq!(error.exit_code(), error::EXIT_REFUSED);
+    });
+}
+
+#[test]
+fn completions_written() {
+    block_on(async {
+        let daemon = Daemon::bind(&[]).await;
+        for shell in ["bash", "zsh", "fish"] {
+            let words = format!("completions {shell}");
+            let script = run(&daemon, &words).await.expect("written");
+            assert!(script.contains("unpoison"), "{shell}");
+        }
+    });
+}
+
+fn assert_described(command: &Command) {
+    let name = command.get_name();
+    assert!(command.get_about().is_some(), "{name} has no description");
+    for arg in command.get_arguments() {
+        assert!(arg.get_help().is_some(), "{} of {name}", arg.get_id());
+    }
+    command.get_subcommands().for_each(assert_described);
+}
+
+#[test]
+fn help_complete() {
+    Cli::command().debug_assert();
+    assert_described(&Cli::command());
+}
+
+#[test]
+fn usage_status() {
+    let error = Cli::try_parse_from(["dandelionctl", "team", "fold"]).expect_err("no such command");
+    assert_eq!(error.exit_code(), i32::from(error::EXIT_USAGE));
+}
--- /dev/null
+++ b/crates/dandelionctl/tests/cli/main.rs
@@ -0,0 +1,6 @@
+//! The command line against a stand-in daemon.
+
+mod apply;
+mod commands;
+mod daemon;
+mod transport;
