--- a/crates/dandelion-route/src/balance/members.rs
+++ b/crates/dandelion-route/src/balance/members.rs
@@ -5,12 +5,14 @@
 use dandelion_protocol::time::Millis;
 use dandelion_protocol::upstream::Announcement;
 
+use crate::balance::health::SLOW_START;
 use crate::balance::health::State;
 use crate::balance::pool::Pool;
 use crate::balance::pool::is_out;
 use crate::balance::pool::usable;
 use crate::balance::prefix::CacheEvent;
 use crate::balance::slot::Slot;
+use crate::registry::ANNOUNCE_EVERY;
 use crate::registry::Change;
 
 impl Pool {
@@ -30,11 +32,11 @@
         let old = self.current.get(&heard.upstream).copied();
         let cut = old.filter(|i| self.slot(*i).is_some_and(|s| s.inflight > 0 && !s.leaving));
         self.retire(now, &heard.upstream);
-        let warm = self.current.len() > self.warming.len();
-        let slot = Slot::new(heard, warm.then_some(now));
+        let warming = started(now, heard);
+        let slot = Slot::new(heard, warming);
         let index = self.insert(slot);
         self.current.insert(heard.upstream.clone(), index);
-        if warm {
+        if warming.is_some() {
             self.warming.insert(index);
         }
         self.place(now, index);
@@ -123,3 +125,10 @@
         }
     }
 }
+
+/// Returns when an upstream started, if its slow start is not over. An upstream that was up
+/// before this owner heard of it is not new.
+fn started(now: Millis, heard: &Announcement) -> Option<Millis> {
+    let age = Millis(heard.sequence.saturating_mul(ANNOUNCE_EVERY.0));
+    (age < SLOW_START).then_some(now - age)
+}
--- a/crates/dandelion-route/src/queue/arrive.rs
+++ b/crates/dandelion-route/src/queue/arrive.rs
@@ -24,7 +24,7 @@
             return;
         }
         if !self.make_room(now, &arrival, actions) {
-            let after = self.pace.service(arrival.cost);
+            let after = self.pace.service(arrival.work.cost());
             let refusal = admission::overloaded(&self.settings.service, ticket, after);
             actions.push(Action::Refuse { ticket, refusal });
             return;
@@ -54,7 +54,7 @@
             return None;
         }
         let slots = self.pool.limits();
-        let cost = self.teams.get(index).expect(arrival.cost);
+        let cost = self.teams.get(index).expect(arrival.work).cost();
         let wait = admission::predict_wait(&self.teams, &self.pace, slots, index, class, cost);
         let needed = wait + self.pace.service(cost);
         (needed > left).then(|| admission::overloaded(service, ticket, needed - left))
@@ -83,7 +83,7 @@
         };
         let ticket = waiting.arrival.ticket;
         self.forget(&waiting);
-        let after = self.pace.service(waiting.cost);
+        let after = self.pace.service(waiting.work.cost());
         let refusal = admission::overloaded(&self.settings.service, ticket, after);
         actions.push(Action::Refuse { ticket, refusal });
         true
@@ -91,10 +91,10 @@
 
     pub(super) fn enqueue(&mut self, now: Millis, arrival: Arrival) {
         let index = self.teams.index(arrival.team.as_ref());
-        let cost = self.teams.get(index).expect(arrival.cost);
-        let latest = arrival.deadline - self.pace.service(cost);
+        let work = self.teams.get(index).expect(arrival.work);
+        let latest = arrival.deadline - self.pace.service(work.cost());
         let waiting = Waiting {
-            cost,
+            work,
             latest,
             since: now,
             arrival,
@@ -140,7 +140,7 @@
             return;
         };
         let service = &self.settings.service;
-        let after = self.pace.service(waiting.cost);
+        let after = self.pace.service(waiting.work.cost());
         let refusal = if limited {
             admission::over_limit(service, ticket, after)
         } else if self.pool.limits() == 0 {
--- a/crates/dandelion-route/src/queue/dispatch.rs
+++ b/crates/dandelion-route/src/queue/dispatch.rs
@@ -11,6 +11,7 @@
 use crate::queue::machine::Place;
 use crate::queue::team::Waiting;
 use crate::queue::team::class_index;
+use crate::ticket::Work;
 
 impl OwnerQueue {
     /// Dispatches while an upstream is free and a request may start.
@@ -50,7 +51,7 @@
                 self.run_trials(now, actions);
             }
             _ if waiting.since < now && waiting.latest < now => {
-                let after = self.pace.service(waiting.cost);
+                let after = self.pace.service(waiting.work.cost());
                 let refusal = admission::overloaded(&self.settings.service, ticket, after);
                 actions.push(Action::Refuse { ticket, refusal });
             }
@@ -80,17 +81,19 @@
         self.pool.begin(now, slot, arrival.prefix);
         self.teams.update(now, index, |team| {
             team.inflight += 1;
-            team.charge(class, waiting.cost);
+            team.settle(class, Work::default(), waiting.work);
         });
         if arrival.class == Class::Rollout && arrival.resumable && !alone {
             self.rollouts.insert((now, ticket));
         }
         self.at_slot.entry(slot).or_default().insert(ticket);
+        let copies = self.copies.entry(arrival.fingerprint).or_default();
+        copies.insert(ticket);
         let flight = Flight {
             arrival,
             team: index,
             slot,
-            charged: waiting.cost,
+            charged: waiting.work,
             started: now,
             alone,
             preempted: false,
--- a/crates/dandelion-route/src/queue/event.rs
+++ b/crates/dandelion-route/src/queue/event.rs
@@ -14,6 +14,7 @@
 use crate::ticket::Fingerprint;
 use crate::ticket::PrefixHash;
 use crate::ticket::Ticket;
+use crate::ticket::Work;
 
 /// A request that wants an upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,11 +25,11 @@
     pub team: Option<TeamId>,
     /// Class.
     pub class: Class,
-    /// Predicted tokens, prompt and answer; 1 for a plain service.
-    pub cost: u64,
+    /// Predicted work.
+    pub work: Work,
     /// When the caller gives up.
     pub deadline: Millis,
-    /// Digest of team, service and body.
+    /// Digest of the request's content.
     pub fingerprint: Fingerprint,
     /// Digest of the prompt's beginning, if an engine serves it.
     pub prefix: Option<PrefixHash>,
@@ -58,12 +59,12 @@
 pub enum QueueEvent {
     /// A request wants an upstream.
     Arrive(Arrival),
-    /// A running request has generated so many tokens in all.
+    /// A running request has come so far.
     Progress {
         /// Request.
         ticket: Ticket,
-        /// Tokens so far, prompt included.
-        tokens: u64,
+        /// Work so far.
+        work: Work,
     },
     /// A dispatched request ended.
     Finished {
@@ -71,8 +72,8 @@
         ticket: Ticket,
         /// How it ended.
         finish: Finish,
-        /// Tokens in all, prompt included.
-        tokens: u64,
+        /// Work in all.
+        work: Work,
         /// Time since the dispatch.
         latency: Millis,
     },
@@ -120,7 +121,8 @@
         /// Answer.
         refusal: Refusal,
     },
-    /// Cancel the request at its upstream, keep what it has generated, report it as
+    /// In favour of interactive work, or as a copy of it was in flight at a crash: cancel the
+    /// request at its upstream, keep what it has generated, report it as
     /// [`Finish::Preempted`] and let it arrive again.
     Preempt {
         /// Request.
--- a/crates/dandelion-route/src/queue/finish.rs
+++ b/crates/dandelion-route/src/queue/finish.rs
@@ -1,5 +1,6 @@
 //! What happens when requests end or upstreams crash.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use dandelion_protocol::ids::Incarnation;
@@ -13,7 +14,9 @@
 use crate::queue::machine::Flight;
 use crate::queue::machine::OwnerQueue;
 use crate::queue::team::class_index;
+use crate::ticket::Fingerprint;
 use crate::ticket::Ticket;
+use crate::ticket::Work;
 
 impl OwnerQueue {
     pub(super) fn finish(
@@ -21,16 +24,16 @@
         now: Millis,
         ticket: Ticket,
         finish: Finish,
-        tokens: u64,
+        work: Work,
         latency: Millis,
         actions: &mut Vec<Action>,
     ) {
         let Some(flight) = self.land(ticket) else {
             return;
         };
-        self.settle(now, &flight, finish, tokens, latency);
+        self.settle(now, &flight, finish, work, latency);
         let verdict = match finish {
-            Finish::Clean => Verdict::Clean(latency.0 * 1000 / tokens.max(1)),
+            Finish::Clean => Verdict::Clean(latency.0 * 1000 / work.cost()),
             Finish::Failed => Verdict::Failed,
             Finish::Congested => Verdict::Congested,
             Finish::NotSent | Finish::Cancelled | Finish::Preempted => Verdict::Neutral,
@@ -54,12 +57,8 @@
         let flight = self.flights.remove(&ticket)?;
         self.rollouts.remove(&(flight.started, ticket));
         self.preempting -= usize::from(flight.preempted);
-        if let Some(tickets) = self.at_slot.get_mut(&flight.slot) {
-            tickets.remove(&ticket);
-            if tickets.is_empty() {
-                self.at_slot.remove(&flight.slot);
-            }
-        }
+        unlink(&mut self.at_slot, &flight.slot, ticket);
+        unlink(&mut self.copies, &flight.arrival.fingerprint, ticket);
         Some(flight)
     }
 
@@ -68,23 +67,22 @@
         now: Millis,
         flight: &Flight,
         finish: Finish,
-        tokens: u64,
+        work: Work,
         latency: Millis,
     ) {
         let class = class_index(flight.arrival.class);
-        let predicted = flight.arrival.cost;
+        let predicted = flight.arrival.work;
         let charged = flight.charged;
         self.teams.update(now, flight.team, |team| {
             team.inflight = team.inflight.saturating_sub(1);
-            team.served += tokens;
-            team.charge(class, tokens.saturating_sub(charged));
-            team.refund(class, charged.saturating_sub(tokens));
+            team.served += work.cost();
+            team.settle(class, charged, work);
             if finish == Finish::Clean {
-                team.learn(predicted, tokens);
+                team.learn(predicted, work);
             }
         });
         if finish == Finish::Clean {
-            self.pace.learn(tokens, latency);
+            self.pace.learn(work.cost(), latency);
         }
     }
 
@@ -133,5 +131,36 @@
             }
         }
         self.isolation.end(slot);
+        for fingerprint in noted {
+            self.recall(fingerprint, actions);
+        }
+    }
+
+    /// Takes back the copies of a suspect that run elsewhere, where they can be resumed.
+    fn recall(&mut self, fingerprint: Fingerprint, actions: &mut Vec<Action>) {
+        let copies = self.copies.get(&fingerprint).cloned().unwrap_or_default();
+        for ticket in copies {
+            let Some(flight) = self.flights.get_mut(&ticket) else {
+                continue;
+            };
+            if flight.arrival.resumable && !flight.alone && !flight.preempted {
+                flight.preempted = true;
+                self.preempting += 1;
+                self.rollouts.remove(&(flight.started, ticket));
+                actions.push(Action::Preempt { ticket });
+            }
+        }
+    }
+}
+
+fn unlink<K>(index: &mut BTreeMap<K, BTreeSet<Ticket>>, key: &K, ticket: Ticket)
+where
+    K: Ord,
+{
+    if let Some(tickets) = index.get_mut(key) {
+        tickets.remove(&ticket);
+        if tickets.is_empty() {
+            index.remove(key);
+        }
     }
 }
--- a/crates/dandelion-route/src/queue/machine.rs
+++ b/crates/dandelion-route/src/queue/machine.rs
@@ -21,6 +21,7 @@
 use crate::registry::Change;
 use crate::ticket::Fingerprint;
 use crate::ticket::Ticket;
+use crate::ticket::Work;
 
 /// Where a waiting request stands.
 #[derive(Debug, Clone, Copy)]
@@ -35,7 +36,7 @@
     pub(super) arrival: Arrival,
     pub(super) team: usize,
     pub(super) slot: u32,
-    pub(super) charged: u64,
+    pub(super) charged: Work,
     pub(super) started: Millis,
     pub(super) alone: bool,
     pub(super) preempted: bool,
@@ -54,6 +55,7 @@
     pub(super) latest: BTreeSet<(Millis, Ticket)>,
     pub(super) flights: BTreeMap<Ticket, Flight>,
     pub(super) at_slot: BTreeMap<u32, BTreeSet<Ticket>>,
+    pub(super) copies: BTreeMap<Fingerprint, BTreeSet<Ticket>>,
     pub(super) rollouts: BTreeSet<(Millis, Ticket)>,
     pub(super) preempting: usize,
     pub(super) sequence: u64,
@@ -66,13 +68,13 @@
     fn handle(&mut self, now: Millis, event: QueueEvent, actions: &mut Vec<Action>) {
         match event {
             QueueEvent::Arrive(arrival) => self.arrive(now, arrival, actions),
-            QueueEvent::Progress { ticket, tokens } => self.progress(now, ticket, tokens),
+            QueueEvent::Progress { ticket, work } => self.progress(now, ticket, work),
             QueueEvent::Finished {
                 ticket,
                 finish,
-                tokens,
+                work,
                 latency,
-            } => self.finish(now, ticket, finish, tokens, latency, actions),
+            } => self.finish(now, ticket, finish, work, latency, actions),
             QueueEvent::Crashed { upstream, boot } => self.crash(now, &upstream, boot, actions),
             QueueEvent::Cancel { ticket } => self.cancel(now, ticket, actions),
             QueueEvent::Upstream(change) => self.change(now, &change, actions),
@@ -102,6 +104,7 @@
             latest: BTreeSet::new(),
             flights: BTreeMap::new(),
             at_slot: BTreeMap::new(),
+            copies: BTreeMap::new(),
             rollouts: BTreeSet::new(),
             preempting: 0,
             sequence: 0,
@@ -144,16 +147,16 @@
             .count()
     }
 
-    fn progress(&mut self, now: Millis, ticket: Ticket, tokens: u64) {
+    fn progress(&mut self, now: Millis, ticket: Ticket, work: Work) {
         let Some(flight) = self.flights.get_mut(&ticket) else {
             return;
         };
-        let more = tokens.saturating_sub(flight.charged);
-        if more > 0 {
-            flight.charged = tokens;
+        if work.cost() > flight.charged.cost() {
+            let before = flight.charged;
+            flight.charged = work;
             let class = class_index(flight.arrival.class);
             self.teams
-                .update(now, flight.team, |team| team.charge(class, more));
+                .update(now, flight.team, |team| team.settle(class, before, work));
         }
     }
 
--- a/crates/dandelion-route/src/queue/team.rs
+++ b/crates/dandelion-route/src/queue/team.rs
@@ -7,6 +7,8 @@
 use dandelion_protocol::usage::Class;
 
 use crate::queue::event::Arrival;
+use crate::ticket::PROMPT_PER_OUTPUT;
+use crate::ticket::Work;
 
 /// Scale of the virtual counters.
 const SCALE: u64 = 10_000;
@@ -33,8 +35,8 @@
 pub struct Waiting {
     /// The request.
     pub arrival: Arrival,
-    /// Cost as corrected by the team's earlier requests.
-    pub cost: u64,
+    /// Work as corrected by the team's earlier requests.
+    pub work: Work,
     /// Last moment at which a start can still meet the deadline.
     pub latest: Millis,
     /// When it arrived.
@@ -82,7 +84,7 @@
     pub queued: [u64; 2],
     /// Virtual counters by class.
     pub counters: [u64; 2],
-    /// Tokens used in all.
+    /// Cost of finished work in all.
     pub served: u64,
     max_inflight: Option<u32>,
     bucket: Option<Bucket>,
@@ -139,31 +141,29 @@
         bucket.wait()
     }
 
-    /// Corrects a predicted cost by how earlier predictions turned out.
-    pub fn expect(&self, predicted: u64) -> u64 {
-        (predicted * self.ratio / 1000).max(1)
-    }
-
-    /// Adds to the counters what a request uses.
-    pub fn charge(&mut self, class: usize, tokens: u64) {
-        self.counters[class] += tokens * SCALE / self.weight;
-        if let Some(bucket) = &mut self.bucket {
-            bucket.milli = bucket.milli.saturating_sub_unsigned(tokens * 1000);
+    /// Corrects predicted work by how earlier predictions turned out.
+    pub fn expect(&self, predicted: Work) -> Work {
+        Work {
+            prompt: predicted.prompt,
+            output: predicted.output * self.ratio / 1000,
         }
     }
 
-    /// Takes back what was charged and not used.
-    pub fn refund(&mut self, class: usize, tokens: u64) {
-        let back = tokens * SCALE / self.weight;
-        self.counters[class] = self.counters[class].saturating_sub(back);
+    /// Replaces what was charged for a request by `now`; generated tokens count against the rate.
+    pub fn settle(&mut self, class: usize, before: Work, now: Work) {
+        let charge =
+            |work: Work| (work.prompt / PROMPT_PER_OUTPUT + work.output) * SCALE / self.weight;
+        let counter = self.counters[class] + charge(now);
+        self.counters[class] = counter.saturating_sub(charge(before));
         if let Some(bucket) = &mut self.bucket {
-            bucket.milli = bucket.milli.saturating_add_unsigned(tokens * 1000);
+            let used = now.output as i64 - before.output as i64;
+            bucket.milli = bucket.milli.saturating_sub(used.saturating_mul(1000));
         }
     }
 
     /// Learns from a finished request how far predictions are off.
-    pub fn learn(&mut self, predicted: u64, actual: u64) {
-        let seen = (actual * 1000 / predicted.max(1)).clamp(10, 4000);
+    pub fn learn(&mut self, predicted: Work, actual: Work) {
+        let seen = (actual.output * 1000 / predicted.output.max(1)).clamp(10, 4000);
         self.ratio = (self.ratio * (SMOOTHING - 1) + seen) / SMOOTHING;
     }
 }
--- a/crates/dandelion-route/src/queue/teams.rs
+++ b/crates/dandelion-route/src/queue/teams.rs
@@ -86,9 +86,9 @@
         let was_empty = self.states[index].queues[class].is_empty();
         self.unready(index);
         self.waiting += 1;
-        self.queued[class] += waiting.cost;
+        self.queued[class] += waiting.work.cost();
         let team = &mut self.states[index];
-        team.queued[class] += waiting.cost;
+        team.queued[class] += waiting.work.cost();
         team.queues[class].insert(sequence, waiting);
         if was_empty {
             self.lift(index, class);
@@ -112,8 +112,8 @@
         let team = &mut self.states[index];
         let taken = team.queues[class].remove(&seq);
         if let Some(waiting) = &taken {
-            team.queued[class] -= waiting.cost;
-            self.queued[class] -= waiting.cost;
+            team.queued[class] -= waiting.work.cost();
+            self.queued[class] -= waiting.work.cost();
             self.waiting -= 1;
             let backlogged = self.is_backlogged(index);
             self.active -= self.weight_if(index, !backlogged);
--- a/crates/dandelion-route/src/registry.rs
+++ b/crates/dandelion-route/src/registry.rs
@@ -9,6 +9,9 @@
 use dandelion_protocol::time::Millis;
 use dandelion_protocol::upstream::Announcement;
 
+/// Time between two announcements of an upstream.
+pub const ANNOUNCE_EVERY: Millis = Millis::from_secs(1);
+
 /// Silence after which an upstream gets no new work: five missed announcements.
 pub const SILENT_AFTER: Millis = Millis::from_secs(5);
 
--- a/crates/dandelion-route/src/ticket.rs
+++ b/crates/dandelion-route/src/ticket.rs
@@ -16,17 +16,25 @@
 )]
 pub struct Ticket(pub u64);
 
-/// Identity of a request's content: team, service and body.
+/// Identity of a request's content: team, service, method, target and body.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
 )]
 pub struct Fingerprint(pub u64);
 
 impl Fingerprint {
-    /// Digests a request's team, service and body.
-    pub fn of(team: Option<&TeamId>, service: &ServiceId, body: &[u8]) -> Self {
+    /// Digests a request. Method and target count because requests without a body would
+    /// otherwise all be the same.
+    pub fn of(
+        team: Option<&TeamId>,
+        service: &ServiceId,
+        method: &str,
+        target: &str,
+        body: &[u8],
+    ) -> Self {
         let mut hasher = Xxh3::new();
-        for part in [team.map_or("", TeamId::as_str), service.as_str()] {
+        let team = team.map_or("", TeamId::as_str);
+        for part in [team, service.as_str(), method, target] {
             hasher.update(&(part.len() as u64).to_le_bytes());
             hasher.update(part.as_bytes());
         }
@@ -47,3 +55,22 @@
         Self(xxh3_64(&prompt[..prompt.len().min(PREFIX_BYTES)]))
     }
 }
+
+/// Prompt tokens that cost an engine as much as one generated token.
+pub const PROMPT_PER_OUTPUT: u64 = 16;
+
+/// Work of a request, predicted or done. A plain service's request has one output.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Work {
+    /// Prompt tokens.
+    pub prompt: u64,
+    /// Generated tokens.
+    pub output: u64,
+}
+
+impl Work {
+    /// Returns the work in units of generated tokens, at least 1.
+    pub fn cost(&self) -> u64 {
+        (self.prompt / PROMPT_PER_OUTPUT + self.output).max(1)
+    }
+}
--- /dev/null
+++ b/crates/dandelion-route/tests/claims.rs
@@ -0,0 +1,290 @@
+//! At most one run for each caller's id, over races, lost answers, expiry and restarts.
+
+use std::collections::BTreeMap;
+
+use dandelion_kernel::ApplyContext;
+use dandelion_kernel::Table;
+use dandelion_protocol::codec;
+use dandelion_protocol::ids::CellId;
+use dandelion_protocol::ids::Incarnation;
+use dandelion_protocol::ids::Revision;
+use dandelion_protocol::time::Millis;
+use dandelion_protocol::time::WallMillis;
+use dandelion_route::claims::AttemptId;
+use dandelion_route::claims::CallerId;
+use dandelion_route::claims::CallerIdError;
+use dandelion_route::claims::Claim;
+use dandelion_route::claims::ClaimBatch;
+use dandelion_route::claims::ClaimKey;
+use dandelion_route::claims::ClaimReply;
+use dandelion_route::claims::ClaimResult;
+use dandelion_route::claims::ClaimStep;
+use dandelion_route::claims::ClaimsTable;
+use dandelion_route::claims::StoredAnswer;
+use dandelion_route::claims::table::RETENTION_MS;
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+
+const START_SECS: u64 = 1_796_000_000;
+
+fn key(team: &str, id: u8) -> ClaimKey {
+    ClaimKey {
+        caller: format!("{START_SECS}-bond-{id}").parse().unwrap(),
+        cell: CellId(1),
+        team: team.parse().unwrap(),
+        service: "portal".parse().unwrap(),
+    }
+}
+
+fn attempt(daemon: u8, sequence: u64) -> AttemptId {
+    AttemptId {
+        daemon: format!("d{daemon}").parse().unwrap(),
+        incarnation: Incarnation(1),
+        sequence,
+    }
+}
+
+fn claim(id: u8, attempt: AttemptId) -> ClaimStep {
+    ClaimStep::Claim(Claim {
+        key: key("t", id),
+        digest: u128::from(id),
+        attempt,
+        timeout: Millis(10_000),
+    })
+}
+
+fn answer(size: usize) -> StoredAnswer {
+    StoredAnswer {
+        status: 201,
+        headers: Vec::new(),
+        body: vec![7; size],
+    }
+}
+
+fn apply(table: &mut ClaimsTable, after_ms: u64, step: ClaimStep) -> ClaimReply {
+    let context = ApplyContext {
+        revision: Revision(1),
+        at: WallMillis(START_SECS * 1000 + after_ms),
+        author: "d",
+    };
+    let batch = ClaimBatch { steps: vec![step] };
+    table.apply(&context, batch).unwrap().replies.remove(0)
+}
+
+fn settle(id: u8, attempt: AttemptId, result: ClaimResult) -> ClaimStep {
+    let key = key("t", id);
+    ClaimStep::Settle {
+        key,
+        attempt,
+        result,
+    }
+}
+
+#[test]
+fn stored_answer() {
+    let mut table = ClaimsTable::default();
+    assert_eq!(
+        apply(&mut table, 0, claim(1, attempt(1, 1))),
+        ClaimReply::Granted
+    );
+    let running = apply(&mut table, 1, claim(1, attempt(2, 1)));
+    assert!(matches!(running, ClaimReply::Running { .. }));
+    let done = settle(1, attempt(1, 1), ClaimResult::Answered(answer(3)));
+    assert_eq!(apply(&mut table, 2, done), ClaimReply::Settled);
+    let resent = apply(&mut table, 3, claim(1, attempt(2, 2)));
+    assert_eq!(resent, ClaimReply::Answered(answer(3)));
+}
+
+#[test]
+fn lost_attempt() {
+    let mut table = ClaimsTable::default();
+    apply(&mut table, 0, claim(1, attempt(1, 1)));
+    let resent = apply(&mut table, 10_001, claim(1, attempt(2, 1)));
+    assert_eq!(resent, ClaimReply::Unknown);
+    let late = settle(1, attempt(1, 1), ClaimResult::Answered(answer(3)));
+    assert_eq!(apply(&mut table, 20_000, late), ClaimReply::Settled);
+    let resent = apply(&mut table, 20_001, claim(1, attempt(2, 2)));
+    assert_eq!(resent, ClaimReply::Answered(answer(3)));
+}
+
+#[test]
+fn other_body() {
+    let mut table = ClaimsTable::default();
+    apply(&mut table, 0, claim(1, attempt(1, 1)));
+    let other = ClaimStep::Claim(Claim {
+        key: key("t", 1),
+        digest: 99,
+        attempt: attempt(1, 2),
+        timeout: Millis(1),
+    });
+    assert_eq!(apply(&mut table, 1, other), ClaimReply::Conflict);
+}
+
+#[test]
+fn team_scope() {
+    let mut table = ClaimsTable::default();
+    apply(&mut table, 0, claim(1, attempt(1, 1)));
+    let other = ClaimStep::Claim(Claim {
+        key: key("u", 1),
+        digest: 1,
+        attempt: attempt(1, 2),
+        timeout: Millis(1),
+    });
+    assert_eq!(apply(&mut table, 1, other), ClaimReply::Granted);
+}
+
+#[test]
+fn old_ids() {
+    let mut table = ClaimsTable::default();
+    apply(&mut table, 0, claim(1, attempt(1, 1)));
+    let kept = apply(&mut table, RETENTION_MS - 1, claim(1, attempt(1, 2)));
+    assert_eq!((kept, table.len()), (ClaimReply::Unknown, 1));
+    let old = apply(&mut table, RETENTION_MS, claim(1, attempt(1, 3)));
+    assert!(matches!(old, ClaimReply::Expired { .. }));
+    assert!(table.is_empty());
+}
+
+#[test]
+fn large_answers() {
+    let mut table = ClaimsTable::default();
+    apply(&mut table, 0, claim(1, attempt(1, 1)));
+    let done = settle(1, attempt(1, 1), ClaimResult::Answered(answer(1 << 20)));
+    apply(&mut table, 1, done);
+    let resent = apply(&mut table, 2, claim(1, attempt(1, 2)));
+    assert_eq!(resent, ClaimReply::NotKept { status: 201 });
+    assert_eq!(table.kept(), 0);
+}
+
+#[test]
+fn malformed_ids() {
+    for text in [
+        "",
+        "abc",
+        "-x",
+        "1796000000",
+        "1796000000-",
+        "0123-x",
+        "1-a b",
+        "99999999999999999999-x",
+    ] {
+        assert_eq!(text.parse::<CallerId>(), Err(CallerIdError), "{text}");
+    }
+}
+
+/// One thing that happens to the requests of a few callers.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    /// A resend through a daemon; the attempt may be cut after its grant in several ways.
+    Send { id: u8, daemon: u8, fate: u8 },
+    /// The proposal of an earlier attempt is applied again.
+    Replay { pick: u8 },
+    /// An earlier attempt settles at last.
+    Late { pick: u8 },
+    /// Time passes.
+    Wait { ms: u64 },
+    /// The table is restarted from its image.
+    Restart,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let pick = u8::arbitrary(g);
+        match u8::arbitrary(g) % 8 {
+            0..=3 => Self::Send {
+                id: u8::arbitrary(g) % 3,
+                daemon: u8::arbitrary(g) % 3,
+                fate: u8::arbitrary(g) % 5,
+            },
+            4 => Self::Replay { pick },
+            5 => Self::Late { pick },
+            6 => Self::Wait {
+                ms: u64::arbitrary(g) % (RETENTION_MS / 3),
+            },
+            _ => Self::Restart,
+        }
+    }
+}
+
+#[derive(Default)]
+struct World {
+    table: ClaimsTable,
+    now: u64,
+    sequence: u64,
+    sent: Vec<(u8, AttemptId)>,
+    late: Vec<(u8, AttemptId)>,
+    runs: BTreeMap<u8, u32>,
+    truthful: bool,
+}
+
+impl World {
+    fn send(&mut self, id: u8, daemon: u8, fate: u8) {
+        self.sequence += 1;
+        let attempt = attempt(daemon, self.sequence);
+        self.sent.push((id, attempt.clone()));
+        let reply = apply(&mut self.table, self.now, claim(id, attempt.clone()));
+        let ran = self.runs.get(&id).copied().unwrap_or(0);
+        self.truthful &= !matches!(reply, ClaimReply::Answered(_)) || ran == 1;
+        if reply != ClaimReply::Granted {
+            return;
+        }
+        // Fate 0: never sent and said so. 1: the daemon dies before it sends. Others run.
+        if fate == 0 {
+            let released = settle(id, attempt, ClaimResult::NotRun);
+            apply(&mut self.table, self.now, released);
+        } else if fate > 1 {
+            *self.runs.entry(id).or_default() += 1;
+            self.end(id, attempt, fate);
+        }
+    }
+
+    fn end(&mut self, id: u8, attempt: AttemptId, fate: u8) {
+        let result = match fate {
+            2 => ClaimResult::Answered(answer(5)),
+            3 => ClaimResult::Unknown,
+            _ => return self.late.push((id, attempt)),
+        };
+        apply(&mut self.table, self.now, settle(id, attempt, result));
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Send { id, daemon, fate } => self.send(id, daemon, fate),
+            Step::Replay { pick } if !self.sent.is_empty() => {
+                let index = usize::from(pick) % self.sent.len();
+                let (id, attempt) = self.sent[index].clone();
+                apply(&mut self.table, self.now, claim(id, attempt));
+            }
+            Step::Late { pick } if !self.late.is_empty() => {
+                let index = usize::from(pick) % self.late.len();
+                let (id, attempt) = self.late.swap_remove(index);
+                let result = ClaimResult::Answered(answer(6));
+                apply(&mut self.table, self.now, settle(id, attempt, result));
+            }
+            Step::Wait { ms } => self.now += ms,
+            Step::Restart => {
+                let image = codec::encode(&self.table).unwrap();
+                self.table = codec::decode(&image).unwrap();
+            }
+            _ => {}
+        }
+    }
+}
+
+#[test]
+fn once_at_most() {
+    fn holds(steps: Vec<Step>) -> bool {
+        let mut world = World {
+            truthful: true,
+            ..World::default()
+        };
+        for step in steps {
+            world.step(step);
+        }
+        world.truthful && world.runs.values().all(|runs| *runs <= 1)
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(80, 2))
+        .tests(2000)
+        .quickcheck(holds as fn(Vec<Step>) -> bool);
+}
--- a/crates/dandelion-route/tests/dispatch.rs
+++ b/crates/dandelion-route/tests/dispatch.rs
@@ -15,6 +15,7 @@
 use dandelion_route::queue::QueueEvent;
 use dandelion_route::registry::Change;
 use dandelion_route::ticket::Ticket;
+use dandelion_route::ticket::Work;
 
 use support::fixtures::announce;
 use support::fixtures::arrival;
@@ -26,7 +27,10 @@
     QueueEvent::Finished {
         ticket: Ticket(ticket),
         finish,
-        tokens: 100,
+        work: Work {
+            prompt: 0,
+            output: 100,
+        },
         latency: Millis(1000),
     }
 }
--- /dev/null
+++ b/crates/dandelion-route/tests/entry.rs
@@ -0,0 +1,179 @@
+//! Choice of an owner by an entry.
+
+use std::collections::BTreeMap;
+
+use dandelion_protocol::ids::DaemonId;
+use dandelion_protocol::ids::Incarnation;
+use dandelion_protocol::ids::ServiceId;
+use dandelion_protocol::ids::ZoneId;
+use dandelion_protocol::time::Millis;
+use dandelion_route::digest::OwnerDigest;
+use dandelion_route::digest::ServiceDigest;
+use dandelion_route::digest::ServiceTag;
+use dandelion_route::entry::EntryView;
+use dandelion_route::entry::Reason;
+use dandelion_route::entry::STALE_AFTER;
+use dandelion_route::entry::Wanted;
+use dandelion_route::ticket::Fingerprint;
+use dandelion_route::ticket::PrefixHash;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+fn service() -> ServiceId {
+    "draft".parse().unwrap()
+}
+
+fn zone(name: &str) -> ZoneId {
+    name.parse().unwrap()
+}
+
+fn daemon(n: u32) -> DaemonId {
+    format!("d{n}").parse().unwrap()
+}
+
+fn digest(sequence: u64, slots: u32, requests: u32) -> OwnerDigest {
+    OwnerDigest {
+        boot: Incarnation(1),
+        sequence,
+        leaving: false,
+        services: vec![ServiceDigest {
+            tag: ServiceTag::of(&service()),
+            slots,
+            inflight: requests.min(slots),
+            queued: requests.saturating_sub(slots),
+            upstreams: 1,
+        }],
+    }
+}
+
+fn wanted(service: &ServiceId) -> Wanted<'_> {
+    Wanted {
+        service,
+        prefix: None,
+        suspect: None,
+        may_spill: true,
+    }
+}
+
+fn view(loads: &[(&str, u32)]) -> EntryView {
+    let mut view = EntryView::open(zone("a"));
+    for (n, (name, requests)) in loads.iter().enumerate() {
+        view.hear(
+            Millis(0),
+            &daemon(n as u32),
+            &zone(name),
+            &digest(1, 10, *requests),
+        );
+    }
+    view
+}
+
+#[test]
+fn own_corrections() {
+    let mut view = view(&[("a", 0), ("a", 0), ("a", 0)]);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut counts = BTreeMap::new();
+    for _ in 0..24 {
+        let chosen = view
+            .pick_owner(Millis(1), &wanted(&service()), &mut rng)
+            .unwrap();
+        view.begin(&chosen.owner, &service());
+        *counts.entry(chosen.owner).or_insert(0) += 1;
+    }
+    assert!(counts.values().all(|n| (4..=12).contains(n)), "{counts:?}");
+}
+
+#[test]
+fn prefix_home() {
+    let mut view = view(&[("a", 0), ("a", 0), ("a", 0)]);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let service = service();
+    let mut asked = wanted(&service);
+    asked.prefix = Some(PrefixHash(7));
+    let home = view.pick_owner(Millis(1), &asked, &mut rng).unwrap();
+    for _ in 0..10 {
+        let again = view.pick_owner(Millis(1), &asked, &mut rng).unwrap();
+        assert_eq!(again, home);
+        view.begin(&again.owner, &service);
+    }
+    let full = view.pick_owner(Millis(1), &asked, &mut rng).unwrap();
+    assert_eq!(full.reason, Reason::TwoChoices);
+}
+
+#[test]
+fn spill_rule() {
+    let service = service();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut pick = |view: &EntryView, may_spill| {
+        let mut asked = wanted(&service);
+        asked.may_spill = may_spill;
+        view.pick_owner(Millis(1), &asked, &mut rng)
+            .map(|c| c.reason)
+    };
+    assert_eq!(
+        pick(&view(&[("a", 15), ("b", 0)]), true),
+        Some(Reason::TwoChoices)
+    );
+    assert_eq!(
+        pick(&view(&[("a", 30), ("b", 0)]), true),
+        Some(Reason::Spill)
+    );
+    assert_eq!(
+        pick(&view(&[("a", 30), ("b", 0)]), false),
+        Some(Reason::TwoChoices)
+    );
+    assert_eq!(
+        pick(&view(&[("a", 30), ("b", 20)]), true),
+        Some(Reason::TwoChoices)
+    );
+    assert_eq!(pick(&view(&[("b", 20)]), true), Some(Reason::Spill));
+    assert_eq!(pick(&view(&[("b", 0)]), false), None);
+}
+
+#[test]
+fn old_digests() {
+    let mut view = view(&[("a", 0)]);
+    let mut rng = SmallRng::seed_from_u64(1);
+    view.hear(Millis(1), &daemon(0), &zone("a"), &digest(3, 0, 0));
+    view.hear(Millis(2), &daemon(0), &zone("a"), &digest(2, 10, 0));
+    assert_eq!(
+        view.pick_owner(Millis(3), &wanted(&service()), &mut rng),
+        None
+    );
+    view.hear(Millis(4), &daemon(0), &zone("a"), &digest(4, 10, 0));
+    assert!(
+        view.pick_owner(Millis(5), &wanted(&service()), &mut rng)
+            .is_some()
+    );
+    let late = Millis(4) + STALE_AFTER;
+    assert_eq!(view.pick_owner(late, &wanted(&service()), &mut rng), None);
+}
+
+#[test]
+fn leaving_owner() {
+    let mut view = view(&[("a", 0), ("a", 0)]);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut leaving = digest(2, 10, 0);
+    leaving.leaving = true;
+    view.hear(Millis(1), &daemon(0), &zone("a"), &leaving);
+    for _ in 0..20 {
+        let chosen = view
+            .pick_owner(Millis(2), &wanted(&service()), &mut rng)
+            .unwrap();
+        assert_eq!(chosen.owner, daemon(1));
+    }
+}
+
+#[test]
+fn suspect_home() {
+    let views = [
+        view(&[("a", 0), ("a", 9), ("a", 3)]),
+        view(&[("a", 9), ("a", 0), ("a", 0)]),
+    ];
+    let service = service();
+    let mut asked = wanted(&service);
+    asked.suspect = Some(Fingerprint(5));
+    let mut rng = SmallRng::seed_from_u64(1);
+    let [one, two] = views.map(|v| v.pick_owner(Millis(1), &asked, &mut rng).unwrap());
+    assert_eq!((one.owner, one.reason), (two.owner, Reason::Trial));
+}
--- /dev/null
+++ b/crates/dandelion-route/tests/poison.rs
@@ -0,0 +1,268 @@
+//! Requests that crash upstreams, and innocents beside them.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use dandelion_protocol::ids::Incarnation;
+use dandelion_protocol::outcome::Ran;
+use dandelion_protocol::outcome::RefusalCode;
+use dandelion_protocol::time::Millis;
+use dandelion_protocol::usage::Class;
+use dandelion_route::poison::Mark;
+use dandelion_route::poison::SuspectNote;
+use dandelion_route::poison::trial_owner;
+use dandelion_route::queue::Action;
+use dandelion_route::queue::Finish;
+use dandelion_route::queue::OwnerQueue;
+use dandelion_route::queue::QueueEvent;
+use dandelion_route::registry::Change;
+use dandelion_route::ticket::Fingerprint;
+use dandelion_route::ticket::Ticket;
+use dandelion_route::ticket::Work;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+
+use support::fixtures::announce;
+use support::fixtures::arrival;
+use support::fixtures::feed;
+use support::fixtures::open_queue;
+
+const POISON: Fingerprint = Fingerprint(u64::MAX);
+
+/// An owner, its upstreams and callers that send again what was lost.
+struct World {
+    queue: OwnerQueue,
+    now: u64,
+    next: u64,
+    running: BTreeMap<u64, (Fingerprint, String)>,
+    boots: BTreeMap<String, u64>,
+    crashes: u32,
+    answered: BTreeSet<Fingerprint>,
+    refused: BTreeMap<Fingerprint, RefusalCode>,
+    blocked: Vec<Fingerprint>,
+    resend: Vec<Fingerprint>,
+}
+
+impl World {
+    fn open(upstreams: u32, capacity: u32) -> Self {
+        Self {
+            queue: open_queue(upstreams, capacity),
+            now: 1,
+            next: 0,
+            running: BTreeMap::new(),
+            boots: BTreeMap::new(),
+            crashes: 0,
+            answered: BTreeSet::new(),
+            refused: BTreeMap::new(),
+            blocked: Vec::new(),
+            resend: Vec::new(),
+        }
+    }
+
+    fn send(&mut self, fingerprint: Fingerprint) {
+        self.next += 1;
+        let mut request = arrival(self.next, "t", Class::Interactive);
+        request.fingerprint = fingerprint;
+        request.deadline = Millis(self.now + 1_000_000);
+        self.running.insert(self.next, (fingerprint, String::new()));
+        self.feed(QueueEvent::Arrive(request));
+    }
+
+    fn feed(&mut self, event: QueueEvent) {
+        for action in feed(&mut self.queue, self.now, event) {
+            match action {
+                Action::Dispatch {
+                    ticket, upstream, ..
+                } => self.running.get_mut(&ticket.0).unwrap().1 = upstream.to_string(),
+                Action::Refuse { ticket, refusal } => {
+                    let (fingerprint, _) = self.running.remove(&ticket.0).unwrap();
+                    self.refused.insert(fingerprint, refusal.code);
+                }
+                Action::Lost { ticket } => {
+                    let (fingerprint, _) = self.running.remove(&ticket.0).unwrap();
+                    self.resend.push(fingerprint);
+                }
+                Action::Block(fingerprint) => self.blocked.push(fingerprint),
+                _ => {}
+            }
+        }
+    }
+
+    /// Lets every running request end: the poison crashes its upstream, others answer.
+    fn round(&mut self) {
+        self.now += 1000;
+        let poisoned = self
+            .running
+            .values()
+            .find(|(f, up)| *f == POISON && !up.is_empty());
+        if let Some((_, upstream)) = poisoned.cloned() {
+            self.crash(&upstream);
+        }
+        let done: Vec<u64> = self
+            .running
+            .iter()
+            .filter(|(_, (_, up))| !up.is_empty())
+            .map(|(t, _)| *t)
+            .collect();
+        for ticket in done {
+            if self.running.get(&ticket).is_none_or(|(f, _)| *f == POISON) {
+                continue;
+            }
+            let (fingerprint, _) = self.running.remove(&ticket).unwrap();
+            self.answered.insert(fingerprint);
+            self.feed(QueueEvent::Finished {
+                ticket: Ticket(ticket),
+                finish: Finish::Clean,
+                work: Work {
+                    prompt: 0,
+                    output: 100,
+                },
+                latency: Millis(1000),
+            });
+        }
+        for fingerprint in std::mem::take(&mut self.resend) {
+            self.send(fingerprint);
+        }
+        self.feed(QueueEvent::Tick);
+    }
+
+    fn crash(&mut self, upstream: &str) {
+        self.crashes += 1;
+        let boot = self.boots.entry(upstream.to_owned()).or_insert(1);
+        let old = Incarnation(*boot);
+        *boot += 1;
+        let mut heard = announce(upstream, *boot, 1);
+        heard.capacity = 4;
+        let upstream = upstream.parse().unwrap();
+        self.feed(QueueEvent::Crashed {
+            upstream,
+            boot: old,
+        });
+        self.feed(QueueEvent::Upstream(Change::Joined(heard)));
+    }
+}
+
+/// Whatever the mix, a poison request costs two upstreams and every innocent is answered.
+#[test]
+fn two_at_most() {
+    fn holds(upstreams: u8, innocents: u8, when: u8) -> bool {
+        let mut world = World::open(u32::from(upstreams % 6) + 1, 4);
+        let innocents = u64::from(innocents % 40);
+        for n in 0..innocents {
+            world.send(Fingerprint(n + 1));
+            if n % 5 == u64::from(when % 5) {
+                world.round();
+            }
+            if n == u64::from(when) % innocents {
+                world.send(POISON);
+            }
+        }
+        for _ in 0..200 {
+            if !world.running.values().any(|(f, _)| *f == POISON) {
+                world.send(POISON);
+            }
+            world.round();
+        }
+        let all_answered = (1..=innocents).all(|n| world.answered.contains(&Fingerprint(n)));
+        let only_poison = world.refused.keys().all(|f| *f == POISON);
+        world.crashes == 2 && all_answered && only_poison && world.blocked == [POISON]
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, 4))
+        .tests(200)
+        .quickcheck(holds as fn(u8, u8, u8) -> bool);
+}
+
+#[test]
+fn blocked_refusal() {
+    let mut queue = open_queue(1, 1);
+    let mark = Mark::Blocked;
+    let fingerprint = POISON;
+    feed(
+        &mut queue,
+        1,
+        QueueEvent::Notes(vec![SuspectNote { fingerprint, mark }]),
+    );
+    let mut request = arrival(1, "t", Class::Interactive);
+    request.fingerprint = POISON;
+    let actions = feed(&mut queue, 2, QueueEvent::Arrive(request));
+    let [Action::Refuse { refusal, .. }] = &actions[..] else {
+        panic!("{actions:?}");
+    };
+    assert_eq!(
+        (refusal.code, refusal.ran),
+        (RefusalCode::Poisoned, Ran::Ran)
+    );
+}
+
+#[test]
+fn notes_come_first() {
+    let mut queue = open_queue(1, 4);
+    for ticket in 1..=3 {
+        feed(
+            &mut queue,
+            1,
+            QueueEvent::Arrive(arrival(ticket, "t", Class::Interactive)),
+        );
+    }
+    let upstream = "up-0".parse().unwrap();
+    let boot = Incarnation(1);
+    let actions = feed(&mut queue, 2, QueueEvent::Crashed { upstream, boot });
+    let notes = actions
+        .iter()
+        .take_while(|a| matches!(a, Action::Note(_)))
+        .count();
+    let lost = actions
+        .iter()
+        .filter(|a| matches!(a, Action::Lost { .. }))
+        .count();
+    assert_eq!((notes, lost, actions.len()), (3, 3, 6));
+}
+
+#[test]
+fn copies_recalled() {
+    let mut queue = open_queue(3, 1);
+    for ticket in 1..=3 {
+        let mut copy = arrival(ticket, "t", Class::Rollout);
+        copy.fingerprint = POISON;
+        feed(&mut queue, 1, QueueEvent::Arrive(copy));
+    }
+    let upstream = "up-0".parse().unwrap();
+    let boot = Incarnation(1);
+    let actions = feed(&mut queue, 2, QueueEvent::Crashed { upstream, boot });
+    let recalled = actions
+        .iter()
+        .filter(|a| matches!(a, Action::Preempt { .. }))
+        .count();
+    assert_eq!(recalled, 2);
+}
+
+#[test]
+fn planned_stop() {
+    let mut queue = open_queue(1, 4);
+    feed(
+        &mut queue,
+        1,
+        QueueEvent::Arrive(arrival(1, "t", Class::Interactive)),
+    );
+    let upstream: dandelion_protocol::ids::UpstreamId = "up-0".parse().unwrap();
+    feed(
+        &mut queue,
+        2,
+        QueueEvent::Upstream(Change::Leaving(upstream.clone())),
+    );
+    let boot = Incarnation(1);
+    let actions = feed(&mut queue, 3, QueueEvent::Crashed { upstream, boot });
+    assert_eq!(actions, vec![Action::Lost { ticket: Ticket(1) }]);
+}
+
+#[test]
+fn one_trial_owner() {
+    let owners: Vec<dandelion_protocol::ids::DaemonId> =
+        (0..9).map(|n| format!("d{n}").parse().unwrap()).collect();
+    let forward = trial_owner(POISON, &owners);
+    let backward = trial_owner(POISON, owners.iter().rev());
+    assert!(forward.is_some() && forward == backward);
+}
--- a/crates/dandelion-route/tests/support/fixtures.rs
+++ b/crates/dandelion-route/tests/support/fixtures.rs
@@ -17,6 +17,7 @@
 use dandelion_route::registry::Change;
 use dandelion_route::ticket::Fingerprint;
 use dandelion_route::ticket::Ticket;
+use dandelion_route::ticket::Work;
 
 pub fn announce(name: &str, boot: u64, sequence: u64) -> Announcement {
     Announcement {
@@ -42,7 +43,10 @@
         ticket: Ticket(ticket),
         team: Some(team.parse().unwrap()),
         class,
-        cost: 100,
+        work: Work {
+            prompt: 0,
+            output: 100,
+        },
         deadline: Millis(60_000),
         fingerprint: Fingerprint(ticket),
         prefix: None,
