Model the owner's queue against baselines in simulated time

Cause: fairness, overload, poison, affinity and owner routing had no figures. Found by the model: half of the answers under overload were whole just after their deadline, as the start was allowed by the mean length of an answer; the deadline now allows for mean plus two mean deviations, per team.

--- /dev/null
+++ b/crates/dandelion-route/examples/model/parts/mod.rs
@@ -0,0 +1,13 @@
+//! Parts of the queue model.
+
+pub mod affinity;
+pub mod engine;
+pub mod fairness;
+pub mod fifo;
+pub mod overload;
+pub mod owner;
+pub mod poison;
+pub mod report;
+pub mod routing;
+pub mod run;
+pub mod workload;
--- /dev/null
+++ b/crates/dandelion-route/examples/model/parts/routing.rs
@@ -0,0 +1,277 @@
+//! Two ways for many entries to share upstreams: owners chosen by digests, and slots leased to
+//! entries.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use dandelion_protocol::ids::DaemonId;
+use dandelion_protocol::ids::Incarnation;
+use dandelion_protocol::ids::ServiceId;
+use dandelion_protocol::ids::ZoneId;
+use dandelion_protocol::time::Millis;
+use dandelion_protocol::usage::Class;
+use dandelion_route::digest::DigestSchedule;
+use dandelion_route::digest::OwnerDigest;
+use dandelion_route::digest::ServiceDigest;
+use dandelion_route::entry::EntryView;
+use dandelion_route::entry::Wanted;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use serde_json::Value;
+use serde_json::json;
+
+use super::engine::Engine;
+use super::owner::Owner;
+use super::report::is_good;
+use super::report::p99_ms;
+use super::run::Ended;
+use super::run::Policy;
+use super::run::Step;
+use super::run::run;
+use super::workload::Request;
+use super::workload::Source;
+use super::workload::draw;
+use super::workload::mean_service_ms;
+
+const DAEMONS: usize = 24;
+const PER_DAEMON: usize = 8;
+const SLOTS: u32 = 8;
+const END_MS: u64 = 40_000;
+const LOAD: f64 = 0.85;
+
+/// Entries that get more than their part, and the part of all requests that they get besides.
+const HOT: usize = 3;
+const SKEW: f64 = 0.3;
+
+/// Time between two adjustments of the leases, in milliseconds.
+const LEASE_MS: u64 = 2_000;
+
+/// Entries that send digests and choose owners, and the owners themselves.
+struct ByOwner {
+    owners: Vec<Owner>,
+    names: Vec<DaemonId>,
+    views: Vec<EntryView>,
+    schedules: Vec<DigestSchedule>,
+    placed: BTreeMap<u64, (usize, usize)>,
+    sequence: u64,
+    skew: f64,
+    rng: SmallRng,
+}
+
+fn service() -> ServiceId {
+    "draft".parse().expect("name")
+}
+
+fn zone() -> ZoneId {
+    "a".parse().expect("name")
+}
+
+impl ByOwner {
+    fn open(seed: u64, skew: f64) -> Self {
+        let owner = |n| Owner::open(n * PER_DAEMON, PER_DAEMON, SLOTS, false);
+        let mut ways = Self {
+            owners: (0..DAEMONS).map(owner).collect(),
+            names: (0..DAEMONS)
+                .map(|n| format!("d{n}").parse().expect("name"))
+                .collect(),
+            views: (0..DAEMONS).map(|_| EntryView::open(zone())).collect(),
+            schedules: vec![DigestSchedule::default(); DAEMONS],
+            placed: BTreeMap::new(),
+            sequence: 0,
+            skew,
+            rng: SmallRng::seed_from_u64(seed),
+        };
+        let pairs = (0..DAEMONS).flat_map(|from| (0..DAEMONS).map(move |to| (from, to)));
+        pairs.for_each(|(from, to)| ways.tell(0, from, to));
+        ways
+    }
+
+    fn tell(&mut self, now: u64, from: usize, to: usize) {
+        self.sequence += 1;
+        let digest = OwnerDigest {
+            boot: Incarnation(1),
+            sequence: self.sequence,
+            leaving: false,
+            services: vec![ServiceDigest::of(&service(), &self.owners[from].queue)],
+        };
+        self.views[to].hear(Millis(now), &self.names[from], &zone(), &digest);
+    }
+}
+
+impl Policy for ByOwner {
+    fn arrive(&mut self, now: u64, request: &Request, steps: &mut Vec<Step>) {
+        let service = service();
+        let entry = draw_entry(&mut self.rng, self.skew);
+        let wanted = Wanted {
+            service: &service,
+            prefix: None,
+            suspect: None,
+            may_spill: false,
+        };
+        let chosen = self.views[entry].pick_owner(Millis(now), &wanted, &mut self.rng);
+        let Some(chosen) = chosen else {
+            steps.push(Step::Refuse(request.id));
+            return;
+        };
+        let found = self.names.iter().position(|name| *name == chosen.owner);
+        let owner = found.expect("known owner");
+        self.views[entry].begin(&chosen.owner, &service);
+        self.placed.insert(request.id, (entry, owner));
+        self.owners[owner].arrive(now, request, steps);
+    }
+
+    fn finish(&mut self, now: u64, end: &Ended<'_>, steps: &mut Vec<Step>) {
+        let Some((entry, owner)) = self.placed.remove(&end.request.id) else {
+            return;
+        };
+        self.views[entry].end(&self.names[owner], &service());
+        self.owners[owner].finish(now, end, steps);
+        // The answer carries the owner's digest back to the entry.
+        self.tell(now, owner, entry);
+    }
+
+    fn tick(&mut self, now: u64, steps: &mut Vec<Step>) {
+        for n in 0..DAEMONS {
+            self.owners[n].tick(now, steps);
+            for peer in self.schedules[n].due(Millis(now), DAEMONS - 1) {
+                self.tell(now, n, (n + 1 + peer) % DAEMONS);
+            }
+        }
+    }
+}
+
+/// Entries with slots of their own at every upstream, moved towards demand at intervals.
+struct ByLease {
+    queues: Vec<VecDeque<(u64, u64)>>,
+    free: Vec<Vec<usize>>,
+    placed: BTreeMap<u64, (usize, usize)>,
+    moved: usize,
+    skew: f64,
+    rng: SmallRng,
+}
+
+impl ByLease {
+    fn open(seed: u64, skew: f64) -> Self {
+        let mut free = vec![Vec::new(); DAEMONS];
+        for slot in 0..DAEMONS * PER_DAEMON * SLOTS as usize {
+            free[slot % DAEMONS].push(slot / SLOTS as usize);
+        }
+        Self {
+            queues: vec![VecDeque::new(); DAEMONS],
+            free,
+            placed: BTreeMap::new(),
+            moved: 0,
+            skew,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    fn pump(&mut self, now: u64, entry: usize, steps: &mut Vec<Step>) {
+        while let Some((id, deadline)) = self.queues[entry].front().copied() {
+            if deadline <= now {
+                self.queues[entry].pop_front();
+                steps.push(Step::Refuse(id));
+                continue;
+            }
+            let Some(engine) = self.free[entry].pop() else {
+                return;
+            };
+            self.queues[entry].pop_front();
+            self.placed.insert(id, (entry, engine));
+            steps.push(Step::Send(id, engine));
+        }
+    }
+
+    /// Moves free slots from entries without a queue to those with the longest.
+    fn rebalance(&mut self, now: u64, steps: &mut Vec<Step>) {
+        loop {
+            let giver = (0..DAEMONS)
+                .filter(|n| self.queues[*n].is_empty())
+                .max_by_key(|n| self.free[*n].len());
+            let taker = (0..DAEMONS)
+                .filter(|n| self.queues[*n].len() > self.free[*n].len())
+                .max_by_key(|n| self.queues[*n].len());
+            let (Some(giver), Some(taker)) = (giver, taker) else {
+                break;
+            };
+            if self.free[giver].len() < 2 {
+                break;
+            }
+            let slot = self.free[giver].pop();
+            self.free[taker].extend(slot);
+            self.moved += 1;
+            self.pump(now, taker, steps);
+        }
+    }
+}
+
+impl Policy for ByLease {
+    fn arrive(&mut self, now: u64, request: &Request, steps: &mut Vec<Step>) {
+        let entry = draw_entry(&mut self.rng, self.skew);
+        self.queues[entry].push_back((request.id, request.deadline));
+        self.pump(now, entry, steps);
+    }
+
+    fn finish(&mut self, now: u64, end: &Ended<'_>, steps: &mut Vec<Step>) {
+        if let Some((entry, engine)) = self.placed.remove(&end.request.id) {
+            self.free[entry].push(engine);
+            self.pump(now, entry, steps);
+        }
+    }
+
+    fn tick(&mut self, now: u64, steps: &mut Vec<Step>) {
+        if now.is_multiple_of(LEASE_MS) {
+            self.rebalance(now, steps);
+        }
+    }
+}
+
+fn serve<P>(requests: &[Request], policy: &mut P) -> Value
+where
+    P: Policy,
+{
+    let engines = vec![Engine::new(0); DAEMONS * PER_DAEMON];
+    let outcome = run(requests, policy, engines, SLOTS);
+    let good = requests.iter().filter(|r| is_good(r, &outcome)).count();
+    let waits = requests
+        .iter()
+        .filter_map(|r| Some(outcome.fates[r.id as usize].sent?.1 - r.at));
+    let (count, sum) = waits.fold((0, 0), |(count, sum), wait| (count + 1, sum + wait));
+    json!({
+        "good_share": good as f64 / requests.len() as f64,
+        "mean_wait_ms": sum as f64 / f64::from(count.max(1)),
+        "p99_ms": p99_ms(requests, &outcome, |_| true),
+    })
+}
+
+/// Draws the entry that a request comes in at.
+fn draw_entry(rng: &mut SmallRng, skew: f64) -> usize {
+    let hot = rng.random::<f64>() < skew;
+    rng.random_range(0..if hot { HOT } else { DAEMONS })
+}
+
+/// Runs both ways on the same requests, with an even and an uneven balancer.
+pub fn measure(seed: u64) -> Value {
+    let slots = (DAEMONS * PER_DAEMON) as f64 * f64::from(SLOTS);
+    let rate = slots * 1000.0 / mean_service_ms() * LOAD;
+    let source = Source {
+        team: 0,
+        class: Class::Interactive,
+        rate: |_: u64| rate,
+    };
+    let requests = draw(seed, END_MS, 1 << 40, &[source]);
+    json!({
+        "even": compare(seed, 0.0, &requests),
+        "skewed": compare(seed, SKEW, &requests),
+    })
+}
+
+fn compare(seed: u64, skew: f64, requests: &[Request]) -> Value {
+    let mut leases = ByLease::open(seed, skew);
+    json!({
+        "by_owner": serve(requests, &mut ByOwner::open(seed, skew)),
+        "by_lease": serve(requests, &mut leases),
+        "leases_moved_each_s": leases.moved as f64 * 1000.0 / END_MS as f64,
+    })
+}
--- a/crates/dandelion-route/src/queue/arrive.rs
+++ b/crates/dandelion-route/src/queue/arrive.rs
@@ -24,7 +24,8 @@
             return;
         }
         if !self.make_room(now, &arrival, actions) {
-            let after = self.pace.service(arrival.work.cost());
+            let index = self.teams.index(arrival.team.as_ref());
+            let after = self.predict_wait(index, &arrival);
             let refusal = admission::overloaded(&self.settings.service, ticket, after);
             actions.push(Action::Refuse { ticket, refusal });
             return;
@@ -53,11 +54,17 @@
         if self.teams.get(index).queues[class].is_empty() && self.pool.has_free() {
             return None;
         }
+        let wait = self.predict_wait(index, arrival);
+        let most = self.teams.get(index).expect_most(arrival.work).cost();
+        let needed = wait + self.pace.service(most);
+        (needed > left).then(|| admission::overloaded(service, ticket, needed - left))
+    }
+
+    fn predict_wait(&self, index: usize, arrival: &Arrival) -> Millis {
         let slots = self.pool.limits();
+        let class = class_index(arrival.class);
         let cost = self.teams.get(index).expect(arrival.work).cost();
-        let wait = admission::predict_wait(&self.teams, &self.pace, slots, index, class, cost);
-        let needed = wait + self.pace.service(cost);
-        (needed > left).then(|| admission::overloaded(service, ticket, needed - left))
+        admission::predict_wait(&self.teams, &self.pace, slots, index, class, cost)
     }
 
     /// Makes room in a full queue by refusing the newest request of the team that has the longest
@@ -83,7 +90,7 @@
         };
         let ticket = waiting.arrival.ticket;
         self.forget(&waiting);
-        let after = self.pace.service(waiting.work.cost());
+        let after = self.predict_wait(longest, &waiting.arrival);
         let refusal = admission::overloaded(&self.settings.service, ticket, after);
         actions.push(Action::Refuse { ticket, refusal });
         true
@@ -91,8 +98,10 @@
 
     pub(super) fn enqueue(&mut self, now: Millis, arrival: Arrival) {
         let index = self.teams.index(arrival.team.as_ref());
-        let work = self.teams.get(index).expect(arrival.work);
-        let latest = arrival.deadline - self.pace.service(work.cost());
+        let team = self.teams.get(index);
+        let work = team.expect(arrival.work);
+        let most = team.expect_most(arrival.work);
+        let latest = arrival.deadline - self.pace.service(most.cost());
         let waiting = Waiting {
             work,
             latest,
@@ -136,11 +145,11 @@
             Some(Place::Team(index, _, _)) => self.teams.is_limited(*index),
             _ => false,
         };
-        let Some((_, waiting)) = self.withdraw(now, ticket) else {
+        let Some((team, waiting)) = self.withdraw(now, ticket) else {
             return;
         };
         let service = &self.settings.service;
-        let after = self.pace.service(waiting.work.cost());
+        let after = self.predict_wait(team, &waiting.arrival);
         let refusal = if limited {
             admission::over_limit(service, ticket, after)
         } else if self.pool.limits() == 0 {
--- a/crates/dandelion-route/src/queue/team.rs
+++ b/crates/dandelion-route/src/queue/team.rs
@@ -19,6 +19,9 @@
 /// Weight of a new sample in the smoothed prediction ratio, as a divisor.
 const SMOOTHING: u64 = 16;
 
+/// Mean deviations added to a mean for an upper estimate.
+const DEVIATIONS: u64 = 2;
+
 /// Milliseconds in a minute.
 const MINUTE_MS: u64 = 60_000;
 
@@ -89,6 +92,7 @@
     max_inflight: Option<u32>,
     bucket: Option<Bucket>,
     ratio: u64,
+    deviation: u64,
 }
 
 impl Default for TeamState {
@@ -103,6 +107,7 @@
             max_inflight: None,
             bucket: None,
             ratio: 1000,
+            deviation: 0,
         }
     }
 }
@@ -149,6 +154,15 @@
         }
     }
 
+    /// Returns the work that a request may well come to, which its deadline must allow for.
+    pub fn expect_most(&self, predicted: Work) -> Work {
+        let ratio = self.ratio + DEVIATIONS * self.deviation;
+        Work {
+            prompt: predicted.prompt,
+            output: predicted.output * ratio / 1000,
+        }
+    }
+
     /// Replaces what was charged for a request by `now`; generated tokens count against the rate.
     pub fn settle(&mut self, class: usize, before: Work, now: Work) {
         let charge =
@@ -164,6 +178,8 @@
     /// Learns from a finished request how far predictions are off.
     pub fn learn(&mut self, predicted: Work, actual: Work) {
         let seen = (actual.output * 1000 / predicted.output.max(1)).clamp(10, 4000);
+        let off = self.ratio.abs_diff(seen);
+        self.deviation = (self.deviation * (SMOOTHING - 1) + off) / SMOOTHING;
         self.ratio = (self.ratio * (SMOOTHING - 1) + seen) / SMOOTHING;
     }
 }
--- /dev/null
+++ b/crates/dandelion-route/tests/scenarios.rs
@@ -0,0 +1,75 @@
+//! Bounds that the queue model must hold on every seed tried.
+
+#[path = "../examples/model/parts/mod.rs"]
+mod parts;
+
+use serde_json::Value;
+
+const SEEDS: [u64; 3] = [1, 2, 3];
+
+fn figure(report: &Value, path: &str) -> f64 {
+    let found = report.pointer(path).and_then(Value::as_f64);
+    found.unwrap_or_else(|| panic!("no {path} in {report}"))
+}
+
+#[test]
+fn fairness() {
+    for seed in SEEDS {
+        let report = parts::fairness::measure(seed);
+        assert!(figure(&report, "/worst_team_share") >= 0.9, "{report}");
+        assert!(
+            figure(&report, "/baseline_worst_team_share") < 0.9,
+            "{report}"
+        );
+        let own = figure(&report, "/interactive_p99_ms");
+        assert!(own < figure(&report, "/baseline_p99_ms"), "{report}");
+        assert!(figure(&report, "/false_not_run") < 1.0, "{report}");
+    }
+}
+
+#[test]
+fn overload() {
+    for seed in SEEDS {
+        let report = parts::overload::measure(seed);
+        assert!(figure(&report, "/goodput_ratio") >= 0.9, "{report}");
+        assert!(figure(&report, "/baseline_goodput_ratio") < 0.9, "{report}");
+        assert!(figure(&report, "/refused_at_capacity") < 0.05, "{report}");
+        assert!(figure(&report, "/false_not_run") < 1.0, "{report}");
+    }
+}
+
+#[test]
+fn poison() {
+    for seed in SEEDS {
+        let report = parts::poison::measure(seed);
+        assert!(
+            figure(&report, "/upstreams_lost_per_poison") <= 2.0,
+            "{report}"
+        );
+        assert!(figure(&report, "/innocents_refused") < 1.0, "{report}");
+    }
+}
+
+#[test]
+fn affinity() {
+    for seed in SEEDS {
+        let report = parts::affinity::measure(seed);
+        let gained = figure(&report, "/hit_rate") / figure(&report, "/baseline_hit_rate");
+        assert!(gained >= 2.0, "{report}");
+        assert!(figure(&report, "/load_spread") <= 1.25, "{report}");
+        let slower = figure(&report, "/p99_ms") / figure(&report, "/baseline_p99_ms");
+        assert!(slower <= 1.1, "{report}");
+    }
+}
+
+#[test]
+fn routing() {
+    for seed in SEEDS {
+        let report = parts::routing::measure(seed);
+        for case in ["/even", "/skewed"] {
+            let owner = figure(&report, &format!("{case}/by_owner/mean_wait_ms"));
+            let lease = figure(&report, &format!("{case}/by_lease/mean_wait_ms"));
+            assert!(owner < lease, "{case} {report}");
+        }
+    }
+}
