Drive the coordinator through seeded histories with every fault

Cause: the coordinator was compiled but not exercised. Ruled out: a fresh cursor for the second copy; the ledger's record decides and the daemon adopts it.

--- a/crates/dandelion-rollout/src/coordinator/action.rs
+++ b/crates/dandelion-rollout/src/coordinator/action.rs
@@ -69,6 +69,8 @@
     },
     /// Prompts fed in all (200).
     Fed(u64),
+    /// The lease was renewed for this long, or handed back if zero (200).
+    Renewed(Millis),
     /// Newest version (200).
     Published(WeightVersion),
     /// Refusal.
--- a/crates/dandelion-rollout/src/coordinator/dispatch.rs
+++ b/crates/dandelion-rollout/src/coordinator/dispatch.rs
@@ -20,6 +20,9 @@
 /// Quantile of observed sample times by which a sample is predicted to be done.
 const PREDICTED_PERMILLE: u32 = 500;
 
+/// Longest samples that a reservation in the ledger covers at the least.
+const MIN_CHUNK: u64 = 16;
+
 impl Coordinator {
     /// Sends attempts until capacity, budget, staleness or work runs out.
     pub(super) fn dispatch(&mut self, now: Millis, out: &mut Actions) {
@@ -127,8 +130,7 @@
 
     fn chunk(&self) -> u64 {
         let share = self.job.token_budget * self.settings.chunk_permille / 1000;
-        let inflight = self.capacity as u64 * u64::from(self.job.max_tokens);
-        share.max(inflight).max(u64::from(self.job.max_tokens))
+        share.max(u64::from(self.job.max_tokens) * MIN_CHUNK)
     }
 
     fn ask_budget(&mut self, now: Millis, out: &mut Actions) {
--- a/crates/dandelion-rollout/src/coordinator/event.rs
+++ b/crates/dandelion-rollout/src/coordinator/event.rs
@@ -8,6 +8,7 @@
 use dandelion_protocol::outcome::Ran;
 use dandelion_protocol::rollout::FeedRequest;
 use dandelion_protocol::rollout::PullRequest;
+use dandelion_protocol::rollout::TrainerId;
 
 use crate::attribution::SegmentReport;
 use crate::ledger::LedgerRefusal;
@@ -72,6 +73,15 @@
         /// Request.
         request: PullRequest,
     },
+    /// A trainer renews its lease while it trains.
+    Renew {
+        /// Where to answer.
+        ticket: Ticket,
+        /// Trainer process.
+        trainer: TrainerId,
+        /// Whether it hands the lease back instead.
+        release: bool,
+    },
     /// The connection behind a ticket is gone.
     TicketClosed {
         /// Ticket.
@@ -137,7 +147,8 @@
         match self {
             Self::Prompts { ticket, .. }
             | Self::Publish { ticket, .. }
-            | Self::Pull { ticket, .. } => Some(*ticket),
+            | Self::Pull { ticket, .. }
+            | Self::Renew { ticket, .. } => Some(*ticket),
             _ => None,
         }
     }
--- a/crates/dandelion-rollout/src/coordinator/machine.rs
+++ b/crates/dandelion-rollout/src/coordinator/machine.rs
@@ -56,7 +56,7 @@
     pub(super) pool: Pool,
     pub(super) feeds: Vec<FeedState>,
     pub(super) feeding: BTreeMap<u64, PendingFeed>,
-    pub(super) publishing: BTreeMap<Token, Ticket>,
+    pub(super) asking: BTreeMap<Token, Ticket>,
     pub(super) done: RangeSet,
     pub(super) current: Option<BatchRecord>,
     pub(super) payload: Option<Arc<Batch>>,
@@ -115,7 +115,7 @@
             pool: Pool::default(),
             feeds: Vec::new(),
             feeding: BTreeMap::new(),
-            publishing: BTreeMap::new(),
+            asking: BTreeMap::new(),
             done: RangeSet::default(),
             current: None,
             payload: None,
@@ -173,10 +173,15 @@
             Event::Prompts { ticket, request } => self.on_prompts(ticket, request, out),
             Event::Publish { ticket, version } => {
                 let token = self.propose(now, LedgerChange::Publish { version }, out);
-                self.publishing.insert(token, ticket);
+                self.asking.insert(token, ticket);
             }
             Event::Published { version } => self.on_published(now, version, out),
             Event::Pull { ticket, request } => self.on_pull(now, ticket, request, out),
+            Event::Renew {
+                ticket,
+                trainer,
+                release,
+            } => self.on_renew(now, ticket, trainer, release, out),
             Event::TicketClosed { ticket } => self.on_closed(ticket),
             Event::Progress {
                 attempt,
--- a/crates/dandelion-rollout/src/coordinator/pool.rs
+++ b/crates/dandelion-rollout/src/coordinator/pool.rs
@@ -82,15 +82,33 @@
 
     /// Forgets groups that are acknowledged.
     pub fn forget(&mut self, groups: &RangeSet) {
-        for (start, end) in groups.iter() {
-            self.waiting.remove(start, end);
-        }
         for number in groups.numbers() {
             self.prompts.remove(&number);
             self.dropped.remove(&number);
         }
     }
 
+    /// Takes groups out that a frozen batch holds; returns their attempts under way.
+    pub fn withdraw(&mut self, groups: &RangeSet) -> Vec<AttemptId> {
+        for (start, end) in groups.iter() {
+            self.waiting.remove(start, end);
+        }
+        let attempts = groups.numbers().flat_map(|number| self.remove(number));
+        attempts.collect()
+    }
+
+    fn remove(&mut self, group: u64) -> Vec<AttemptId> {
+        let Some(state) = self.groups.remove(&group) else {
+            return Vec::new();
+        };
+        self.ready.remove(&group);
+        for index in 0..state.slots.len() as u32 {
+            self.queue.remove(&(group, index));
+        }
+        let running = state.slots.into_iter().flat_map(|slot| slot.running);
+        running.collect()
+    }
+
     /// Puts groups back that are to be generated anew.
     pub fn restart(&mut self, groups: &RangeSet) {
         for number in groups.numbers() {
@@ -247,17 +265,8 @@
 
     /// Gives a group up; returns its attempts under way.
     pub fn give_up(&mut self, group: u64) -> Vec<AttemptId> {
-        let Some(state) = self.groups.remove(&group) else {
-            return Vec::new();
-        };
-        self.ready.remove(&group);
-        self.queue.retain(|place| place.0 != group);
         self.dropped.insert(group);
-        state
-            .slots
-            .into_iter()
-            .flat_map(|slot| slot.running)
-            .collect()
+        self.remove(group)
     }
 
     /// Returns the groups that are given up and not reported yet.
--- a/crates/dandelion-rollout/src/coordinator/proposals.rs
+++ b/crates/dandelion-rollout/src/coordinator/proposals.rs
@@ -89,6 +89,9 @@
             LedgerChange::Lead { .. } => self.on_lead(now, result, out),
             LedgerChange::Feed { feed } => self.on_feed_answer(&feed, result, out),
             LedgerChange::Publish { .. } => self.on_publish_answer(now, token, result, out),
+            LedgerChange::Renew { trainer, lease } => {
+                self.on_renew_answer(now, token, (&trainer, lease), result, out);
+            }
             LedgerChange::Take { skipped, .. } => {
                 self.on_take_answer(now, token, skipped, result, out);
             }
@@ -132,7 +135,7 @@
         result: LedgerResult,
         out: &mut Actions,
     ) {
-        let ticket = self.publishing.remove(&token);
+        let ticket = self.asking.remove(&token);
         let answer = match result {
             Ok(LedgerReply::Published(version)) => {
                 out.push(Action::PublishConfig(version));
@@ -156,12 +159,8 @@
         let pull = self.pull.take().map(|pull| pull.ticket);
         let feeds = std::mem::take(&mut self.feeding);
         let feeds = feeds.into_values().map(|feed| feed.ticket);
-        let publishing = std::mem::take(&mut self.publishing);
-        for ticket in pull
-            .into_iter()
-            .chain(feeds)
-            .chain(publishing.into_values())
-        {
+        let asking = std::mem::take(&mut self.asking);
+        for ticket in pull.into_iter().chain(feeds).chain(asking.into_values()) {
             Self::reply(ticket, Answer::Refused(moved()), out);
         }
         out.push(Action::StepDown);
--- a/crates/dandelion-rollout/src/coordinator/pull.rs
+++ b/crates/dandelion-rollout/src/coordinator/pull.rs
@@ -6,6 +6,7 @@
 use dandelion_protocol::outcome::RefusalCode;
 use dandelion_protocol::rollout::Batch;
 use dandelion_protocol::rollout::PullRequest;
+use dandelion_protocol::rollout::TrainerId;
 use dandelion_protocol::rollout::VoidReason;
 use dandelion_protocol::time::Millis;
 
@@ -94,6 +95,43 @@
         self.unpark(now, out);
     }
 
+    pub(super) fn on_renew(
+        &mut self,
+        now: Millis,
+        ticket: Ticket,
+        trainer: TrainerId,
+        release: bool,
+        out: &mut Actions,
+    ) {
+        let lease = if release {
+            Millis::ZERO
+        } else {
+            self.settings.lease
+        };
+        let token = self.propose(now, LedgerChange::Renew { trainer, lease }, out);
+        self.asking.insert(token, ticket);
+    }
+
+    pub(super) fn on_renew_answer(
+        &mut self,
+        now: Millis,
+        token: Token,
+        asked: (&TrainerId, Millis),
+        result: Result<LedgerReply, LedgerRefusal>,
+        out: &mut Actions,
+    ) {
+        let answer = match result {
+            Ok(_) => {
+                self.holder = Some((asked.0.clone(), now + asked.1));
+                Answer::Renewed(asked.1)
+            }
+            Err(refusal) => Answer::Refused(refused(&refusal)),
+        };
+        if let Some(ticket) = self.asking.remove(&token) {
+            Self::reply(ticket, answer, out);
+        }
+    }
+
     fn refuse_pull(&self, now: Millis, request: &PullRequest) -> Option<Refusal> {
         if self.job.ended {
             return Some(refused(&LedgerRefusal::Ended));
@@ -184,11 +222,22 @@
             CursorState::Open => self.settle_batch(skipped, out),
             CursorState::Cut(record) | CursorState::Stale(record) => {
                 self.next_cursor = record.cursor + 1;
-                self.current = Some(record.clone());
+                if self.current.as_ref() != Some(record) {
+                    self.adopt_batch(record, out);
+                }
             }
         }
     }
 
+    /// Learns of a frozen batch by the ledger, as when a cut took effect after all.
+    fn adopt_batch(&mut self, record: &BatchRecord, out: &mut Actions) {
+        for attempt in self.pool.withdraw(&record.groups) {
+            self.cancel(attempt, out);
+        }
+        self.current = Some(record.clone());
+        self.payload = None;
+    }
+
     fn on_cursor(&mut self, now: Millis, state: CursorState, out: &mut Actions) {
         if let Some(pull) = &self.pull {
             self.holder = Some((pull.request.trainer.clone(), now + self.settings.lease));
--- a/crates/dandelion-rollout/src/ledger/command.rs
+++ b/crates/dandelion-rollout/src/ledger/command.rs
@@ -61,6 +61,13 @@
         /// Staleness bound now in force.
         bound: u64,
     },
+    /// Renews the trainer's lease while it trains; a zero length hands it back.
+    Renew {
+        /// Trainer process.
+        trainer: TrainerId,
+        /// Length of its lease.
+        lease: Millis,
+    },
     /// Freezes the groups of a cursor.
     Cut {
         /// Epoch of the daemon in charge.
@@ -180,6 +187,8 @@
     Fed(u64),
     /// Answer to `Publish`: newest version.
     Published(WeightVersion),
+    /// Answer to `Renew`: end of the lease.
+    Renewed(WallMillis),
     /// Answer to `Take`.
     Taken {
         /// How the cursor stands.
--- a/crates/dandelion-rollout/src/ledger/job.rs
+++ b/crates/dandelion-rollout/src/ledger/job.rs
@@ -78,6 +78,17 @@
         }
     }
 
+    /// Returns the newest published version.
+    pub fn published(&self) -> WeightVersion {
+        self.published
+    }
+
+    /// Returns the trainer that holds the lease at `at`.
+    pub fn holder(&self, at: WallMillis) -> Option<&TrainerId> {
+        let lease = self.lease.as_ref().filter(|lease| at < lease.until);
+        lease.map(|lease| &lease.trainer)
+    }
+
     /// Returns the samples acknowledged so far.
     pub fn acknowledged(&self) -> u64 {
         self.samples
@@ -176,6 +187,19 @@
         })
     }
 
+    pub(super) fn renew(&mut self, at: WallMillis, trainer: &TrainerId, lease: Millis) -> Outcome {
+        if self.ended {
+            return Err(LedgerRefusal::Ended);
+        }
+        self.check_holder(at, trainer)?;
+        let until = WallMillis(at.0 + lease.min(MAX_LEASE).0);
+        self.lease = Some(Lease {
+            trainer: trainer.clone(),
+            until,
+        });
+        Ok(LedgerReply::Renewed(until))
+    }
+
     fn check_lease(&self, at: WallMillis, trainer: &TrainerId) -> Result<(), LedgerRefusal> {
         match &self.lease {
             Some(lease) if lease.trainer != *trainer && at < lease.until => {
--- a/crates/dandelion-rollout/src/ledger/table.rs
+++ b/crates/dandelion-rollout/src/ledger/table.rs
@@ -79,6 +79,7 @@
         } => Ok(job.lead(daemon, incarnation)),
         LedgerChange::Feed { feed } => job.feed(feed),
         LedgerChange::Publish { version } => Ok(job.publish(version)),
+        LedgerChange::Renew { trainer, lease } => job.renew(context.at, &trainer, lease),
         LedgerChange::Take {
             epoch,
             trainer,
--- a/crates/dandelion-rollout/src/payload.rs
+++ b/crates/dandelion-rollout/src/payload.rs
@@ -113,8 +113,25 @@
         self.blobs.get(&(job.clone(), blob))
     }
 
-    /// Forgets a payload.
+    /// Forgets a payload; a batch takes along all batches up to its cursor.
     pub fn release(&mut self, job: &JobId, blob: BlobId) {
+        let BlobId::Batch(cursor, _) = blob else {
+            self.remove(job, blob);
+            return;
+        };
+        let range =
+            (job.clone(), BlobId::Batch(0, 0))..=(job.clone(), BlobId::Batch(cursor, u64::MAX));
+        let old: Vec<BlobId> = self
+            .blobs
+            .range(range)
+            .map(|((_, blob), _)| *blob)
+            .collect();
+        for blob in old {
+            self.remove(job, blob);
+        }
+    }
+
+    fn remove(&mut self, job: &JobId, blob: BlobId) {
         if let Some(old) = self.blobs.remove(&(job.clone(), blob)) {
             self.held -= old.bytes();
         }
@@ -129,7 +146,7 @@
             .map(|(_, blob)| *blob)
             .collect();
         for blob in blobs {
-            self.release(job, blob);
+            self.remove(job, blob);
         }
     }
 
--- /dev/null
+++ b/crates/dandelion-rollout/tests/bench/shell.rs
@@ -0,0 +1,339 @@
+//! Carries out what coordinators ask for, with the faults of the run.
+
+use dandelion_kernel::ApplyContext;
+use dandelion_kernel::Table;
+use dandelion_protocol::codec;
+use dandelion_protocol::control::ProposeError;
+use dandelion_protocol::ids::Incarnation;
+use dandelion_protocol::ids::Revision;
+use dandelion_protocol::ids::WeightVersion;
+use dandelion_protocol::outcome::Ran;
+use dandelion_protocol::time::WallMillis;
+use dandelion_rollout::coordinator::Action;
+use dandelion_rollout::coordinator::Answer;
+use dandelion_rollout::coordinator::AttemptId;
+use dandelion_rollout::coordinator::Event;
+use dandelion_rollout::coordinator::Failure;
+use dandelion_rollout::coordinator::Token;
+use dandelion_rollout::coordinator::action::Generate;
+use dandelion_rollout::ledger::JobLedger;
+use dandelion_rollout::ledger::LedgerChange;
+use dandelion_rollout::ledger::LedgerCommand;
+use dandelion_rollout::payload::BlobId;
+use dandelion_rollout::payload::Payload;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::bench::engine::CHUNK;
+use crate::bench::engine::Stream;
+use crate::bench::faults::Mutation;
+use crate::bench::world::Happening;
+use crate::bench::world::World;
+
+impl World {
+    pub fn act(&mut self, index: usize, actions: Vec<Action>) {
+        for action in actions {
+            self.act_one(index, action);
+        }
+    }
+
+    fn act_one(&mut self, index: usize, action: Action) {
+        match action {
+            Action::Generate(request) => self.generate(index, &request),
+            Action::CancelAttempt(attempt) => self.cancel(index, attempt),
+            Action::Score(call) => {
+                let faults = self.faults();
+                let result = if self.roll(faults.score_failed) {
+                    Err(Ran::Unknown)
+                } else {
+                    Ok(call.text.len() as f64)
+                };
+                let attempt = call.attempt;
+                self.send_later(20, index, Event::Scored { attempt, result });
+            }
+            Action::Propose { token, command } => self.propose(index, token, command),
+            Action::PublishConfig(version) => self.spread(version),
+            Action::Reply { ticket, answer } => self.reply(ticket.0, answer),
+            Action::Replicate { blob, payload } => self.replicate(index, blob, &payload),
+            Action::Fetch { blob, holders } => {
+                let mut found = self.hosts.iter().filter(|host| holders.contains(&host.id));
+                let job = &self.plan.job.id;
+                let payload = found.find_map(|host| host.store.get(job, blob).cloned());
+                self.send_later(4, index, Event::Fetched { blob, payload });
+            }
+            Action::Release { blob, holders } => {
+                for host in self
+                    .hosts
+                    .iter_mut()
+                    .filter(|host| holders.contains(&host.id))
+                {
+                    host.store.release(&self.plan.job.id, blob);
+                }
+            }
+            Action::StepDown => self.retire(index),
+        }
+    }
+
+    fn replicate(&mut self, index: usize, blob: BlobId, payload: &Payload) {
+        let faults = self.faults();
+        let mut holders = vec![index];
+        if !self.roll(faults.single_holder) {
+            holders.push((index + 1) % self.hosts.len());
+        }
+        let job = self.plan.job.id.clone();
+        for holder in &holders {
+            let store = &mut self.hosts[*holder].store;
+            store
+                .put(job.clone(), blob, payload.clone())
+                .expect("store has room");
+        }
+        let holders = holders
+            .iter()
+            .map(|holder| self.hosts[*holder].id.clone())
+            .collect();
+        self.send_later(5, index, Event::Replicated { blob, holders });
+    }
+
+    fn propose(&mut self, index: usize, token: Token, command: LedgerCommand) {
+        let life = self.hosts[index].incarnation;
+        let faults = self.faults();
+        if self.roll(faults.ledger_late) {
+            let wait = self.rng.random_range(20..10_000);
+            let copy = Box::new(command.clone());
+            self.after(wait, Happening::Apply(index, life, token, copy, false));
+        }
+        let answers = !self.roll(faults.ledger_lost);
+        self.after(
+            4,
+            Happening::Apply(index, life, token, Box::new(command), answers),
+        );
+    }
+
+    pub fn apply(
+        &mut self,
+        index: usize,
+        life: u64,
+        token: Token,
+        mut command: LedgerCommand,
+        answers: bool,
+    ) {
+        self.log_entries += 1;
+        // A proposal carries a 16-byte id, its author, a time and the table's name besides.
+        self.log_bytes += codec::encode(&command).unwrap().len() as u64 + 64;
+        self.mutate(&mut command.change);
+        let context = ApplyContext {
+            revision: Revision(self.log_entries),
+            at: WallMillis(self.now),
+            author: "bench",
+        };
+        let grants = matches!(
+            command.change,
+            LedgerChange::Take { .. } | LedgerChange::Cut { .. }
+        );
+        let drops = self.plan.mutation == Some(Mutation::DropReserve)
+            && matches!(command.change, LedgerChange::Reserve { .. });
+        let kept = drops.then(|| self.table.clone());
+        let result = self.table.apply(&context, command).unwrap();
+        if let Some(kept) = kept {
+            self.table = kept;
+        }
+        if grants && result.is_ok() {
+            let job = self.table.job(&self.plan.job.id);
+            self.authorised = job.map_or(self.authorised, JobLedger::published);
+        }
+        let answer = if answers {
+            Ok(result)
+        } else {
+            Err(ProposeError::Unknown)
+        };
+        if self.hosts[index].incarnation == life {
+            self.send_later(4, index, Event::LedgerAnswer { token, answer });
+        }
+    }
+
+    fn mutate(&self, change: &mut LedgerChange) {
+        match (self.plan.mutation, change) {
+            (Some(Mutation::AckSkipped), LedgerChange::Take { skipped, .. }) => *skipped = false,
+            (Some(Mutation::ForgetAcks), LedgerChange::Take { skipped, .. }) => *skipped = true,
+            (Some(Mutation::DropPublish), LedgerChange::Publish { version }) => {
+                *version = WeightVersion(0);
+            }
+            _ => {}
+        }
+    }
+
+    fn reply(&mut self, ticket: u64, answer: Answer) {
+        if let Answer::Batch(batch) = &answer {
+            let published = self.authorised.max(WeightVersion(self.trainer.version));
+            self.checks
+                .sent(batch, published, self.plan.job.max_staleness);
+        }
+        let faults = self.faults();
+        if !self.roll(faults.answer_lost) {
+            self.after(2, Happening::Answer(ticket, Box::new(answer)));
+        }
+    }
+
+    fn generate(&mut self, index: usize, request: &Generate) {
+        let engine = self.choose(request);
+        let Some(engine) = engine else {
+            let failure = Failure {
+                ran: Ran::NotRun,
+                tokens: Some(0),
+            };
+            let attempt = request.attempt;
+            self.send_later(5, index, Event::Failed { attempt, failure });
+            return;
+        };
+        let at = request.resume.tokens();
+        let stream = Stream {
+            at,
+            length: self
+                .length(request)
+                .min(at + request.max_tokens)
+                .max(at + 1),
+            made: 0,
+            since: self.engines[engine].version,
+            boot: self.engines[engine].boot,
+        };
+        let id = request.attempt.0;
+        self.engines[engine].streams.insert(id, stream);
+        self.routes
+            .insert(id, (index, self.hosts[index].incarnation));
+        self.schedule(engine, id);
+    }
+
+    fn choose(&self, request: &Generate) -> Option<usize> {
+        let free = |index: &usize| {
+            let engine = &self.engines[*index];
+            engine.streams.len() < engine.slots + 1 && engine.version >= request.min_version
+        };
+        let load = |index: &usize| {
+            let engine = &self.engines[*index];
+            (request.avoid.contains(&engine.name), engine.streams.len())
+        };
+        (0..self.engines.len()).filter(free).min_by_key(load)
+    }
+
+    /// Returns the tokens of a sample; it depends on the sample alone.
+    fn length(&self, request: &Generate) -> u32 {
+        let place = (request.sample.group, request.sample.index, self.plan.seed);
+        let mut rng = StdRng::seed_from_u64(xxh3_64(&codec::encode(&place).unwrap()));
+        let normal: f64 = (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0;
+        let tokens = self.plan.median * (0.7 * normal).exp();
+        (tokens as u32).clamp(1, self.plan.job.max_tokens)
+    }
+
+    fn schedule(&mut self, engine: usize, attempt: u64) {
+        let wait = f64::from(CHUNK) * self.engines[engine].pace;
+        self.after(wait.max(1.0) as u64, Happening::Stream(engine, attempt));
+    }
+
+    pub fn stream(&mut self, index: usize, attempt: u64) {
+        let faults = self.faults();
+        let lie = self.plan.mutation == Some(Mutation::ReportOrdered);
+        let engine = &mut self.engines[index];
+        if !engine.streams.contains_key(&attempt) {
+            return;
+        }
+        let report = engine.step(attempt, &faults, lie, &mut self.rng);
+        let upstream = engine.name.clone();
+        let over = engine.streams[&attempt].at >= engine.streams[&attempt].length;
+        if over {
+            engine.streams.remove(&attempt);
+        }
+        let id = AttemptId(attempt);
+        self.tell(
+            attempt,
+            2,
+            Event::Progress {
+                attempt: id,
+                upstream,
+                report,
+            },
+        );
+        if over {
+            self.tell(attempt, 3, Event::Done { attempt: id });
+            self.routes.remove(&attempt);
+        } else {
+            self.schedule(index, attempt);
+        }
+    }
+
+    fn tell(&mut self, attempt: u64, wait: u64, event: Event) {
+        let Some((host, life)) = self.routes.get(&attempt).copied() else {
+            return;
+        };
+        if self.hosts[host].incarnation == life {
+            self.send_later(wait, host, event);
+        }
+    }
+
+    fn cancel(&mut self, _host: usize, attempt: AttemptId) {
+        let made = self
+            .engines
+            .iter_mut()
+            .find_map(|engine| engine.streams.remove(&attempt.0))
+            .map(|stream| stream.made);
+        if let Some(made) = made {
+            self.fail(attempt.0, Ran::Ran, Some(made));
+        }
+    }
+
+    fn fail(&mut self, attempt: u64, ran: Ran, tokens: Option<u32>) {
+        let failure = Failure { ran, tokens };
+        let attempt_id = AttemptId(attempt);
+        self.tell(
+            attempt,
+            3,
+            Event::Failed {
+                attempt: attempt_id,
+                failure,
+            },
+        );
+        self.routes.remove(&attempt);
+    }
+
+    /// Restarts an engine under its address and name.
+    pub fn kill_engine(&mut self, index: usize, silent: u32) {
+        let boot = self.engines[index].boot.0 + 1;
+        self.engines[index].boot = Incarnation(boot);
+        let streams = std::mem::take(&mut self.engines[index].streams);
+        for (attempt, mut stream) in streams {
+            if self.roll(silent) {
+                stream.boot = Incarnation(boot);
+                self.engines[index].streams.insert(attempt, stream);
+                continue;
+            }
+            let known = self.roll(500).then_some(stream.made);
+            self.fail(attempt, Ran::Unknown, known);
+        }
+    }
+
+    /// Brings a published version to every coordinator and, staggered, to every engine.
+    fn spread(&mut self, version: WeightVersion) {
+        for host in 0..self.hosts.len() {
+            let wait = self.rng.random_range(5..800);
+            self.send_later(wait, host, Event::Published { version });
+        }
+        for engine in 0..self.engines.len() {
+            let wait = self.rng.random_range(500..4000);
+            self.after(wait, Happening::Swap(engine, version));
+        }
+    }
+
+    pub fn swap(&mut self, index: usize, version: WeightVersion) {
+        let faults = self.faults();
+        let failed = self.roll(faults.swap_failed);
+        let engine = &mut self.engines[index];
+        engine.ordered = engine.ordered.max(version);
+        if failed {
+            // It is ordered again until the engine itself reports the version.
+            self.after(3000, Happening::Swap(index, version));
+        } else {
+            engine.version = engine.version.max(version);
+        }
+    }
+}
