Fit the daemon to the queue's units of work and the trainer's lease

Cause: the routing package counts prompt and output work apart, the coordinator can renew leases. Conclusion: the daemon follows the packages' present seams.

--- a/crates/dandelion-daemon/src/node.rs
+++ b/crates/dandelion-daemon/src/node.rs
@@ -51,7 +51,10 @@
     }
 
     /// Boxed, because a call to the daemon itself makes its future part of itself.
-    #[expect(refining_impl_trait_reachable, reason = "the named type ends the recursion")]
+    #[expect(
+        refining_impl_trait_reachable,
+        reason = "the named type ends the recursion"
+    )]
     fn on_call(&self, _from: &DaemonId, body: CallBody) -> BoxFuture<'_, ReplyBody> {
         answer(&self.0, body).boxed()
     }
@@ -73,9 +76,7 @@
             ReplyBody::Copied
         }
         CallBody::Probe => ReplyBody::Alive,
-        CallBody::InForce(revision) => {
-            ReplyBody::InForce(operator::spread_here(core, revision))
-        }
+        CallBody::InForce(revision) => ReplyBody::InForce(operator::spread_here(core, revision)),
         CallBody::KeepPayload(_) | CallBody::FetchPayload(_) | CallBody::ReleasePayload(_) => {
             rollouts::answer_payload(core, &body)
         }
--- a/crates/dandelion-daemon/src/operator/cell.rs
+++ b/crates/dandelion-daemon/src/operator/cell.rs
@@ -3,6 +3,7 @@
 use dandelion_control::node::ReplicaStatus;
 use dandelion_control::raft::VoterChange;
 use dandelion_control::tables::ConfigTable;
+use dandelion_kernel::TableSet;
 use dandelion_net::clock;
 use dandelion_protocol::codec;
 use dandelion_protocol::config::Member;
@@ -180,7 +181,7 @@
 /// Exports the replicated state.
 pub fn export_snapshot(core: &Handle) -> Result<rpc::ExportSnapshotAnswer, RpcError> {
     let replica = replica(core)?;
-    let image = replica.read_all(|tables| tables.image());
+    let image = replica.read_all(TableSet::image);
     let encoded = image.and_then(|image| {
         let bytes = codec::encode(&image)?;
         Ok((image.revision, bytes))
@@ -299,7 +300,7 @@
 }
 
 fn explain_change(core: &Handle, id: &str) -> Result<Vec<rpc::ExplainLine>, RpcError> {
-    let revision: u64 = id.parse().map_err(|_| {
+    let revision: u64 = id.parse().map_err(|_not_number| {
         RpcError::invalid(
             "id",
             "it is not a revision",
--- a/crates/dandelion-daemon/src/operator/server.rs
+++ b/crates/dandelion-daemon/src/operator/server.rs
@@ -180,6 +180,6 @@
     }
 
     async fn usage_explain(&self, request: rpc::UsageExplainRequest) -> Answer<rpc::ExplainAnswer> {
-        usage::explain(&self.core, &request)
+        usage::explain(&self.core, request)
     }
 }
--- a/crates/dandelion-daemon/src/operator/usage.rs
+++ b/crates/dandelion-daemon/src/operator/usage.rs
@@ -67,7 +67,7 @@
 /// Says how a window's figures came about.
 pub fn explain(
     core: &Handle,
-    request: &rpc::UsageExplainRequest,
+    request: rpc::UsageExplainRequest,
 ) -> Result<rpc::ExplainAnswer, RpcError> {
     let replica = core.control.replica().ok_or_else(needs_control)?;
     let id = WindowId(request.window);
--- a/crates/dandelion-daemon/src/rollouts/generate.rs
+++ b/crates/dandelion-daemon/src/rollouts/generate.rs
@@ -83,19 +83,35 @@
     let stopped = {
         futures::pin_mut!(read, cancelled);
         select_biased! {
-            () = cancelled => Some(Ran::Unknown),
-            result = read => result.err(),
+            () = cancelled => Some(Stop::Cancelled),
+            result = read => result.err().map(Stop::Failed),
         }
     };
     match stopped {
         None => Ok(()),
-        Some(ran) => Err(Failure {
-            ran,
-            tokens: reading.tokens(ran),
+        Some(stop) => Err(Failure {
+            ran: stop.ran(),
+            tokens: reading.tokens(stop),
         }),
     }
 }
 
+/// Why an attempt stopped before its end.
+#[derive(Debug, Clone, Copy)]
+enum Stop {
+    Cancelled,
+    Failed(Ran),
+}
+
+impl Stop {
+    fn ran(self) -> Ran {
+        match self {
+            Self::Cancelled => Ran::Ran,
+            Self::Failed(ran) => ran,
+        }
+    }
+}
+
 /// An answer of an engine being read.
 struct Reading<'a> {
     core: &'a Handle,
@@ -144,11 +160,12 @@
         }
     }
 
-    /// Tokens of a stopped attempt. Those that were generated but not read are not known.
-    fn tokens(&self, ran: Ran) -> Option<u32> {
-        match ran {
-            Ran::NotRun => Some(0),
-            Ran::Unknown | Ran::Ran => Some(self.reader.tokens()),
+    /// Tokens of a stopped attempt, unless some may have been generated that were not read.
+    fn tokens(&self, stop: Stop) -> Option<u32> {
+        match stop {
+            Stop::Failed(Ran::NotRun) => Some(0),
+            Stop::Failed(Ran::Unknown) => None,
+            Stop::Cancelled | Stop::Failed(Ran::Ran) => Some(self.reader.tokens()),
         }
     }
 }
--- a/crates/dandelion-daemon/src/rollouts/payloads.rs
+++ b/crates/dandelion-daemon/src/rollouts/payloads.rs
@@ -38,10 +38,10 @@
     if keep_here(&core, &job, blob, payload.clone()) {
         holders.push(core.identity.daemon.clone());
     }
-    if let Some(other) = second_holder(&core, &job) {
-        if keep_there(&core, &other, &job, blob, payload).await {
-            holders.push(other);
-        }
+    if let Some(other) = second_holder(&core, &job)
+        && keep_there(&core, &other, &job, blob, payload).await
+    {
+        holders.push(other);
     }
     if let Some(driver) = core.rollouts.driver(&job) {
         driver.handle(&core, Event::Replicated { blob, holders });
--- a/crates/dandelion-daemon/src/rollouts/score.rs
+++ b/crates/dandelion-daemon/src/rollouts/score.rs
@@ -62,7 +62,7 @@
         }
     }
     let answer: Result<ScoreAnswer, _> = serde_json::from_slice(&body);
-    answer.map(|a| a.score).map_err(|_| Ran::Ran)
+    answer.map(|a| a.score).map_err(|_unreadable| Ran::Ran)
 }
 
 fn request(scorer: &ServiceId, team: &TeamId, call: &ScoreCall) -> ServeRequest {
--- a/crates/dandelion-daemon/src/rollouts/trainer.rs
+++ b/crates/dandelion-daemon/src/rollouts/trainer.rs
@@ -13,6 +13,7 @@
 use dandelion_protocol::rollout::FeedRequest;
 use dandelion_protocol::rollout::PublishRequest;
 use dandelion_protocol::rollout::PullRequest;
+use dandelion_protocol::rollout::RenewRequest;
 use dandelion_protocol::time::Millis;
 use dandelion_rollout::coordinator::Answer;
 use dandelion_rollout::coordinator::Event;
@@ -139,6 +140,15 @@
                 .ask(core, |ticket| Event::Pull { ticket, request })
                 .await
         }
+        "lease" => {
+            let RenewRequest { trainer, release } = parse(body)?;
+            let event = |ticket| Event::Renew {
+                ticket,
+                trainer,
+                release,
+            };
+            driver.ask(core, event).await
+        }
         _ => return Err(no_job()),
     };
     answer.ok_or_else(moving)
@@ -148,7 +158,7 @@
 fn split(path: &str) -> Result<(JobId, &str), Refusal> {
     let rest = path.strip_prefix(JOBS_PREFIX).ok_or_else(no_job)?;
     let (job, verb) = rest.split_once('/').ok_or_else(no_job)?;
-    let job = job.parse().map_err(|_| no_job())?;
+    let job = job.parse().map_err(|_bad_name| no_job())?;
     Ok((job, verb))
 }
 
@@ -175,6 +185,7 @@
             &json!({ "feed_again": { "first": first, "count": count } }),
         ),
         Answer::Fed(fed) => encode(200, &json!({ "fed": fed })),
+        Answer::Renewed(lease) => encode(200, &json!({ "lease_ms": lease.0 })),
         Answer::Published(version) => encode(200, &json!({ "version": version })),
         Answer::Refused(refusal) => refused(refusal),
     }
@@ -198,7 +209,7 @@
     Refusal::not_run(
         RefusalCode::NotFound,
         "no such job for this key",
-        "use /v1/jobs/JOB/prompts, versions or batch with a key of the job's team",
+        "use /v1/jobs/JOB/prompts, versions, batch or lease with a key of the job's team",
     )
 }
 
--- a/crates/dandelion-daemon/src/run.rs
+++ b/crates/dandelion-daemon/src/run.rs
@@ -267,7 +267,9 @@
         .map(|s| Secret::new(s.reveal().as_bytes()))
         .collect();
     let mut secrets = secrets.context("--mesh-secrets")?.into_iter();
-    let current = secrets.next().context("--mesh-secrets names no secret; give one")?;
+    let current = secrets
+        .next()
+        .context("--mesh-secrets names no secret; give one")?;
     let other = secrets.next();
     let hello = Hello {
         version: MESH_VERSION,
--- a/crates/dandelion-daemon/src/serve/auth.rs
+++ b/crates/dandelion-daemon/src/serve/auth.rs
@@ -58,7 +58,7 @@
         return Err(unauthorized("no key was sent"));
     };
     let (caller, key) = find(view, leased, wall, secret)?;
-    keys::check_scope(key, &service.id).map_err(|error| forbidden(&error))?;
+    keys::check_scope(key, &service.id).map_err(forbidden)?;
     Ok(caller)
 }
 
@@ -100,7 +100,7 @@
     )
 }
 
-fn forbidden(error: &KeyError) -> Refusal {
+fn forbidden(error: KeyError) -> Refusal {
     Refusal::not_run(
         RefusalCode::Forbidden,
         &error.to_string(),
--- a/crates/dandelion-daemon/src/serve/entry.rs
+++ b/crates/dandelion-daemon/src/serve/entry.rs
@@ -181,9 +181,7 @@
 ) -> Result<AnswerHead, Refusal> {
     let owner = pick(core, request)?;
     let mesh = core.mesh().ok_or_else(no_upstream)?;
-    let stream = mesh
-        .serve(&owner, request.clone())
-        .map_err(|e| lost_owner(&e))?;
+    let stream = mesh.serve(&owner, request.clone()).map_err(lost_owner)?;
     core.entry.owners().begin(&owner, &request.service);
     let result = first_part(stream, guard).await;
     core.entry.owners().end(&owner, &request.service);
@@ -194,8 +192,7 @@
 pub fn open(core: &Handle, request: &ServeRequest) -> Result<ServeStream, Refusal> {
     let owner = pick(core, request)?;
     let mesh = core.mesh().ok_or_else(no_upstream)?;
-    mesh.serve(&owner, request.clone())
-        .map_err(|e| lost_owner(&e))
+    mesh.serve(&owner, request.clone()).map_err(lost_owner)
 }
 
 async fn first_part(mut stream: ServeStream, guard: &StreamGuard) -> Result<AnswerHead, Refusal> {
@@ -218,8 +215,8 @@
             stream,
         }),
         Ok(ServePart::Failed(refusal)) => Err(refusal),
-        Ok(ServePart::Chunk(_) | ServePart::End { .. }) => Err(lost_owner(&CallError::Unknown)),
-        Err(error) => Err(lost_owner(&error)),
+        Ok(ServePart::Chunk(_) | ServePart::End { .. }) => Err(lost_owner(CallError::Unknown)),
+        Err(error) => Err(lost_owner(error)),
     }
 }
 
@@ -269,7 +266,7 @@
     refusal.with_ran(Ran::Unknown)
 }
 
-fn lost_owner(error: &CallError) -> Refusal {
+fn lost_owner(error: CallError) -> Refusal {
     let ran = match error {
         CallError::NotSent => Ran::NotRun,
         CallError::Unknown => Ran::Unknown,
--- a/crates/dandelion-daemon/src/serve/exchange.rs
+++ b/crates/dandelion-daemon/src/serve/exchange.rs
@@ -129,8 +129,7 @@
             }
         };
         match stop {
-            None => None,
-            Some(Stop::CallerGone) => None,
+            None | Some(Stop::CallerGone) => None,
             Some(Stop::Interrupted(verdict)) => Some(self.interrupted(&verdict)),
             Some(Stop::Failed(error)) => {
                 self.judge(&error, upstream, boot, address).await;
@@ -183,15 +182,16 @@
             parts.send(ServePart::Chunk(bytes)).await?;
             if self.meter.output() >= told + PROGRESS_TOKENS {
                 told = self.meter.output();
-                self.report_progress(told);
+                self.report_progress();
             }
         }
         Ok(())
     }
 
-    fn report_progress(&self, tokens: u64) {
+    fn report_progress(&self) {
         let ticket = self.ticket;
-        let event = QueueEvent::Progress { ticket, tokens };
+        let work = self.meter.work();
+        let event = QueueEvent::Progress { ticket, work };
         self.shard.handle(clock::boot_now(), event);
     }
 
@@ -254,9 +254,9 @@
         match self.began {
             None => self.shard.cancel(now, self.ticket),
             Some(began) => {
-                let tokens = self.meter.prompt() + self.meter.output();
+                let work = self.meter.work();
                 self.shard
-                    .finish(now, self.ticket, self.finish, tokens, began);
+                    .finish(now, self.ticket, self.finish, work, began);
             }
         }
     }
--- a/crates/dandelion-daemon/src/serve/meter.rs
+++ b/crates/dandelion-daemon/src/serve/meter.rs
@@ -1,5 +1,6 @@
 //! Counts tokens in an engine's event stream as it passes through.
 
+use dandelion_route::ticket::Work;
 use serde::Deserialize;
 
 /// Longest line that is kept across two chunks, in bytes.
@@ -66,6 +67,14 @@
         self.prompt
     }
 
+    /// Returns the work done so far.
+    pub fn work(&self) -> Work {
+        Work {
+            prompt: self.prompt,
+            output: self.output,
+        }
+    }
+
     /// Returns whether the engine marked the end of its answer.
     pub fn is_done(&self) -> bool {
         self.done
--- a/crates/dandelion-daemon/src/serve/prepare.rs
+++ b/crates/dandelion-daemon/src/serve/prepare.rs
@@ -16,6 +16,7 @@
 use dandelion_route::ticket::Fingerprint;
 use dandelion_route::ticket::PrefixHash;
 use dandelion_route::ticket::Ticket;
+use dandelion_route::ticket::Work;
 use http_types::Request;
 
 use crate::serve::answer::REQUEST_ID_HEADER;
@@ -46,7 +47,7 @@
     let url = request.url();
     let rest = url.path().strip_prefix(PREFIX).ok_or_else(no_route)?;
     let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
-    let service = service.parse().map_err(|_| no_route())?;
+    let service = service.parse().map_err(|_bad_name| no_route())?;
     let target = match url.query() {
         Some(query) => format!("/{path}?{query}"),
         None => format!("/{path}"),
@@ -152,14 +153,23 @@
 
 /// Describes a request to the owner's queue.
 pub fn arrival(ticket: Ticket, now: Millis, request: &ServeRequest) -> Arrival {
-    let prompt_tokens = request.body.len() as u64 / BYTES_PER_TOKEN;
+    let work = Work {
+        prompt: request.body.len() as u64 / BYTES_PER_TOKEN,
+        output: PREDICTED_TOKENS,
+    };
     Arrival {
         ticket,
         team: request.team.clone(),
         class: request.class,
-        cost: PREDICTED_TOKENS + prompt_tokens,
+        work,
         deadline: now + request.timeout,
-        fingerprint: Fingerprint::of(request.team.as_ref(), &request.service, &request.body),
+        fingerprint: Fingerprint::of(
+            request.team.as_ref(),
+            &request.service,
+            &request.method,
+            &request.path,
+            &request.body,
+        ),
         prefix: Some(PrefixHash::of(&request.body)),
         resumable: request.class == Class::Rollout,
     }
--- a/crates/dandelion-daemon/src/serve/shard.rs
+++ b/crates/dandelion-daemon/src/serve/shard.rs
@@ -22,6 +22,7 @@
 use dandelion_route::queue::QueueSettings;
 use dandelion_route::ticket::Fingerprint;
 use dandelion_route::ticket::Ticket;
+use dandelion_route::ticket::Work;
 
 /// Verdicts that may wait for one request.
 const VERDICTS: usize = 4;
@@ -110,11 +111,11 @@
     }
 
     /// Reports the end of a dispatched request, after the crash that cut it if there was one.
-    pub fn finish(&self, now: Millis, ticket: Ticket, finish: Finish, tokens: u64, began: Millis) {
+    pub fn finish(&self, now: Millis, ticket: Ticket, finish: Finish, work: Work, began: Millis) {
         let event = QueueEvent::Finished {
             ticket,
             finish,
-            tokens,
+            work,
             latency: now.since(began),
         };
         let mut state = self.lock();
--- a/crates/dandelion-net/tests/common/mod.rs
+++ b/crates/dandelion-net/tests/common/mod.rs
@@ -58,7 +58,7 @@
     }
 
     async fn on_call(&self, _from: &DaemonId, body: CallBody) -> ReplyBody {
-        let CallBody::Forward { path, body } = body else {
+        let CallBody::Forward { path, body, .. } = body else {
             return ReplyBody::Announced;
         };
         let _gone = self.0.try_send(Seen::Call(path.clone()));
@@ -66,7 +66,11 @@
         if path == "wait" {
             std::future::pending::<()>().await;
         }
-        ReplyBody::Forwarded { status: 200, body }
+        ReplyBody::Forwarded {
+            status: 200,
+            content_type: String::new(),
+            body,
+        }
     }
 
     async fn on_serve(&self, _from: &DaemonId, request: ServeRequest, parts: &mut PartSender) {
@@ -176,6 +180,7 @@
 pub fn forward(path: &str) -> CallBody {
     CallBody::Forward {
         path: path.to_owned(),
+        content_type: String::new(),
         body: b"body".to_vec(),
     }
 }
@@ -183,6 +188,7 @@
 pub fn replied() -> ReplyBody {
     ReplyBody::Forwarded {
         status: 200,
+        content_type: String::new(),
         body: b"body".to_vec(),
     }
 }
