Run the whole path through daemon processes

Cause: nothing showed that a caller, an operator, a trainer and the usage report work together. Ruled out: an in-process cell, which would not show processes, sockets or files.

--- a/crates/dandelion-load/examples/load.rs
+++ b/crates/dandelion-load/examples/load.rs
@@ -1,11 +1,32 @@
 //! Runs one scenario of the load tool.
 
+use std::ffi::OsString;
+use std::process::ExitCode;
+
 use clap::Parser;
+use dandelion_load::cluster;
 use dandelion_load::options::Options;
 use dandelion_load::registry;
 
-fn main() -> anyhow::Result<()> {
-    let options = Options::parse();
+fn main() -> ExitCode {
+    let mut arguments = std::env::args_os();
+    if arguments
+        .nth(1)
+        .is_some_and(|first| first == cluster::DAEMON_ARGUMENT)
+    {
+        let program = OsString::from("dandelionrun");
+        return dandelion_daemon::run::run_from(std::iter::once(program).chain(arguments));
+    }
+    match run_scenario(&Options::parse()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("load: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run_scenario(options: &Options) -> anyhow::Result<()> {
     if options.list {
         for scenario in registry::SCENARIOS {
             println!("{:<10} {}", scenario.name, scenario.about);
--- /dev/null
+++ b/crates/dandelion-load/src/cluster/http.rs
@@ -0,0 +1,126 @@
+//! A caller or trainer over HTTP.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use dandelion_net::http::client::Client;
+use dandelion_net::http::client::ClientOptions;
+use dandelion_net::http::client::SendError;
+use dandelion_net::http::client::SendOptions;
+use dandelion_net::http::client::request;
+use dandelion_protocol::mesh::Header;
+use serde::Serialize;
+
+/// Longest answer read, in bytes.
+const MAX_ANSWER: usize = 64 * 1024 * 1024;
+
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    /// Returns the body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    /// Returns the tokens of an event stream, joined, and whether the stream marked its end.
+    pub fn tokens(&self) -> (String, bool) {
+        let mut text = String::new();
+        let mut done = false;
+        for line in self.text().lines() {
+            let Some(data) = line.strip_prefix("data:") else {
+                continue;
+            };
+            let event: serde_json::Value = serde_json::from_str(data).unwrap_or_default();
+            text.push_str(event["token"].as_str().unwrap_or_default());
+            done |= event["done"] == true;
+        }
+        (text, done)
+    }
+}
+
+/// Sends requests with a key.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    client: Client,
+    headers: Vec<Header>,
+    limit: Duration,
+}
+
+impl Default for Caller {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Caller {
+    /// Makes a caller without a key.
+    pub fn new() -> Self {
+        Self {
+            client: Client::new(ClientOptions::default()),
+            headers: Vec::new(),
+            limit: Duration::from_secs(45),
+        }
+    }
+
+    /// Adds a header to every request.
+    #[must_use]
+    pub fn with(mut self, name: &str, value: &str) -> Self {
+        self.headers.push(Header {
+            name: name.to_owned(),
+            value: value.to_owned(),
+        });
+        self
+    }
+
+    /// Shows a key with every request.
+    #[must_use]
+    pub fn with_key(self, secret: &str) -> Self {
+        self.with("authorization", &format!("Bearer {secret}"))
+    }
+
+    /// Gets a path.
+    pub async fn get(&self, to: SocketAddr, path: &str) -> Result<Answer, SendError> {
+        self.send(to, "GET", path, Vec::new()).await
+    }
+
+    /// Posts a JSON value.
+    pub async fn post<T>(&self, to: SocketAddr, path: &str, body: &T) -> Result<Answer, SendError>
+    where
+        T: Serialize + Sync,
+    {
+        let body = serde_json::to_vec(body).unwrap_or_default();
+        self.send(to, "POST", path, body).await
+    }
+
+    async fn send(
+        &self,
+        to: SocketAddr,
+        method: &str,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<Answer, SendError> {
+        let mut headers = self.headers.clone();
+        headers.push(Header {
+            name: "content-type".to_owned(),
+            value: "application/json".to_owned(),
+        });
+        let request = request(to, method, path, &headers, body).map_err(SendError::NotSent)?;
+        let options = SendOptions {
+            deadline: Instant::now() + self.limit,
+            progress: self.limit,
+            idempotent: false,
+        };
+        let mut exchange = self.client.send(to, request, &options).await?;
+        let status = exchange.status();
+        let body = exchange.read_all(MAX_ANSWER).await?;
+        Ok(Answer { status, body })
+    }
+}
--- a/crates/dandelion-load/src/lib.rs
+++ b/crates/dandelion-load/src/lib.rs
@@ -1,5 +1,6 @@
 //! Scenarios that load the system or its models and print what they measured.
 
+pub mod cluster;
 pub mod options;
 pub mod registry;
 pub mod scenarios;
--- a/crates/dandelion-load/src/registry.rs
+++ b/crates/dandelion-load/src/registry.rs
@@ -3,6 +3,7 @@
 use anyhow::Context;
 use serde_json::Value;
 
+use crate::scenarios::path;
 use crate::scenarios::spot;
 
 /// A scenario: its name, what it shows and how it is run with a seed.
@@ -17,11 +18,18 @@
 }
 
 /// Every scenario.
-pub const SCENARIOS: &[Scenario] = &[Scenario {
-    name: "spot",
-    about: "model: zones of cheap upstreams vanish, stock runs out, answers are lost",
-    run: spot::run,
-}];
+pub const SCENARIOS: &[Scenario] = &[
+    Scenario {
+        name: "path",
+        about: "processes: a caller, an operator, a trainer and the usage report through daemons",
+        run: path::run,
+    },
+    Scenario {
+        name: "spot",
+        about: "model: zones of cheap upstreams vanish, stock runs out, answers are lost",
+        run: spot::run,
+    },
+];
 
 /// Finds a scenario by name.
 pub fn find(name: &str) -> anyhow::Result<&'static Scenario> {
--- a/crates/dandelion-load/src/scenarios/mod.rs
+++ b/crates/dandelion-load/src/scenarios/mod.rs
@@ -1,3 +1,4 @@
 //! The scenarios, one a file.
 
+pub mod path;
 pub mod spot;
