Plan and order upstreams on the control leader

Cause: the fleet planner and order issuer had no process that fed them. Ruled out: planning in every daemon, which could order twice. Before: no order was ever sent.

--- a/crates/dandelion-daemon/src/core.rs
+++ b/crates/dandelion-daemon/src/core.rs
@@ -23,6 +23,7 @@
 use rand::Rng;
 
 use crate::control::Control;
+use crate::duties::FleetView;
 use crate::metrics::DaemonMetrics;
 use crate::node::Node;
 use crate::rollouts::Rollouts;
@@ -64,6 +65,8 @@
     pub rollouts: Rollouts,
     /// Metrics.
     pub metrics: DaemonMetrics,
+    /// What the control leader knows of all upstreams.
+    pub fleet: FleetView,
     /// HTTP client for upstreams and the platform.
     pub client: Client,
     trace: Mutex<TraceRing>,
@@ -100,6 +103,7 @@
             usage,
             rollouts: Rollouts::default(),
             metrics: parts.metrics,
+            fleet: FleetView::default(),
             client,
             trace: Mutex::new(TraceRing::open(MAX_DECISIONS)),
             mesh: OnceLock::new(),
--- /dev/null
+++ b/crates/dandelion-daemon/src/duties/inventory.rs
@@ -0,0 +1,82 @@
+//! Every daemon's report of owned upstreams and demand to the control leader.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use async_std::task;
+use dandelion_protocol::fleet::DemandReport;
+use dandelion_protocol::fleet::Inventory;
+use dandelion_protocol::fleet::UpstreamReport;
+use dandelion_protocol::ids::ServiceId;
+use dandelion_protocol::mesh::CallBody;
+use dandelion_protocol::usage::Class;
+use dandelion_route::registry::Record;
+
+use crate::core::Handle;
+
+/// Time between two reports.
+const PERIOD: Duration = Duration::from_secs(1);
+
+/// Longest wait for the leader.
+const TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Reports until the process ends.
+pub async fn run_inventory(core: Handle) {
+    loop {
+        task::sleep(PERIOD).await;
+        let (Some(leader), Some(mesh)) = (core.control.leader(), core.mesh()) else {
+            continue;
+        };
+        let call = CallBody::Report(inventory(&core));
+        // A lost report is made good by the next one.
+        let _lost = mesh.call(&leader, call, TIMEOUT).await;
+    }
+}
+
+fn inventory(core: &Handle) -> Inventory {
+    let records = core.owners.records();
+    let heard = records.iter().filter(|r| !r.silent);
+    Inventory {
+        upstreams: heard.map(|r| report(core, r)).collect(),
+        demand: demand(core),
+    }
+}
+
+fn report(core: &Handle, record: &Record) -> UpstreamReport {
+    let last = &record.last;
+    let shard = core.owners.shard(&last.service);
+    UpstreamReport {
+        upstream: last.upstream.clone(),
+        boot: last.boot,
+        service: last.service.clone(),
+        zone: last.zone.clone(),
+        price: last.price,
+        capacity: last.capacity,
+        inflight: shard.read(|queue| queue.inflight_at(&last.upstream)) as u32,
+        version: last.version,
+        leaving: record.leaving,
+    }
+}
+
+/// Requests here, and the rollouts that the jobs coordinated here want.
+fn demand(core: &Handle) -> Vec<DemandReport> {
+    let mut rows: BTreeMap<ServiceId, DemandReport> = BTreeMap::new();
+    let empty = |service: &ServiceId| DemandReport {
+        service: service.clone(),
+        interactive: 0,
+        rollout: 0,
+    };
+    for (service, shard) in core.owners.shards() {
+        let row = rows
+            .entry(service.clone())
+            .or_insert_with(|| empty(&service));
+        row.interactive = shard.demand(Class::Interactive);
+    }
+    for (service, wanted) in core.rollouts.wanted() {
+        let row = rows
+            .entry(service.clone())
+            .or_insert_with(|| empty(&service));
+        row.rollout += wanted;
+    }
+    rows.into_values().collect()
+}
--- a/crates/dandelion-daemon/src/duties/mod.rs
+++ b/crates/dandelion-daemon/src/duties/mod.rs
@@ -1,7 +1,14 @@
 //! Duties of the control leader towards the platform, each checked against the lease directly
 //! before it is carried out.
 
+mod fleet;
+mod inventory;
+mod orders;
 mod platform;
 mod usage;
+mod view;
 
+pub use fleet::run_fleet_duty;
+pub use inventory::run_inventory;
 pub use usage::run_usage_duty;
+pub use view::FleetView;
--- a/crates/dandelion-daemon/src/node.rs
+++ b/crates/dandelion-daemon/src/node.rs
@@ -55,8 +55,8 @@
         refining_impl_trait_reachable,
         reason = "the named type ends the recursion"
     )]
-    fn on_call(&self, _from: &DaemonId, body: CallBody) -> BoxFuture<'_, ReplyBody> {
-        answer(&self.0, body).boxed()
+    fn on_call(&self, from: &DaemonId, body: CallBody) -> BoxFuture<'_, ReplyBody> {
+        answer(&self.0, from.clone(), body).boxed()
     }
 
     async fn on_serve(&self, _from: &DaemonId, request: ServeRequest, parts: &mut PartSender) {
@@ -64,13 +64,17 @@
     }
 }
 
-async fn answer(core: &Handle, body: CallBody) -> ReplyBody {
+async fn answer(core: &Handle, from: DaemonId, body: CallBody) -> ReplyBody {
     match body {
         CallBody::Propose(proposal) => ReplyBody::Proposed(core.propose_here(proposal).await),
         CallBody::Announce(announcement) => {
             core.owners.announced(clock::boot_now(), announcement);
             ReplyBody::Announced
         }
+        CallBody::Report(inventory) => {
+            core.fleet.hear(clock::boot_now(), from, inventory);
+            ReplyBody::Announced
+        }
         CallBody::CopyUsage(reports) => {
             core.usage.keep(reports);
             ReplyBody::Copied
--- a/crates/dandelion-daemon/src/rollouts/jobs.rs
+++ b/crates/dandelion-daemon/src/rollouts/jobs.rs
@@ -10,6 +10,7 @@
 use dandelion_net::clock;
 use dandelion_protocol::config::Job;
 use dandelion_protocol::ids::JobId;
+use dandelion_protocol::ids::ServiceId;
 use dandelion_rollout::coordinator::Event;
 use dandelion_rollout::coordinator::RolloutCounts;
 use dandelion_rollout::coordinator::settings::TICK;
@@ -63,6 +64,17 @@
         self.driver(job).map(|driver| driver.counts())
     }
 
+    /// Returns the samples that each job in progress here wants generated at once: those of one
+    /// step, by service.
+    pub fn wanted(&self) -> Vec<(ServiceId, u32)> {
+        let drivers = self.list();
+        let jobs = drivers.iter().filter_map(|(_, driver)| driver.job());
+        let active = jobs.filter(|job| !job.ended);
+        active
+            .map(|job| (job.service.clone(), job.group_size * job.step_groups))
+            .collect()
+    }
+
     /// Takes over jobs and versions of the configuration.
     pub fn set_config(&self, core: &Handle, view: &View) {
         for (id, driver) in self.list() {
--- a/crates/dandelion-daemon/src/run.rs
+++ b/crates/dandelion-daemon/src/run.rs
@@ -301,11 +301,13 @@
     if let Some(outgoing) = outgoing {
         task::spawn(send_outgoing(core.clone(), outgoing));
         task::spawn(duties::run_usage_duty(core.clone()));
+        task::spawn(duties::run_fleet_duty(core.clone()));
         task::spawn(membership::run_probes(core.clone()));
     }
     task::spawn(run_feed(core.clone()));
     task::spawn(membership::run_join(core.clone()));
     task::spawn(zone::run_zone(core.clone()));
+    task::spawn(duties::run_inventory(core.clone()));
     task::spawn(usage::run_usage(core.clone()));
     task::spawn(rollouts::run_rollouts(core.clone()));
 }
--- a/crates/dandelion-daemon/src/serve/exchange.rs
+++ b/crates/dandelion-daemon/src/serve/exchange.rs
@@ -21,6 +21,7 @@
 use dandelion_protocol::outcome::Refusal;
 use dandelion_protocol::outcome::RefusalCode;
 use dandelion_protocol::time::Millis;
+use dandelion_protocol::usage::Class;
 use dandelion_protocol::usage::Counts;
 use dandelion_route::queue::Finish;
 use dandelion_route::queue::QueueEvent;
@@ -56,6 +57,7 @@
 /// One request in the queue or at its upstream. Dropping it settles its place in the queue.
 struct Flight<'a> {
     core: &'a Handle,
+    class: Class,
     shard: Arc<Shard>,
     ticket: Ticket,
     verdicts: Receiver<Verdict>,
@@ -75,12 +77,14 @@
 impl<'a> Flight<'a> {
     fn open(core: &'a Handle, request: &ServeRequest) -> Self {
         let shard = core.owners.shard(&request.service);
+        shard.begin(request.class);
         let ticket = Ticket(core.next_number());
         let now = clock::boot_now();
         let arrival = prepare::arrival(ticket, now, request);
         let verdicts = shard.arrive(now, arrival);
         Self {
             core,
+            class: request.class,
             shard,
             ticket,
             verdicts,
@@ -247,6 +251,7 @@
 
 impl Drop for Flight<'_> {
     fn drop(&mut self) {
+        self.shard.end(self.class);
         if self.settled {
             return;
         }
--- a/crates/dandelion-daemon/src/serve/shard.rs
+++ b/crates/dandelion-daemon/src/serve/shard.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 
 use async_channel::Receiver;
 use async_channel::Sender;
@@ -13,6 +15,7 @@
 use dandelion_protocol::ids::UpstreamId;
 use dandelion_protocol::outcome::Refusal;
 use dandelion_protocol::time::Millis;
+use dandelion_protocol::usage::Class;
 use dandelion_route::poison::SuspectNote;
 use dandelion_route::queue::Action;
 use dandelion_route::queue::Arrival;
@@ -76,6 +79,8 @@
 #[derive(Debug)]
 pub struct Shard {
     state: Mutex<State>,
+    interactive: AtomicU32,
+    rollout: AtomicU32,
 }
 
 impl Shard {
@@ -89,6 +94,8 @@
         };
         Self {
             state: Mutex::new(state),
+            interactive: AtomicU32::new(0),
+            rollout: AtomicU32::new(0),
         }
     }
 
@@ -105,6 +112,28 @@
         receiver
     }
 
+    fn demand_of(&self, class: Class) -> &AtomicU32 {
+        match class {
+            Class::Interactive => &self.interactive,
+            Class::Rollout => &self.rollout,
+        }
+    }
+
+    /// Counts a request that waits or runs here.
+    pub fn begin(&self, class: Class) {
+        self.demand_of(class).fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts the end of a request.
+    pub fn end(&self, class: Class) {
+        self.demand_of(class).fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Returns the requests of a class that wait or run here.
+    pub fn demand(&self, class: Class) -> u32 {
+        self.demand_of(class).load(Ordering::Relaxed)
+    }
+
     /// Feeds one event.
     pub fn handle(&self, now: Millis, event: QueueEvent) {
         self.lock().handle(now, event);
--- a/crates/dandelion-fakes/src/platform/server.rs
+++ b/crates/dandelion-fakes/src/platform/server.rs
@@ -18,6 +18,9 @@
 use dandelion_net::http::server::json;
 use dandelion_net::http::server::streamed;
 use dandelion_protocol::fleet::Order;
+use dandelion_protocol::fleet::OrderBody;
+use dandelion_protocol::ids::ZoneId;
+use dandelion_protocol::upstream::PriceKind;
 use http_types::Request;
 use http_types::Response;
 use serde_json::json as value;
@@ -48,6 +51,7 @@
     config: PlatformConfig,
     records: Mutex<Records>,
     losing: AtomicU32,
+    lacking: Mutex<BTreeSet<(ZoneId, PriceKind)>>,
     taken: Sender<Order>,
 }
 
@@ -67,6 +71,7 @@
             config,
             records: Mutex::default(),
             losing: AtomicU32::new(0),
+            lacking: Mutex::default(),
             taken: sender,
         });
         let listen = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -89,6 +94,16 @@
         self.state.losing.store(count, Ordering::SeqCst);
     }
 
+    /// Sets whether upstreams of a zone and price kind can be had.
+    pub fn set_stock(&self, zone: &ZoneId, price: PriceKind, has: bool) {
+        let mut lacking = lock(&self.state.lacking);
+        if has {
+            lacking.remove(&(zone.clone(), price));
+        } else {
+            lacking.insert((zone.clone(), price));
+        }
+    }
+
     /// Gives out each order that was taken, once, for whoever starts and stops the fakes.
     pub fn taken(&self) -> Receiver<Order> {
         self.taken.clone()
@@ -141,6 +156,12 @@
             Ok(order) => order,
             Err(refused) => return *refused,
         };
+        if self.lacks(&order) {
+            return json(
+                409,
+                &value!({ "accepted": false, "reason": "out_of_stock" }),
+            );
+        }
         let fencing = self.0.config.checks_fencing;
         let verdict = lock(&self.0.records).order(order.clone(), issuer, boot_now(), fencing);
         match verdict {
@@ -168,6 +189,15 @@
         }
     }
 
+    fn lacks(&self, order: &Order) -> bool {
+        match &order.body {
+            OrderBody::Start { zone, price, .. } => {
+                lock(&self.0.lacking).contains(&(zone.clone(), *price))
+            }
+            OrderBody::Stop { .. } => false,
+        }
+    }
+
     fn loses(&self) -> bool {
         let one_less = |left: u32| left.checked_sub(1);
         let losing = &self.0.losing;
--- a/crates/dandelion-fleet/src/plan/mod.rs
+++ b/crates/dandelion-fleet/src/plan/mod.rs
@@ -17,4 +17,5 @@
 pub use planner::PlannedChange;
 pub use reason::Reason;
 pub use reconcile::reconcile;
+pub use reconcile::upstream_name;
 pub use stock::StockBook;
--- a/crates/dandelion-fleet/src/plan/reconcile.rs
+++ b/crates/dandelion-fleet/src/plan/reconcile.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 
 use dandelion_protocol::fleet::OrderBody;
+use dandelion_protocol::ids::NameError;
 use dandelion_protocol::ids::RequestId;
 use dandelion_protocol::ids::UpstreamId;
 use dandelion_protocol::time::WallMillis;
@@ -26,6 +27,11 @@
     pub orphans: BTreeSet<UpstreamId>,
 }
 
+/// Returns the name that the upstream of a start order has to announce itself under.
+pub fn upstream_name(order: RequestId) -> Result<UpstreamId, NameError> {
+    format!("up-{:032x}", order.0).parse()
+}
+
 /// Compares `open` orders with the `announced` upstreams at `now`.
 ///
 /// `known` holds the upstreams of finished orders and those adopted before.
--- a/crates/dandelion-load/src/cluster/operator.rs
+++ b/crates/dandelion-load/src/cluster/operator.rs
@@ -93,7 +93,7 @@
             idempotent,
             timeout_ms: 30_000,
             floor: 0,
-            ceiling: 10,
+            ceiling: 0,
         };
         let request = rpc::PutServiceRequest {
             change: self.change(),
--- a/crates/dandelion-protocol/src/fleet.rs
+++ b/crates/dandelion-protocol/src/fleet.rs
@@ -3,10 +3,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::ids::Incarnation;
 use crate::ids::RequestId;
 use crate::ids::ServiceId;
 use crate::ids::Term;
 use crate::ids::UpstreamId;
+use crate::ids::WeightVersion;
 use crate::ids::ZoneId;
 use crate::upstream::PriceKind;
 
@@ -30,6 +32,49 @@
     },
 }
 
+/// An upstream as its owner reports it to the control leader.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamReport {
+    /// Upstream.
+    pub upstream: UpstreamId,
+    /// Its life.
+    pub boot: Incarnation,
+    /// Service.
+    pub service: ServiceId,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Price kind.
+    pub price: PriceKind,
+    /// Requests that it can run at once.
+    pub capacity: u32,
+    /// Requests running from its owner.
+    pub inflight: u32,
+    /// Weight version that it reports.
+    pub version: Option<WeightVersion>,
+    /// Whether it gets no new work.
+    pub leaving: bool,
+}
+
+/// Demand for a service as one daemon sees it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DemandReport {
+    /// Service.
+    pub service: ServiceId,
+    /// Interactive requests running and waiting.
+    pub interactive: u32,
+    /// Rollout requests running and wanted.
+    pub rollout: u32,
+}
+
+/// What a daemon tells the control leader for planning.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Inventory {
+    /// Owned upstreams.
+    pub upstreams: Vec<UpstreamReport>,
+    /// Demand by service.
+    pub demand: Vec<DemandReport>,
+}
+
 /// One order; idempotent by `id`, fenced by `term`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Order {
--- a/crates/dandelion-protocol/src/mesh.rs
+++ b/crates/dandelion-protocol/src/mesh.rs
@@ -7,6 +7,7 @@
 use crate::control::Answer;
 use crate::control::Proposal;
 use crate::control::ProposeError;
+use crate::fleet::Inventory;
 use crate::ids::CellId;
 use crate::ids::DaemonId;
 use crate::ids::Incarnation;
@@ -121,6 +122,8 @@
     Announce(Announcement),
     /// Asks whether the daemon is alive.
     Probe,
+    /// Reports owned upstreams and demand to the control leader.
+    Report(Inventory),
     /// Copies usage counters to a daemon of another zone.
     CopyUsage(Vec<CounterReport>),
     /// Asks the control leader how far a revision has reached.
