Drive the control group by random schedules of faults

Cause: nothing drove replication, lease and feed. Ruled out: faults of the harness (identities reused after a lost disk, fuses left burning after the healing).

--- a/crates/dandelion-control/src/feed/message.rs
+++ b/crates/dandelion-control/src/feed/message.rs
@@ -135,7 +135,10 @@
 /// What the daemons of one feeder have applied.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
-    /// Number of the report.
+    /// Life of the feeder's process, drawn at random.
+    #[serde(rename = "l")]
+    pub life: u64,
+    /// Number of the report, rising within a life.
     #[serde(rename = "n")]
     pub nonce: u64,
     /// Group.
--- a/crates/dandelion-control/src/node/feeder.rs
+++ b/crates/dandelion-control/src/node/feeder.rs
@@ -57,6 +57,8 @@
 /// State of the feeding side.
 #[derive(Debug)]
 pub struct Feeding {
+    /// Life of this process, drawn at random.
+    pub life: u64,
     /// Daemons under a lease of this feeder.
     pub subscribers: BTreeMap<DaemonId, Subscriber>,
     /// Fresh daemons that wait.
@@ -75,6 +77,7 @@
     /// Starts without daemons.
     pub fn open(seed: u64) -> Self {
         Self {
+            life: seed.rotate_left(17),
             subscribers: BTreeMap::new(),
             waiting: BTreeMap::new(),
             lease: None,
--- a/crates/dandelion-control/src/node/feeding.rs
+++ b/crates/dandelion-control/src/node/feeding.rs
@@ -21,6 +21,7 @@
 use crate::node::feeder::Waiting;
 use crate::node::feeder::lease_within;
 use crate::node::ledger::FeederRecord;
+use crate::node::ledger::ReportSource;
 use crate::node::status::InForce;
 use crate::raft::GroupId;
 use crate::storage::Storage;
@@ -195,7 +196,13 @@
             applied: report.applied,
             counts: report.counts,
         };
-        self.ledger.record(from.clone(), record);
+        let source = ReportSource {
+            feeder: from.clone(),
+            life: report.life,
+        };
+        if !self.ledger.record(source, report.nonce, record) {
+            return;
+        }
         let licence = Licence {
             nonce: report.nonce,
             group: report.group,
@@ -259,6 +266,7 @@
             return;
         };
         let report = Report {
+            life: self.feeding.life,
             nonce: self.feeding.number_report(now),
             group: self.group(),
             applied: self.revision(),
--- a/crates/dandelion-control/src/node/ledger.rs
+++ b/crates/dandelion-control/src/node/ledger.rs
@@ -22,12 +22,27 @@
     pub counts: Vec<AppliedCount>,
 }
 
+/// One life of a feeder. Leases of an earlier life run on after a restart.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ReportSource {
+    /// Feeder.
+    pub feeder: DaemonId,
+    /// Life of its process.
+    pub life: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Numbered {
+    nonce: u64,
+    record: FeederRecord,
+}
+
 /// Reports of all feeders under a lease.
 #[derive(Debug, Default)]
 pub struct Ledger {
     /// Until when leases given under an earlier leader may run.
     settles: Millis,
-    feeders: BTreeMap<DaemonId, FeederRecord>,
+    feeders: BTreeMap<ReportSource, Numbered>,
 }
 
 impl Ledger {
@@ -39,19 +54,25 @@
         }
     }
 
-    /// Notes a report.
-    pub fn record(&mut self, feeder: DaemonId, record: FeederRecord) {
-        self.feeders.insert(feeder, record);
+    /// Notes a report, unless a later one of the same life is known.
+    pub fn record(&mut self, source: ReportSource, nonce: u64, record: FeederRecord) -> bool {
+        let known = self.feeders.get(&source);
+        if known.is_some_and(|known| known.nonce >= nonce) {
+            return false;
+        }
+        self.feeders.insert(source, Numbered { nonce, record });
+        true
     }
 
     /// Forgets feeders whose leases have ended.
     pub fn expire(&mut self, now: Millis) {
-        self.feeders.retain(|_, record| now < record.until);
+        self.feeders.retain(|_, known| now < known.record.until);
     }
 
     /// Counts the daemons that have applied `revision`, beside those of `own`.
     pub fn in_force(&self, now: Millis, revision: Revision, own: &FeederRecord) -> InForce {
-        let live = self.feeders.values().filter(|r| now < r.until);
+        let records = self.feeders.values().map(|known| &known.record);
+        let live = records.filter(|r| now < r.until);
         let mut result = InForce {
             settled: now >= self.settles,
             ..InForce::default()
--- a/crates/dandelion-control/src/raft/faults.rs
+++ b/crates/dandelion-control/src/raft/faults.rs
@@ -3,7 +3,7 @@
 /// A safety rule that is left out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
-    /// Votes are given although an old leader's lease may still run.
+    /// Votes are asked for and given although an old leader's lease may still run.
     SkipPromise,
     /// Votes are given again within one term.
     DoubleVote,
--- a/crates/dandelion-control/src/raft/replica.rs
+++ b/crates/dandelion-control/src/raft/replica.rs
@@ -353,7 +353,11 @@
     pub(super) fn reset_deadline(&mut self, now: Millis) {
         let spread = self.settings.timing.election_spread.0;
         let extra = Millis(self.rng.random_range(0..=spread));
-        self.deadline = now + self.settings.timing.promise + extra;
+        let promise = match self.settings.fault {
+            Some(Fault::SkipPromise) => Millis::ZERO,
+            _ => self.settings.timing.promise,
+        };
+        self.deadline = now + promise + extra;
     }
 
     pub(super) fn send(&mut self, to: ReplicaId, body: Body) {
--- /dev/null
+++ b/crates/dandelion-control/tests/schedules.rs
@@ -0,0 +1,34 @@
+//! Random schedules of faults against the invariants.
+
+mod support;
+
+use support::group::Shape;
+use support::schedule::run_schedule;
+
+fn run_all(shape: Shape, seeds: std::ops::Range<u64>) {
+    for seed in seeds {
+        if let Err(failure) = run_schedule(shape, seed) {
+            panic!("seed {seed} of {shape:?}: {failure}");
+        }
+    }
+}
+
+#[test]
+fn three_voters() {
+    run_all(Shape::of(3), 0..2500);
+}
+
+#[test]
+fn three_again() {
+    run_all(Shape::of(3), 2500..5000);
+}
+
+#[test]
+fn four_voters() {
+    run_all(Shape::of(4), 10_000..12_500);
+}
+
+#[test]
+fn five_voters() {
+    run_all(Shape::of(5), 20_000..22_500);
+}
