--- a/crates/dandelion-control/src/raft/replication.rs
+++ b/crates/dandelion-control/src/raft/replication.rs
@@ -20,9 +20,10 @@
         if self.role != Role::Leader {
             return;
         }
+        let before = self.commit;
         self.advance_commit(now);
         if self.role == Role::Leader {
-            self.send_new(now);
+            self.send_new(now, self.commit > before);
         }
     }
 
@@ -61,17 +62,28 @@
         }
     }
 
-    /// Sends new entries to all replicas that may be sent to without waiting.
-    fn send_new(&mut self, now: Millis) {
+    /// Sends new entries to all replicas that may be sent to without waiting, and the commit
+    /// index if it moved.
+    fn send_new(&mut self, now: Millis, moved: bool) {
         let last = self.log.last().index;
         let ids = self.progress.keys().copied().collect::<Vec<_>>();
         for id in ids {
+            let mut told = !moved;
             while self.has_room(id, last) {
                 self.send_append(now, id);
+                told = true;
+            }
+            if !told && self.is_streaming(id) {
+                self.send_append(now, id);
             }
         }
     }
 
+    fn is_streaming(&self, id: ReplicaId) -> bool {
+        let progress = self.progress.get(&id);
+        progress.is_some_and(|p| p.streaming && p.transfer.is_none())
+    }
+
     fn has_room(&self, id: ReplicaId, last: u64) -> bool {
         let progress = self.progress.get(&id);
         progress.is_some_and(|p| p.may_send() && p.next <= last)
--- /dev/null
+++ b/crates/dandelion-control/tests/data_folder.rs
@@ -0,0 +1,192 @@
+//! Damage, torn ends, locks and full disks of the data folder.
+
+mod support;
+
+use dandelion_control::FileStorage;
+use dandelion_control::raft::Entry;
+use dandelion_control::raft::GroupId;
+use dandelion_control::raft::HardState;
+use dandelion_control::raft::Join;
+use dandelion_control::raft::Payload;
+use dandelion_control::raft::Position;
+use dandelion_control::raft::ReplicaId;
+use dandelion_control::raft::Snapshot;
+use dandelion_control::storage::DiskStorage;
+use dandelion_control::storage::Storage;
+use dandelion_control::storage::StorageError;
+use dandelion_control::storage::restore;
+use dandelion_protocol::ids::Term;
+use support::disk::SimDisk;
+
+const FRESH: ReplicaId = ReplicaId(7);
+
+fn entry(index: u64) -> Entry {
+    Entry {
+        at: Position {
+            term: Term(1),
+            index,
+        },
+        payload: Payload::Change(vec![index as u8; 20]),
+    }
+}
+
+fn open(disk: &SimDisk) -> Result<DiskStorage<SimDisk>, StorageError> {
+    DiskStorage::open_disk(disk.clone(), FRESH)
+}
+
+fn filled(entries: u64) -> SimDisk {
+    let disk = SimDisk::new(1);
+    let mut storage = open(&disk).unwrap();
+    for index in 1..=entries {
+        storage.write(None, &[entry(index)]).unwrap();
+    }
+    disk
+}
+
+#[test]
+fn kept_over_restart() {
+    let folder = tempfile::tempdir().unwrap();
+    let hard = HardState {
+        term: Term(4),
+        vote: Some(ReplicaId(9)),
+    };
+    let mut storage = FileStorage::open(folder.path(), FRESH).unwrap();
+    storage.write(Some(hard), &[entry(1), entry(2)]).unwrap();
+    drop(storage);
+    let mut again = FileStorage::open(folder.path(), ReplicaId(8)).unwrap();
+    let found = again.recover();
+    assert_eq!(found.replica, FRESH);
+    assert_eq!(found.hard, hard);
+    assert_eq!(found.entries, vec![entry(1), entry(2)]);
+}
+
+#[test]
+fn folder_in_use() {
+    let folder = tempfile::tempdir().unwrap();
+    let held = FileStorage::open(folder.path(), FRESH).unwrap();
+    let refused = FileStorage::open(folder.path(), FRESH).unwrap_err();
+    assert!(matches!(refused, StorageError::Locked { .. }), "{refused}");
+    drop(held);
+    FileStorage::open(folder.path(), FRESH).unwrap();
+}
+
+#[test]
+fn torn_tail() {
+    for lost in 1..60 {
+        let disk = filled(3);
+        disk.chop("log", lost);
+        let mut storage = open(&disk).unwrap();
+        assert_eq!(storage.recover().entries, vec![entry(1), entry(2)]);
+        storage.write(None, &[entry(3)]).unwrap();
+        drop(storage);
+        assert_eq!(open(&disk).unwrap().recover().entries.len(), 3);
+    }
+}
+
+#[test]
+fn damaged_middle() {
+    let (head, whole) = (filled(0).length("log"), filled(3).length("log"));
+    let frame = (whole - head) / 3;
+    for offset in 0..whole - frame {
+        let disk = filled(3);
+        disk.flip("log", offset);
+        let refused = open(&disk).unwrap_err();
+        let typed = matches!(
+            refused,
+            StorageError::Damaged { .. } | StorageError::Format { .. }
+        );
+        assert!(typed, "byte {offset}: {refused}");
+    }
+}
+
+#[test]
+fn damaged_snapshot() {
+    let disk = SimDisk::new(1);
+    let mut storage = open(&disk).unwrap();
+    let snapshot = Snapshot {
+        at: entry(5).at,
+        data: vec![3; 50],
+        ..Snapshot::default()
+    };
+    let hard = HardState::default();
+    storage.save_snapshot(&snapshot, hard, &[entry(6)]).unwrap();
+    assert_eq!(open(&disk).unwrap().recover().entries, vec![entry(6)]);
+    disk.flip("snapshot", 40);
+    let refused = open(&disk).unwrap_err();
+    assert!(refused.to_string().contains("move the data folder away"));
+}
+
+/// A process that dies at any operation of a snapshot finds either the old or the new state.
+#[test]
+fn death_in_snapshot() {
+    for operations in 0..12 {
+        let disk = filled(8);
+        let mut storage = open(&disk).unwrap();
+        let snapshot = Snapshot {
+            at: entry(5).at,
+            ..Snapshot::default()
+        };
+        let kept = [entry(6), entry(7), entry(8)];
+        disk.light_fuse(operations);
+        let saved = storage.save_snapshot(&snapshot, HardState::default(), &kept);
+        assert_eq!(saved.is_ok(), operations >= 10, "{operations}");
+        disk.crash();
+        let mut again = open(&disk).unwrap();
+        let found = again.recover();
+        let first = found.snapshot.map_or(1, |s| s.at.index + 1);
+        let wanted = (first..=8).map(entry).collect::<Vec<_>>();
+        assert_eq!(found.entries, wanted, "died at {operations}");
+        again.write(None, &[entry(9)]).unwrap();
+        assert_eq!(
+            open(&disk).unwrap().recover().entries.last(),
+            Some(&entry(9))
+        );
+    }
+}
+
+#[test]
+fn full_disk() {
+    let disk = filled(2);
+    let mut storage = open(&disk).unwrap();
+    disk.set_full(true);
+    let refused = storage.write(None, &[entry(3)]).unwrap_err();
+    assert!(matches!(refused, StorageError::Full { .. }), "{refused}");
+    disk.set_full(false);
+    let still = storage.write(None, &[entry(3)]).unwrap_err();
+    assert_eq!(still, refused, "a failed storage must be opened anew");
+    let mut again = open(&disk).unwrap();
+    assert_eq!(again.recover().entries.len(), 2);
+    again.write(None, &[entry(3)]).unwrap();
+}
+
+#[test]
+fn other_version() {
+    let disk = filled(1);
+    disk.flip("log", 6);
+    let refused = open(&disk).unwrap_err();
+    assert!(matches!(refused, StorageError::Format { .. }), "{refused}");
+}
+
+#[test]
+fn restored_export() {
+    let folder = tempfile::tempdir().unwrap();
+    let snapshot = Snapshot {
+        at: entry(5).at,
+        data: vec![3; 50],
+        ..Snapshot::default()
+    };
+    let exported = restore::export_snapshot(&snapshot).unwrap();
+    let owner = Join {
+        replica: FRESH,
+        daemon: "vm-0".parse().unwrap(),
+        zone: "zone-0".parse().unwrap(),
+    };
+    restore::restore_snapshot(folder.path(), &exported, &owner, GroupId(5)).unwrap();
+    let mut storage = FileStorage::open(folder.path(), FRESH).unwrap();
+    let found = storage.recover().snapshot.unwrap();
+    assert_eq!(found.data, snapshot.data);
+    assert!(found.members.is_voter(FRESH));
+    drop(storage);
+    let again = restore::restore_snapshot(folder.path(), &exported, &owner, GroupId(6));
+    assert!(matches!(again, Err(StorageError::NotEmpty { .. })));
+}
--- a/crates/dandelion-control/tests/support/disk.rs
+++ b/crates/dandelion-control/tests/support/disk.rs
@@ -104,6 +104,16 @@
         state.inodes.get_mut(&inode).unwrap().content[offset] ^= 0x40;
     }
 
+    /// Cuts bytes off the end of a file.
+    pub fn chop(&self, file: &str, bytes: usize) {
+        let state = &mut *self.0.borrow_mut();
+        let inode = state.names[file];
+        let inode = state.inodes.get_mut(&inode).unwrap();
+        let left = inode.content.len() - bytes;
+        inode.content.truncate(left);
+        inode.durable = left;
+    }
+
     pub fn length(&self, file: &str) -> usize {
         let state = self.0.borrow();
         state.inodes[&state.names[file]].content.len()
--- /dev/null
+++ b/crates/dandelion-control/tests/takeover.rs
@@ -0,0 +1,241 @@
+//! Takeover, repair and change of voters.
+
+mod support;
+
+use dandelion_control::node::NodeEvent;
+use dandelion_control::raft::ChangeError;
+use dandelion_control::raft::VoterChange;
+use support::group::Group;
+use support::group::Shape;
+use support::group::name;
+use support::tally::Tally;
+
+fn whole(shape: Shape, seed: u64) -> Group {
+    let mut group = Group::start(shape, seed);
+    assert!(
+        group.run_until(3000, Group::is_whole),
+        "{}",
+        group.describe()
+    );
+    group
+}
+
+fn assert_sound(group: &Group) {
+    assert_eq!(group.checks.failure, None);
+}
+
+/// Proposes and waits for the answer.
+fn change(group: &mut Group, ticket: u64) {
+    let done = |group: &Group| group.checks.firsts.contains_key(&ticket);
+    for _ in 0..40 {
+        let leader = group.in_charge().unwrap_or(0);
+        group.propose(leader, ticket);
+        if group.run_until(100, done) {
+            return;
+        }
+    }
+    panic!("no answer to {ticket}:{}", group.describe());
+}
+
+fn held(group: &Group, number: usize) -> usize {
+    let node = group.node(number).unwrap();
+    node.tables().table::<Tally>().unwrap().0.len()
+}
+
+fn voters(group: &Group) -> Vec<String> {
+    let leader = group.in_charge().unwrap();
+    let status = group
+        .node(leader)
+        .unwrap()
+        .status(group.slots[leader].clock(group.now));
+    let voters = status.replicas.iter().filter(|r| r.voter);
+    let mut names = voters.map(|r| r.daemon.to_string()).collect::<Vec<_>>();
+    names.sort();
+    names
+}
+
+fn wipe(group: &mut Group, number: usize) {
+    let until = group.now + 20;
+    group.slots[number].kill(until);
+    group.slots[number].disk.as_ref().unwrap().wipe();
+}
+
+/// Returns whether three voters, none of them an outdated identity, hold everything.
+fn is_repaired(group: &Group) -> bool {
+    let Some(leader) = group.in_charge() else {
+        return false;
+    };
+    let clock = group.slots[leader].clock(group.now);
+    let status = group.node(leader).unwrap().status(clock);
+    let voters = status.replicas.iter().filter(|r| r.voter);
+    status.replicas.len() == 3
+        && voters
+            .filter(|r| r.alive == Some(true) && r.lag == Some(0))
+            .count()
+            == 3
+}
+
+#[test]
+fn paused_leader() {
+    for seed in 0..20 {
+        let mut group = whole(Shape::of(3), seed);
+        let old = group.in_charge().unwrap();
+        change(&mut group, 1);
+        group.slots[old].paused = group.now + 180_000;
+        group.run(300);
+        change(&mut group, 2);
+        let new = group.in_charge().unwrap();
+        assert_ne!(new, old);
+        group.run(2000);
+        group.slots[old].paused = 0;
+        let clock = group.slots[old].clock(group.now);
+        let node = group.node(old).unwrap();
+        assert_eq!(
+            node.in_charge(clock, dandelion_protocol::time::Millis(0)),
+            None
+        );
+        assert!(group.run_until(3000, Group::is_whole));
+        assert_sound(&group);
+        assert_eq!(held(&group, old), 2);
+    }
+}
+
+/// A leader that can send but not hear, and then one that can hear but not send, is replaced.
+#[test]
+fn one_way_cut() {
+    for (seed, outward) in (0..10).flat_map(|seed| [(seed, true), (seed, false)]) {
+        let mut group = whole(Shape::of(3), seed);
+        let old = group.in_charge().unwrap();
+        for other in (0..4).filter(|other| *other != old) {
+            let cut = if outward { (old, other) } else { (other, old) };
+            group.network.cuts.insert(cut);
+        }
+        let replaced = |group: &Group| group.in_charge().is_some_and(|number| number != old);
+        assert!(group.run_until(3000, replaced), "{}", group.describe());
+        group.heal();
+        change(&mut group, 1);
+        assert!(group.run_until(3000, Group::is_whole));
+        assert_sound(&group);
+    }
+}
+
+/// A voter whose disk is gone comes back under a new identity, and a second VM is lost for good
+/// right after the repair: nothing that was answered may be missing.
+#[test]
+fn loss_after_repair() {
+    for seed in 0..30 {
+        let mut group = whole(Shape::of(3), seed);
+        for ticket in 1..=10 {
+            change(&mut group, ticket);
+        }
+        let first = (seed % 3) as usize;
+        let before = group.node(first).unwrap().replica().id();
+        wipe(&mut group, first);
+        group.run(500);
+        assert!(group.run_until(5000, is_repaired), "{}", group.describe());
+        assert_ne!(group.node(first).unwrap().replica().id(), before);
+        let second = (first + 1) % 3;
+        group.slots[second].kill(u64::MAX);
+        change(&mut group, 11);
+        assert!(group.run_until(1000, |group| held(group, first) == 11));
+        assert_sound(&group);
+    }
+}
+
+/// An empty folder does not vote for its old identity: with one other voter left there is no
+/// quorum, and nothing is answered.
+#[test]
+fn no_vote_when_empty() {
+    let mut group = whole(Shape::of(3), 5);
+    change(&mut group, 1);
+    let leader = group.in_charge().unwrap();
+    let lost = (leader + 1) % 3;
+    let silent = (leader + 2) % 3;
+    group.slots[silent].kill(u64::MAX);
+    wipe(&mut group, lost);
+    group.run(3000);
+    assert_eq!(group.in_charge(), None);
+    group.slots[silent].down = 0;
+    assert!(group.run_until(5000, is_repaired), "{}", group.describe());
+    assert_sound(&group);
+    assert_eq!(held(&group, lost), 1);
+}
+
+#[test]
+fn hundreds_of_changes() {
+    let mut group = whole(Shape::of(3), 6);
+    for ticket in 1..=600 {
+        let leader = group.in_charge().unwrap();
+        group.propose(leader, ticket);
+        if ticket % 4 == 0 {
+            group.step();
+        }
+    }
+    assert!(group.run_until(3000, |group| group.checks.firsts.len() == 600));
+    let snapshot = group.node(0).unwrap().replica().snapshot().at.index;
+    assert!(snapshot > 1, "the log was compacted");
+    for number in 0..3 {
+        group.slots[number].kill(group.now + 10);
+    }
+    change(&mut group, 601);
+    // Resends after the restart of everyone get the first answers.
+    for ticket in [1, 300, 600] {
+        let leader = group.in_charge().unwrap();
+        group.propose(leader, ticket);
+    }
+    assert!(group.run_until(3000, Group::is_whole));
+    assert_sound(&group);
+    assert_eq!(held(&group, 0), 601);
+}
+
+#[test]
+fn replaced_voter() {
+    let mut shape = Shape::of(4);
+    shape.plain = 0;
+    let mut group = Group::start(shape, 7);
+    for slot in &mut group.slots {
+        slot.settings.voters = 3;
+    }
+    for number in 0..4 {
+        group.slots[number].disk.as_ref().unwrap().wipe();
+        group.restart(number);
+    }
+    assert!(group.run_until(3000, Group::is_whole));
+    let before = voters(&group);
+    let learner = (0..4)
+        .find(|n| !before.contains(&name(*n).to_string()))
+        .unwrap();
+    let old = (0..4)
+        .find(|n| *n != learner && Some(*n) != group.in_charge())
+        .unwrap();
+    let leader = group.in_charge().unwrap();
+    let change = VoterChange::Replace {
+        old: name(old),
+        new: name(learner),
+    };
+    group.event(leader, NodeEvent::ChangeVoters { ticket: 1, change });
+    assert!(group.run_until(3000, |group| !group.changes.is_empty()));
+    assert_eq!(group.changes, vec![Ok(())]);
+    let after = voters(&group);
+    assert_eq!(after.len(), 3);
+    assert!(after.contains(&name(learner).to_string()));
+    assert!(!after.contains(&name(old).to_string()));
+    assert_sound(&group);
+}
+
+#[test]
+fn quorum_kept() {
+    let mut group = whole(Shape::of(3), 8);
+    let leader = group.in_charge().unwrap();
+    let (dead, other) = ((leader + 1) % 3, (leader + 2) % 3);
+    group.slots[dead].kill(u64::MAX);
+    group.run(400);
+    let change = VoterChange::Remove(name(other));
+    group.event(leader, NodeEvent::ChangeVoters { ticket: 1, change });
+    assert!(group.run_until(1000, |group| !group.changes.is_empty()));
+    let refused = ChangeError::NoQuorum {
+        daemon: name(other),
+    };
+    assert_eq!(group.changes, vec![Err(refused)]);
+    assert_eq!(voters(&group).len(), 3);
+}
