Bound connections, handshakes and messages; keep failures final

Cause: a call to chunk after a failure, or after a dropped call, would have read as the end of a whole answer; a probe by connect alone called a stopped peer alive; a message above the mesh limit would have ended the connection for everyone on it; connections had no bound. Ruled out: leaving these to callers, which would each have to know. Before: no tests of these. Conclusion: the fault stays with the exchange that had it.

--- a/crates/dandelion-net/src/http/client/exchange.rs
+++ b/crates/dandelion-net/src/http/client/exchange.rs
@@ -35,11 +35,18 @@
     pub address: SocketAddr,
 }
 
+/// How far the body has got.
+enum State {
+    Streaming(Body),
+    Whole,
+    Failed(SendError),
+}
+
 /// An answer whose head has come. Dropping it before its end closes the connection.
 pub struct Exchange {
     status: u16,
     headers: Vec<Header>,
-    body: Option<Body>,
+    state: State,
     track: Arc<Mutex<Track>>,
     stream: TcpStream,
     origin: Origin,
@@ -72,11 +79,10 @@
         let mut response = decoded
             .map_err(late)?
             .map_err(|error| Cause::Body(error.to_string()))?;
-        let body = Some(response.take_body()).filter(|_| checked.framing != Framing::Empty);
-        Ok(Self {
+        let mut exchange = Self {
             status: response.status().into(),
             headers: headers(&response),
-            body,
+            state: State::Streaming(response.take_body()),
             track,
             stream,
             origin,
@@ -84,7 +90,11 @@
             close: checked.close,
             bytes: 0,
             buffer: Vec::new(),
-        })
+        };
+        if checked.framing == Framing::Empty {
+            exchange.finish();
+        }
+        Ok(exchange)
     }
 
     /// Returns the status.
@@ -108,25 +118,30 @@
         self.bytes
     }
 
-    /// Returns the next body bytes, or `None` when the answer is whole. After an error or the end
-    /// there is nothing more.
+    /// Returns the next body bytes, or `None` when the answer is whole; after a failure, the failure
+    /// again. A dropped call loses nothing.
     pub async fn chunk(&mut self) -> Result<Option<Vec<u8>>, SendError> {
-        let Some(mut body) = self.body.take() else {
-            self.finish();
-            return Ok(None);
+        let body = match &mut self.state {
+            State::Streaming(body) => body,
+            State::Whole => return Ok(None),
+            State::Failed(error) => return Err(error.clone()),
         };
         self.buffer.resize(PIECE_BYTES, 0);
         let read = self.progress.step(body.read(&mut self.buffer)).await;
-        match read {
-            Ok(Ok(0)) => self.end(),
+        let cause = match read {
+            Ok(Ok(0)) if self.is_counted_out() => {
+                self.finish();
+                return Ok(None);
+            }
+            Ok(Ok(0)) => Cause::Closed(format!("body cut short after {} bytes", self.bytes)),
             Ok(Ok(count)) => {
                 self.bytes += count as u64;
-                self.body = Some(body);
-                Ok(Some(self.buffer[..count].to_vec()))
+                return Ok(Some(self.buffer[..count].to_vec()));
             }
-            Ok(Err(error)) => Err(SendError::Unknown(broken(&error))),
-            Err(passed) => Err(SendError::Unknown(self.quiet(late(passed)).await)),
-        }
+            Ok(Err(error)) => broken(&error),
+            Err(passed) => self.passed(late(passed)).await,
+        };
+        Err(self.fail(cause))
     }
 
     /// Reads the rest of the body, at most `limit` bytes.
@@ -134,42 +149,37 @@
         let mut all = Vec::new();
         while let Some(piece) = self.chunk().await? {
             if all.len() + piece.len() > limit {
-                self.body = None;
-                self.close = true;
-                let reason = format!("longer than {limit} bytes");
-                return Err(SendError::Unknown(Cause::Body(reason)));
+                return Err(self.fail(Cause::Body(format!("longer than {limit} bytes"))));
             }
             all.extend_from_slice(&piece);
         }
         Ok(all)
     }
 
-    /// Ends the body if our own count agrees with the framing.
-    fn end(&mut self) -> Result<Option<Vec<u8>>, SendError> {
-        if !lock(&self.track).meter.is_done() {
-            self.close = true;
-            let reason = format!("body cut short after {} bytes", self.bytes);
-            return Err(SendError::Unknown(Cause::Closed(reason)));
-        }
-        self.finish();
-        Ok(None)
+    /// Tells whether our own count agrees that the body is at its end.
+    fn is_counted_out(&self) -> bool {
+        lock(&self.track).meter.is_done()
     }
 
-    /// Gives a clean connection back; one with surplus bytes is dropped.
+    /// Ends the answer as whole and gives a clean connection back; one with surplus bytes is
+    /// dropped.
     fn finish(&mut self) {
-        let clean = {
-            let track = lock(&self.track);
-            track.meter.is_done() && track.unread.is_empty()
-        };
+        let clean = lock(&self.track).unread.is_empty();
         if clean && !self.close {
             let stream = self.stream.clone();
             self.origin.client.keep(self.origin.address, stream);
         }
-        self.close = true;
+        self.state = State::Whole;
+    }
+
+    fn fail(&mut self, cause: Cause) -> SendError {
+        let error = SendError::Unknown(cause);
+        self.state = State::Failed(error.clone());
+        error
     }
 
-    async fn quiet(&mut self, cause: Cause) -> Cause {
-        self.close = true;
+    /// Looks whether a fresh connection works after this one went quiet.
+    async fn passed(&mut self, cause: Cause) -> Cause {
         match cause {
             Cause::Silent { .. } => Cause::Silent {
                 alive: self.origin.client.replace(self.origin.address).await,
--- a/crates/dandelion-net/src/http/client/pool.rs
+++ b/crates/dandelion-net/src/http/client/pool.rs
@@ -22,10 +22,38 @@
     since: Instant,
 }
 
+/// The idle connections of some addresses.
+#[derive(Debug)]
+struct Shard {
+    idle: HashMap<SocketAddr, Vec<Idle>>,
+    swept: Instant,
+}
+
+impl Shard {
+    fn new() -> Mutex<Self> {
+        Mutex::new(Self {
+            idle: HashMap::new(),
+            swept: Instant::now(),
+        })
+    }
+
+    /// Closes stale connections, also those to addresses that are used no more.
+    fn sweep(&mut self, max_idle: Duration) {
+        if self.swept.elapsed() < max_idle {
+            return;
+        }
+        self.swept = Instant::now();
+        for list in self.idle.values_mut() {
+            list.retain(|idle| idle.since.elapsed() < max_idle);
+        }
+        self.idle.retain(|_, list| !list.is_empty());
+    }
+}
+
 /// Idle connections.
 #[derive(Debug)]
 pub struct Pool {
-    shards: Vec<Mutex<HashMap<SocketAddr, Vec<Idle>>>>,
+    shards: Vec<Mutex<Shard>>,
     hasher: RandomState,
     per_address: usize,
     max_idle: Duration,
@@ -34,7 +62,7 @@
 impl Pool {
     pub fn new(per_address: usize, max_idle: Duration) -> Self {
         Self {
-            shards: (0..SHARDS).map(|_| Mutex::default()).collect(),
+            shards: (0..SHARDS).map(|_| Shard::new()).collect(),
             hasher: RandomState::new(),
             per_address,
             max_idle,
@@ -44,7 +72,7 @@
     /// Takes a connection that is neither stale, closed nor has unasked bytes waiting.
     pub fn take(&self, address: SocketAddr) -> Option<TcpStream> {
         loop {
-            let idle = lock(self.shard(address)).get_mut(&address)?.pop()?;
+            let idle = lock(self.shard(address)).idle.get_mut(&address)?.pop()?;
             if idle.since.elapsed() < self.max_idle && is_clean(&idle.stream) {
                 return Some(idle.stream);
             }
@@ -54,8 +82,8 @@
     /// Keeps a clean connection for reuse.
     pub fn put(&self, address: SocketAddr, stream: TcpStream) {
         let mut shard = lock(self.shard(address));
-        let list = shard.entry(address).or_default();
-        list.retain(|idle| idle.since.elapsed() < self.max_idle);
+        shard.sweep(self.max_idle);
+        let list = shard.idle.entry(address).or_default();
         if list.len() < self.per_address {
             let since = Instant::now();
             list.push(Idle { stream, since });
@@ -64,15 +92,16 @@
 
     /// Drops every idle connection to `address`.
     pub fn purge(&self, address: SocketAddr) {
-        lock(self.shard(address)).remove(&address);
+        lock(self.shard(address)).idle.remove(&address);
     }
 
     /// Counts the idle connections to `address`.
     pub fn count(&self, address: SocketAddr) -> usize {
-        lock(self.shard(address)).get(&address).map_or(0, Vec::len)
+        let shard = lock(self.shard(address));
+        shard.idle.get(&address).map_or(0, Vec::len)
     }
 
-    fn shard(&self, address: SocketAddr) -> &Mutex<HashMap<SocketAddr, Vec<Idle>>> {
+    fn shard(&self, address: SocketAddr) -> &Mutex<Shard> {
         let slot = self.hasher.hash_one(address) as usize % SHARDS;
         &self.shards[slot]
     }
--- a/crates/dandelion-net/src/http/client/send.rs
+++ b/crates/dandelion-net/src/http/client/send.rs
@@ -26,11 +26,16 @@
 use crate::progress::Progress;
 use crate::socket;
 
+/// Path asked for by probes; any answer shows that the peer is alive.
+const PROBE_PATH: &str = "/healthz";
+
 /// Settings of a [`Client`].
 #[derive(Debug, Clone, Copy)]
 pub struct ClientOptions {
     /// Time for making a connection.
     pub connect_time: Duration,
+    /// Time for a probe on a fresh connection.
+    pub probe_time: Duration,
     /// Idle connections kept for each address.
     pub idle_limit: usize,
     /// Time an idle connection is kept.
@@ -41,6 +46,7 @@
     fn default() -> Self {
         Self {
             connect_time: Duration::from_secs(1),
+            probe_time: Duration::from_secs(1),
             idle_limit: 64,
             idle_time: Duration::from_secs(20),
         }
@@ -100,10 +106,16 @@
         self.attempt(address, stream, &encoded, options).await
     }
 
-    /// Tells whether `address` takes a fresh connection.
+    /// Tells whether `address` answers on a fresh connection, whatever the status.
     pub async fn probe(&self, address: SocketAddr) -> bool {
-        let connected = timeout(self.options.connect_time, TcpStream::connect(address)).await;
-        matches!(connected, Ok(Ok(_)))
+        let answered = async {
+            let mut stream = TcpStream::connect(address).await?;
+            let ask = format!("GET {PROBE_PATH} HTTP/1.1\r\nHost: {address}\r\n\r\n");
+            stream.write_all(ask.as_bytes()).await?;
+            Wire::new(stream).head(MAX_HEAD).await
+        };
+        let answered = timeout(self.options.probe_time, answered).await;
+        matches!(answered, Ok(Ok(Some(head))) if check_response(&head, false).is_ok())
     }
 
     /// Drops every idle connection to `address`.
--- a/crates/dandelion-net/src/http/server/connection.rs
+++ b/crates/dandelion-net/src/http/server/connection.rs
@@ -10,6 +10,9 @@
 
 use async_h1::server::Encoder;
 use async_std::net::TcpStream;
+use dandelion_protocol::outcome::Refusal;
+use dandelion_protocol::outcome::RefusalCode;
+use dandelion_protocol::time::Millis;
 use futures::AsyncReadExt;
 use futures::AsyncWriteExt;
 use futures::future::Either;
@@ -31,6 +34,8 @@
 
 /// Bytes encoded and written at a time.
 const WRITE_BYTES: usize = 16 * 1024;
+/// When a caller that found too many connections is told to come back.
+const COME_BACK: Millis = Millis::from_secs(1);
 /// Time in which the rest of a refused request is read and thrown away.
 const LINGER: Duration = Duration::from_millis(500);
 /// Bound on one answer; the handler's own deadline comes long before.
@@ -57,6 +62,15 @@
         }
     }
 
+    /// Refuses the caller because there are too many connections.
+    pub async fn run_refused(mut self) {
+        let message = "this daemon has as many connections as it can hold";
+        let remedy = "try again, through another daemon if you can";
+        let refusal = Refusal::not_run(RefusalCode::Overloaded, message, remedy);
+        let refusal = refusal.with_retry_after(COME_BACK);
+        self.refuse(reply::refusal(&refusal)).await;
+    }
+
     /// Serves requests until either side closes.
     pub async fn run(mut self) {
         let cut = self.shared.cut.clone();
@@ -152,12 +166,17 @@
     method: Method,
     write_time: Duration,
 ) -> io::Result<()> {
+    let counted = response.len().is_some();
     let size = response.len().map_or(WRITE_BYTES, |n| n + 1024);
     let mut encoder = Encoder::new(response, method);
     let mut buffer = vec![0; size.clamp(1024, WRITE_BYTES)];
     let mut progress = Progress::start(write_time, Instant::now() + ANSWER_TIME);
     loop {
-        let count = encoder.read(&mut buffer).await?;
+        let mut count = encoder.read(&mut buffer).await?;
+        if counted && count > 0 && count < buffer.len() {
+            // Head and body of a short answer leave in one write.
+            count += encoder.read(&mut buffer[count..]).await?;
+        }
         if count == 0 {
             return Ok(());
         }
--- a/crates/dandelion-net/src/http/server/listener.rs
+++ b/crates/dandelion-net/src/http/server/listener.rs
@@ -32,6 +32,8 @@
 /// Limits on what callers can make the server hold or wait for.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
+    /// Connections held at a time; callers beyond it are refused.
+    pub connections: usize,
     /// Longest request head in bytes, at most 8191.
     pub head_bytes: usize,
     /// Time for a whole request head from its first byte.
@@ -51,6 +53,7 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
+            connections: 10_000,
             head_bytes: crate::http::wire::MAX_HEAD,
             head_time: Duration::from_secs(10),
             body_bytes: 8 * 1024 * 1024,
@@ -68,7 +71,14 @@
     pub limits: Arc<Limits>,
     pub drain: Signal,
     pub cut: Signal,
-    _alive: async_channel::Sender<Infallible>,
+    alive: async_channel::Sender<Infallible>,
+}
+
+impl Shared {
+    /// Counts the connections.
+    fn count(&self) -> usize {
+        self.alive.sender_count() - 1
+    }
 }
 
 /// A running server. Dropping it stops the server at once.
@@ -97,7 +107,7 @@
             limits: Arc::new(limits),
             drain: drain_signal,
             cut: cut_signal,
-            _alive: alive,
+            alive,
         };
         task::spawn(accept(listener, stop_signal, shared, handler));
         Ok(Self {
@@ -151,7 +161,11 @@
                     continue;
                 }
                 let connection = Connection::new(stream, peer, shared.clone(), handler.clone());
-                task::spawn(connection.run());
+                if shared.count() > shared.limits.connections {
+                    task::spawn(connection.run_refused());
+                } else {
+                    task::spawn(connection.run());
+                }
             }
             Err(error) => {
                 log::warn!("cannot accept connections ({error}); raise the open files limit");
--- a/crates/dandelion-net/src/mesh/error.rs
+++ b/crates/dandelion-net/src/mesh/error.rs
@@ -39,6 +39,9 @@
     /// The peer did not follow the protocol.
     #[error("the peer sent something else than a mesh message ({0}); check what connects here")]
     Protocol(String),
+    /// A message is too large.
+    #[error("a message of {0} bytes is too large for the mesh; send less at a time")]
+    TooLarge(usize),
     /// A message could not be encoded or decoded.
     #[error(transparent)]
     Codec(#[from] CodecError),
@@ -51,6 +54,9 @@
     /// The connection was closed.
     #[error("the connection was closed by the peer; it is retried")]
     Closed,
+    /// Too many connections are in their handshake.
+    #[error("too many connections are being opened; the peer tries again")]
+    Busy,
     /// The random source failed.
     #[error("no random bytes ({0}); check the system's random source")]
     Random(String),
--- a/crates/dandelion-net/src/mesh/link.rs
+++ b/crates/dandelion-net/src/mesh/link.rs
@@ -175,7 +175,8 @@
         if self.shared.faults.is_cut(&self.peer) {
             return Err(MeshError::Timeout);
         }
-        dial(self.address, &self.peer, &self.shared.config).await
+        let shared = &self.shared;
+        dial(self.address, &self.peer, &shared.config, &shared.counters).await
     }
 
     /// Uses connections one after the other until one ends with no successor.
@@ -257,8 +258,12 @@
             return Ok(());
         }
         match outlet.feed(&item.message).await {
-            Err(MeshError::Codec(error)) => {
+            Err(error @ (MeshError::Codec(_) | MeshError::TooLarge(_))) => {
                 log::warn!("dropped a message to daemon {}: {error}", self.peer);
+                if let Some(ticket) = &item.ticket {
+                    ticket.unsent();
+                }
+                self.drop_message(item);
                 Ok(())
             }
             other => other,
--- a/crates/dandelion-net/src/mesh/mod.rs
+++ b/crates/dandelion-net/src/mesh/mod.rs
@@ -9,6 +9,7 @@
 mod error;
 mod fault;
 mod handler;
+mod handshake;
 mod link;
 mod node;
 mod parts;
--- a/crates/dandelion-net/src/mesh/node.rs
+++ b/crates/dandelion-net/src/mesh/node.rs
@@ -4,8 +4,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::RwLock;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use async_channel::Receiver;
+use async_channel::Sender;
 use async_std::future::timeout;
 use async_std::net::TcpListener;
 use async_std::net::TcpStream;
@@ -44,6 +48,10 @@
 
 /// Parts that may wait in a stream to the daemon itself.
 const LOCAL_PARTS: usize = 64;
+/// Messages to the daemon itself that may wait.
+const LOCAL_MESSAGES: usize = 4096;
+/// Connections that may be in their handshake at a time; further ones are closed.
+const MAX_HANDSHAKES: usize = 256;
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -54,6 +62,7 @@
     pub handler: H,
     pub counters: Arc<Counters>,
     pub faults: Faults,
+    pub handshakes: AtomicUsize,
 }
 
 #[derive(Debug)]
@@ -61,6 +70,7 @@
     shared: Arc<Shared<H>>,
     address: SocketAddr,
     peers: RwLock<HashMap<DaemonId, Arc<Link>>>,
+    local: Sender<MeshMessage>,
     stop: Trigger,
 }
 
@@ -105,14 +115,18 @@
             handler,
             counters: Arc::new(Counters::default()),
             faults: Faults::default(),
+            handshakes: AtomicUsize::new(0),
         });
         let (stop, stopped) = Signal::new();
+        let (local, own) = async_channel::bounded(LOCAL_MESSAGES);
+        task::spawn(deliver(own, Arc::clone(&shared)));
         task::spawn(listen(listener, Arc::clone(&shared), stopped));
         Ok(Self {
             node: Arc::new(Node {
                 shared,
                 address,
                 peers: RwLock::default(),
+                local,
                 stop,
             }),
         })
@@ -159,12 +173,8 @@
     /// Queues a one-way message. It is lost if the peer can't be reached.
     pub fn send(&self, peer: &DaemonId, message: MeshMessage) -> Result<(), MeshError> {
         if peer == self.id() {
-            let shared = Arc::clone(&self.node.shared);
-            task::spawn(async move {
-                let from = &shared.config.hello.daemon;
-                shared.handler.on_message(from, message);
-            });
-            return Ok(());
+            let queued = self.node.local.try_send(message);
+            return queued.map_err(|_full| MeshError::Full(peer.clone()));
         }
         let link = self
             .link(peer)
@@ -271,6 +281,17 @@
     }
 }
 
+/// Hands the daemon's messages to itself to its handler, in order.
+async fn deliver<H>(own: Receiver<MeshMessage>, shared: Arc<Shared<H>>)
+where
+    H: MeshHandler,
+{
+    let from = &shared.config.hello.daemon;
+    while let Ok(message) = own.recv().await {
+        shared.handler.on_message(from, message);
+    }
+}
+
 async fn listen<H>(listener: TcpListener, shared: Arc<Shared<H>>, stopped: Signal)
 where
     H: MeshHandler,
@@ -297,7 +318,14 @@
 where
     H: MeshHandler,
 {
-    let connection = match accept(stream, &shared.config).await {
+    let begun = shared.handshakes.fetch_add(1, Ordering::AcqRel);
+    let accepted = if begun < MAX_HANDSHAKES {
+        accept(stream, &shared.config, &shared.counters).await
+    } else {
+        Err(MeshError::Busy)
+    };
+    shared.handshakes.fetch_sub(1, Ordering::AcqRel);
+    let connection = match accepted {
         Ok(connection) => connection,
         Err(error) => {
             log::warn!("refused a mesh connection from {address}: {error}");
--- a/crates/dandelion-net/src/mesh/pending.rs
+++ b/crates/dandelion-net/src/mesh/pending.rs
@@ -32,6 +32,11 @@
         self.advance(WITHDRAWN) || self.0.load(Ordering::Acquire) == WITHDRAWN
     }
 
+    /// Marks the message as never sent after all, because it has no form on the wire.
+    pub fn unsent(&self) {
+        self.0.store(WITHDRAWN, Ordering::Release);
+    }
+
     /// Tells whether the message may have been sent.
     pub fn is_sent(&self) -> bool {
         self.0.load(Ordering::Acquire) == SENT
--- a/crates/dandelion-net/src/mesh/session.rs
+++ b/crates/dandelion-net/src/mesh/session.rs
@@ -11,7 +11,12 @@
 use dandelion_protocol::ids::DaemonId;
 use dandelion_protocol::mesh::CallBody;
 use dandelion_protocol::mesh::MeshMessage;
+use dandelion_protocol::mesh::ReplyBody;
+use dandelion_protocol::mesh::ServePart;
 use dandelion_protocol::mesh::ServeRequest;
+use dandelion_protocol::outcome::Ran;
+use dandelion_protocol::outcome::Refusal;
+use dandelion_protocol::outcome::RefusalCode;
 use futures::FutureExt;
 use futures::future::AbortHandle;
 use futures::future::Abortable;
@@ -94,13 +99,13 @@
             if self.shared.faults.is_cut(&self.from) {
                 continue;
             }
-            if let Err(error) = self.take(message).await {
+            if let Err(error) = self.take(message) {
                 return error;
             }
         }
     }
 
-    async fn take(&self, message: MeshMessage) -> Result<(), MeshError> {
+    fn take(&self, message: MeshMessage) -> Result<(), MeshError> {
         match message {
             MeshMessage::Raft(_) | MeshMessage::Feed(_) | MeshMessage::Digest(_) => {
                 self.shared.handler.on_message(&self.from, message);
@@ -118,8 +123,8 @@
                 }
             }
             MeshMessage::Ping(number) => {
-                let sent = self.queue.send(MeshMessage::Pong(number)).await;
-                sent.map_err(|_closed| MeshError::Closed)?;
+                // A full queue is as good a sign of life as the answer.
+                let _full = self.queue.try_send(MeshMessage::Pong(number));
             }
             _ => return Err(MeshError::Protocol("not a request".to_owned())),
         }
@@ -181,7 +186,10 @@
         if self.shared.faults.is_cut(&self.from) {
             return Ok(());
         }
-        outlet.feed(message).await
+        match outlet.feed(message).await {
+            Err(MeshError::TooLarge(size)) => outlet.feed(&too_large(message, size)).await,
+            other => other,
+        }
     }
 }
 
@@ -195,6 +203,24 @@
     }
 }
 
+/// Makes the answer that takes the place of one that is too large.
+fn too_large(message: &MeshMessage, size: usize) -> MeshMessage {
+    let text = format!("the answer of {size} bytes is too large for the mesh");
+    let refusal = Refusal::not_run(RefusalCode::LimitExceeded, &text, "ask for less at a time");
+    let refusal = refusal.with_ran(Ran::Ran);
+    match message {
+        MeshMessage::Reply { call, .. } => MeshMessage::Reply {
+            call: *call,
+            body: ReplyBody::Refused(refusal),
+        },
+        MeshMessage::Part { stream, .. } => MeshMessage::Part {
+            stream: *stream,
+            part: ServePart::Failed(refusal),
+        },
+        _ => MeshMessage::Pong(0),
+    }
+}
+
 /// Runs `work` until it ends or its entry in `map` is aborted.
 fn start<F, W>(map: &RunningMap, number: u64, work: F)
 where
--- a/crates/dandelion-net/src/mesh/transport.rs
+++ b/crates/dandelion-net/src/mesh/transport.rs
@@ -8,14 +8,11 @@
 use dandelion_protocol::codec::encode;
 use dandelion_protocol::ids::DaemonId;
 use dandelion_protocol::mesh::Hello;
-use dandelion_protocol::mesh::MESH_VERSION;
 use dandelion_protocol::mesh::MeshMessage;
 use futures::SinkExt;
 use futures::StreamExt;
 use futures::stream::SplitSink;
 use futures::stream::SplitStream;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::accept_async_with_config;
 use tokio_tungstenite::client_async_with_config;
@@ -25,24 +22,20 @@
 use tokio_util::compat::Compat;
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 
-use crate::mesh::auth::Greeting;
-use crate::mesh::auth::Proof;
-use crate::mesh::auth::Transcript;
-use crate::mesh::auth::Welcome;
 use crate::mesh::config::MeshConfig;
 use crate::mesh::counters::Counters;
 use crate::mesh::counters::Family;
 use crate::mesh::error::MeshError;
+use crate::mesh::handshake::Handshake;
 use crate::socket;
 
 /// Longest message, in bytes.
 const MAX_MESSAGE: usize = 16 * 1024 * 1024;
-/// Longest handshake message, in bytes.
-const MAX_GREETING: usize = 4096;
 /// Bytes gathered before they are written to the socket.
 const WRITE_BUFFER: usize = 32 * 1024;
 
-type Socket = WebSocketStream<Compat<TcpStream>>;
+/// A WebSocket over a TCP connection of `async-std`.
+pub type Socket = WebSocketStream<Compat<TcpStream>>;
 
 /// An authenticated connection.
 #[derive(Debug)]
@@ -62,27 +55,39 @@
     address: SocketAddr,
     expected: &DaemonId,
     config: &MeshConfig,
+    counters: &Counters,
 ) -> Result<Connection, MeshError> {
     let opened = async_std::future::timeout(config.timing.handshake, async {
         let stream = TcpStream::connect(address).await?;
         socket::tune(&stream)?;
         let url = format!("ws://{address}/mesh");
-        let (socket, _response) = client_async_with_config(url, stream.compat(), Some(limits()))
-            .await
-            .map_err(from_socket)?;
-        greet(socket, expected, config).await
+        let opened = client_async_with_config(url, stream.compat(), Some(limits())).await;
+        let (socket, _response) = opened.map_err(from_socket)?;
+        let handshake = Handshake {
+            socket,
+            config,
+            counters,
+        };
+        handshake.greet(expected).await
     });
     opened.await.map_err(|_late| MeshError::Timeout)?
 }
 
 /// Authenticates a connection that came in.
-pub async fn accept(stream: TcpStream, config: &MeshConfig) -> Result<Connection, MeshError> {
+pub async fn accept(
+    stream: TcpStream,
+    config: &MeshConfig,
+    counters: &Counters,
+) -> Result<Connection, MeshError> {
     let opened = async_std::future::timeout(config.timing.handshake, async {
         socket::tune(&stream)?;
-        let socket = accept_async_with_config(stream.compat(), Some(limits()))
-            .await
-            .map_err(from_socket)?;
-        welcome(socket, config).await
+        let opened = accept_async_with_config(stream.compat(), Some(limits())).await;
+        let handshake = Handshake {
+            socket: opened.map_err(from_socket)?,
+            config,
+            counters,
+        };
+        handshake.welcome().await
     });
     opened.await.map_err(|_late| MeshError::Timeout)?
 }
@@ -94,70 +99,8 @@
         .write_buffer_size(WRITE_BUFFER)
 }
 
-async fn greet(
-    mut socket: Socket,
-    expected: &DaemonId,
-    config: &MeshConfig,
-) -> Result<Connection, MeshError> {
-    let greeting = Greeting::new(config.hello.clone())?;
-    send_value(&mut socket, &greeting).await?;
-    let welcome: Welcome = receive_value(&mut socket).await?;
-    let peer = &welcome.greeting.hello;
-    check_hello(peer, config)?;
-    let transcript = Transcript::new(&greeting, &welcome.greeting)?;
-    let proof = transcript.answer(&config.secrets, &welcome.proofs)?;
-    if peer.daemon != *expected {
-        return Err(MeshError::WrongPeer {
-            expected: expected.clone(),
-            got: peer.daemon.clone(),
-        });
-    }
-    send_value(&mut socket, &Proof { proof }).await?;
-    Ok(Connection::new(socket, welcome.greeting.hello))
-}
-
-async fn welcome(mut socket: Socket, config: &MeshConfig) -> Result<Connection, MeshError> {
-    let theirs: Greeting = receive_value(&mut socket).await?;
-    check_hello(&theirs.hello, config)?;
-    let greeting = Greeting::new(config.hello.clone())?;
-    let transcript = Transcript::new(&theirs, &greeting)?;
-    let proofs = transcript.welcome(&config.secrets);
-    send_value(&mut socket, &Welcome { greeting, proofs }).await?;
-    let answer: Proof = receive_value(&mut socket).await?;
-    transcript.check(&config.secrets, &answer.proof)?;
-    Ok(Connection::new(socket, theirs.hello))
-}
-
-fn check_hello(hello: &Hello, config: &MeshConfig) -> Result<(), MeshError> {
-    if hello.version != MESH_VERSION {
-        return Err(MeshError::WrongVersion(hello.version));
-    }
-    if hello.cell != config.hello.cell {
-        return Err(MeshError::WrongCell(hello.cell));
-    }
-    Ok(())
-}
-
-async fn send_value<T>(socket: &mut Socket, value: &T) -> Result<(), MeshError>
-where
-    T: Serialize,
-{
-    let message = Message::binary(encode(value)?);
-    socket.send(message).await.map_err(from_socket)
-}
-
-async fn receive_value<T>(socket: &mut Socket) -> Result<T, MeshError>
-where
-    T: DeserializeOwned,
-{
-    let bytes = next_payload(socket).await?;
-    if bytes.len() > MAX_GREETING {
-        return Err(MeshError::Protocol("greeting is too long".to_owned()));
-    }
-    Ok(decode(&bytes)?)
-}
-
-async fn next_payload<S>(source: &mut S) -> Result<tokio_util::bytes::Bytes, MeshError>
+/// Reads the next binary message.
+pub async fn next_payload<S>(source: &mut S) -> Result<tokio_util::bytes::Bytes, MeshError>
 where
     S: futures::Stream<Item = Result<Message, SocketError>> + Unpin,
 {
@@ -172,7 +115,8 @@
     }
 }
 
-fn from_socket(error: SocketError) -> MeshError {
+/// Sorts an error of the WebSocket library.
+pub fn from_socket(error: SocketError) -> MeshError {
     match error {
         SocketError::Io(error) => MeshError::Io(error),
         SocketError::ConnectionClosed | SocketError::AlreadyClosed => MeshError::Closed,
@@ -181,7 +125,8 @@
 }
 
 impl Connection {
-    fn new(socket: Socket, peer: Hello) -> Self {
+    /// Takes over an authenticated socket.
+    pub fn new(socket: Socket, peer: Hello) -> Self {
         let (sink, source) = socket.split();
         Self { sink, source, peer }
     }
@@ -198,6 +143,9 @@
     /// Queues a message in the socket's buffer.
     pub async fn feed(&mut self, message: &MeshMessage) -> Result<(), MeshError> {
         let bytes = encode(message)?;
+        if bytes.len() > MAX_MESSAGE {
+            return Err(MeshError::TooLarge(bytes.len()));
+        }
         self.counters.count_sent(Family::of(message), bytes.len());
         let fed = self.sink.feed(Message::binary(bytes)).await;
         fed.map_err(from_socket)
--- a/crates/dandelion-net/tests/common/mod.rs
+++ b/crates/dandelion-net/tests/common/mod.rs
@@ -47,7 +47,7 @@
 /// Chunks of the path `many`, far more than one batch.
 pub const MANY: usize = 5000;
 
-/// `echo`: replies; `wait`: never; `pieces`: three chunks; `many`: many small ones; `flood`: chunks without end;
+/// `echo`: replies; `huge`: with too much; `wait`: never; `pieces`: three chunks; `many`: many small ones; `flood`: chunks without end;
 /// `lie`: a wrong byte count; `quit`: no end.
 #[derive(Debug, Clone)]
 pub struct Script(pub Sender<Seen>);
@@ -66,6 +66,11 @@
         if path == "wait" {
             std::future::pending::<()>().await;
         }
+        let body = if path == "huge" {
+            vec![0; 17 << 20]
+        } else {
+            body
+        };
         ReplyBody::Forwarded { status: 200, body }
     }
 
--- a/crates/dandelion-net/tests/mesh_streams.rs
+++ b/crates/dandelion-net/tests/mesh_streams.rs
@@ -20,7 +20,9 @@
 use dandelion_net::mesh::Family;
 use dandelion_net::mesh::MeshError;
 use dandelion_net::mesh::ServeStream;
+use dandelion_protocol::mesh::CallBody;
 use dandelion_protocol::mesh::MeshMessage;
+use dandelion_protocol::mesh::ReplyBody;
 use dandelion_protocol::mesh::ServePart;
 use dandelion_protocol::outcome::Ran;
 
@@ -143,17 +145,47 @@
         let size = collect(&mut stream).await.map(|body| body.len());
         assert_eq!(size, Ok(MANY));
         let numbers = 0..1000_u32;
-        for number in numbers.clone() {
-            let message = MeshMessage::Digest(number.to_be_bytes().to_vec());
-            a.mesh.send(&id("b"), message).expect("room");
-        }
-        for number in numbers {
-            let message = MeshMessage::Digest(number.to_be_bytes().to_vec());
-            wait_for(&b, Seen::Message(id("a"), message)).await;
+        let message = |number: u32| MeshMessage::Digest(number.to_be_bytes().to_vec());
+        for target in [&b, &a] {
+            for number in numbers.clone() {
+                a.mesh
+                    .send(target.mesh.id(), message(number))
+                    .expect("room");
+            }
+            for number in numbers.clone() {
+                wait_for(target, Seen::Message(id("a"), message(number))).await;
+            }
         }
     });
 }
 
+#[test]
+fn oversize_refused() {
+    block_on(async {
+        let (a, b) = pair().await;
+        let huge = CallBody::Forward {
+            path: "echo".to_owned(),
+            body: vec![0; 17 << 20],
+        };
+        let call = a.mesh.call(&id("b"), huge, LIMIT).await;
+        assert_eq!(call, Err(CallError::NotSent));
+        // An answer too large is refused as such; the connection stays.
+        let mut honest = a.mesh.serve(&id("b"), serve("hold")).expect("queued");
+        assert!(matches!(honest.next().await, Ok(ServePart::Head { .. })));
+        let reply = a.mesh.call(&id("b"), forward("huge"), LIMIT).await;
+        let Ok(ReplyBody::Refused(refusal)) = reply else {
+            panic!("expected a refusal");
+        };
+        assert_eq!(refusal.ran, Ran::Ran);
+        assert_eq!(
+            a.mesh.call(&id("b"), forward("echo"), LIMIT).await,
+            Ok(replied())
+        );
+        drop(honest);
+        wait_for(&b, Seen::Dropped("hold".to_owned())).await;
+    });
+}
+
 #[test]
 fn stream_lies() {
     block_on(async {
--- a/crates/dandelion-net/tests/server_answers.rs
+++ b/crates/dandelion-net/tests/server_answers.rs
@@ -23,6 +23,9 @@
 use http_types::Request;
 use http_types::Response;
 
+/// Most connections of the server under test.
+const CONNECTIONS: usize = 20;
+
 /// Tells the test when the work of a request is dropped.
 struct Dropped(Sender<()>);
 
@@ -52,6 +55,7 @@
                 sender.send(b"half".to_vec()).await.expect("room");
                 streamed(200, "text/plain", body)
             }
+            "/panic" => panic!("as the test wants"),
             "/slow" => {
                 sleep(Duration::from_millis(150)).await;
                 Response::new(200)
@@ -82,6 +86,7 @@
     let (started, starts) = async_channel::unbounded();
     let limits = Limits {
         drain_idle: Duration::from_millis(100),
+        connections: CONNECTIONS,
         ..Limits::default()
     };
     let address = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -194,6 +199,56 @@
     });
 }
 
+#[test]
+fn panic_contained() {
+    block_on(async {
+        let bench = bench().await;
+        let address = bench.server.local_addr();
+        for _ in 0..3 {
+            let sent = open(&bench.client, address, "/panic").await;
+            assert!(
+                matches!(sent, Err(SendError::Unknown(Cause::Closed(_)))),
+                "{sent:?}"
+            );
+            let quick = open(&bench.client, address, "/quick").await;
+            assert_eq!(quick.expect("still served").status(), 200);
+        }
+    });
+}
+
+#[test]
+fn connections_bounded() {
+    block_on(async {
+        let bench = bench().await;
+        let address = bench.server.local_addr();
+        let mut held = Vec::new();
+        for _ in 0..CONNECTIONS {
+            let client = Client::new(ClientOptions::default());
+            held.push(open(&client, address, "/stream").await.expect("a head"));
+        }
+        let client = Client::new(ClientOptions::default());
+        let mut refused = open(&client, address, "/quick").await.expect("an answer");
+        assert_eq!(
+            (refused.status(), refused.header("retry-after")),
+            (503, Some("1"))
+        );
+        let body = refused.read_all(1000).await.expect("whole");
+        let text = String::from_utf8(body).expect("text");
+        assert!(text.contains("\"ran\":\"not_run\""), "{text}");
+        held.clear();
+        while open(&client, address, "/quick")
+            .await
+            .is_ok_and(|e| e.status() == 503)
+        {
+            sleep(Duration::from_millis(5)).await;
+        }
+        let after = open(&client, address, "/quick")
+            .await
+            .expect("served again");
+        assert_eq!(after.status(), 200);
+    });
+}
+
 #[test]
 fn shutdown_cuts() {
     block_on(async {
--- a/crates/dandelion-net/tests/whole_answers.rs
+++ b/crates/dandelion-net/tests/whole_answers.rs
@@ -17,6 +17,7 @@
 use dandelion_net::http::client::SendOptions;
 use dandelion_net::http::client::request;
 use dandelion_protocol::mesh::Header;
+use futures::FutureExt;
 
 const WHOLE: &str = "0\r\n\r\n";
 
@@ -270,6 +271,52 @@
     });
 }
 
+#[test]
+fn failure_stays() {
+    // Asking on after a failure, or dropping a call midway, never turns it into a whole answer.
+    block_on(async {
+        let cut = vec![
+            Step::Write(counted(8, "half")),
+            Step::Pause(Duration::from_millis(100)),
+            Step::Close,
+        ];
+        let server = RawServer::bind(vec![cut]).await.expect("loopback port");
+        let client = Client::new(ClientOptions::default());
+        let address = server.local_addr();
+        let request = request(address, "GET", "/x", &[], Vec::new()).expect("valid request");
+        let sent = client.send(address, request, &options(false)).await;
+        let mut exchange = sent.expect("a head");
+        assert_eq!(exchange.chunk().await, Ok(Some(b"half".to_vec())));
+        let dropped = exchange.chunk().now_or_never();
+        assert_eq!(dropped, None);
+        let first = exchange.chunk().await;
+        assert!(
+            matches!(first, Err(SendError::Unknown(Cause::Closed(_)))),
+            "{first:?}"
+        );
+        assert_eq!(exchange.chunk().await, first);
+    });
+}
+
+#[test]
+fn stopped_peer() {
+    // A peer that takes connections but answers nothing is not alive, so nothing is replaced.
+    block_on(async {
+        let server = RawServer::bind(vec![vec![Step::Hang]])
+            .await
+            .expect("loopback port");
+        let client = Client::new(ClientOptions {
+            probe_time: Duration::from_millis(100),
+            ..ClientOptions::default()
+        });
+        let sent = fetch(&client, &server, true).await;
+        assert_eq!(
+            sent,
+            Err(SendError::Unknown(Cause::Silent { alive: false }))
+        );
+    });
+}
+
 #[test]
 fn silent_replaced() {
     block_on(async {
