--- a/crates/dandelion-daemon/tests/settings.rs
+++ b/crates/dandelion-daemon/tests/settings.rs
@@ -198,3 +198,25 @@
         assert_eq!(name, expected);
     }
 }
+
+#[test]
+fn documented_variables() {
+    let page = include_str!("../../../docs/operators/install.md");
+    let (daemon_part, _) = page
+        .split_once("## Check")
+        .expect("the part on dandelionctl");
+    let is_part = |c: char| c.is_ascii_uppercase() || c == '_';
+    let words = daemon_part.split(|c: char| !is_part(c));
+    let named: Vec<&str> = words
+        .filter(|word| word.starts_with("DANDELION_"))
+        .collect();
+    assert!(named.len() > 8, "{named:?}");
+    let command = Settings::command();
+    let known: Vec<_> = command
+        .get_arguments()
+        .filter_map(clap::Arg::get_env)
+        .collect();
+    for name in named {
+        assert!(known.contains(&name.as_ref()), "{name}");
+    }
+}
--- a/crates/dandelion-rpc/src/lib.rs
+++ b/crates/dandelion-rpc/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod error;
 pub mod generated;
 pub mod secret;
+pub mod token;
 
 pub use change::Author;
 pub use client::ClientError;
--- a/crates/dandelionctl/tests/cli/apply.rs
+++ b/crates/dandelionctl/tests/cli/apply.rs
@@ -208,3 +208,13 @@
         .tests(3_000)
         .quickcheck(garbage_holds as fn(String, usize) -> bool);
 }
+
+#[test]
+fn documented_file() {
+    let page = include_str!("../../../../docs/operators/first-team-and-job.md");
+    let example = page.split("```toml\n").nth(1).expect("an example");
+    let example = example.split("```").next().expect("its end");
+    let config = parse(example).expect("valid");
+    assert_eq!(config.teams.len(), 2);
+    assert_eq!(config.jobs[0].id, "draft");
+}
--- a/crates/dandelionctl/tests/cli/commands.rs
+++ b/crates/dandelionctl/tests/cli/commands.rs
@@ -119,3 +119,29 @@
     let error = Cli::try_parse_from(["dandelionctl", "team", "fold"]).expect_err("no such command");
     assert_eq!(error.exit_code(), i32::from(error::EXIT_USAGE));
 }
+
+/// Commands in the operators' pages, one a line, without variables of the shell.
+fn documented() -> Vec<String> {
+    let pages = [
+        include_str!("../../../../docs/operators/install.md"),
+        include_str!("../../../../docs/operators/first-team-and-job.md"),
+        include_str!("../../../../docs/operators/keys.md"),
+    ];
+    let lines = pages.iter().flat_map(|page| page.lines());
+    lines
+        .filter_map(|line| line.strip_prefix("    dandelionctl "))
+        .map(|line| line.split(" \"$").next().unwrap_or(line).to_owned())
+        .map(|line| line.trim_end_matches(" --digest").to_owned())
+        .collect()
+}
+
+#[test]
+fn documented_commands() {
+    let lines = documented();
+    assert!(lines.len() > 10, "{lines:?}");
+    for line in lines {
+        let words = format!("dandelionctl {line}");
+        let parsed = Cli::try_parse_from(words.split_whitespace());
+        assert!(parsed.is_ok(), "{line}: {}", parsed.expect_err("refused"));
+    }
+}
