--- a/crates/dandelion-daemon/src/settings/check.rs
+++ b/crates/dandelion-daemon/src/settings/check.rs
@@ -93,7 +93,7 @@
     if mesh.is_empty() {
         return Err(SettingsError::Missing {
             setting: "--mesh-secrets",
-            remedy: "give the daemons of a cell one random secret of 16 bytes or more, best by \
+            remedy: "give the daemons of a cell one random secret of 32 bytes or more, best by \
                      --mesh-secrets-file",
         });
     }
--- a/crates/dandelion-daemon/src/settings/secret.rs
+++ b/crates/dandelion-daemon/src/settings/secret.rs
@@ -8,7 +8,7 @@
 use crate::settings::error::SettingsError;
 
 /// Shortest accepted secret, in bytes.
-pub const MIN_SECRET_BYTES: usize = 16;
+pub const MIN_SECRET_BYTES: usize = 32;
 
 /// Where the secrets of one purpose come from.
 #[derive(Debug, Clone, Copy)]
@@ -76,6 +76,6 @@
         setting,
         &format!("{length} bytes"),
         "it is too short for a secret",
-        "use 16 bytes or more from a random source",
+        "use 32 bytes or more from a random source",
     ))
 }
--- a/crates/dandelion-daemon/tests/settings.rs
+++ b/crates/dandelion-daemon/tests/settings.rs
@@ -14,7 +14,7 @@
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
 
-const SECRET: &str = "0123456789abcdef";
+const SECRET: &str = "0123456789abcdef0123456789abcdef";
 
 fn parse(flags: &[&str]) -> Result<Settings, clap::Error> {
     Settings::try_parse_from([&["dandelionrun"], flags].concat())
@@ -29,7 +29,7 @@
     let base = [
         "--name=a1",
         "--zone=limmat-1",
-        "--mesh-secrets=0123456789abcdef",
+        "--mesh-secrets=0123456789abcdef0123456789abcdef",
         "--control-peers=c1@127.0.0.1:9001",
     ];
     let setting = |flag: &str| flag.split('=').next().map(str::to_owned);
@@ -145,7 +145,7 @@
     let flag = format!("--mesh-secrets-file={}", file.display());
     let checked = check_with(&[&flag]).expect("valid");
     let secrets: Vec<&str> = checked.secrets.mesh.iter().map(Secret::reveal).collect();
-    assert_eq!(secrets, ["0123456789abcdef-new", SECRET]);
+    assert_eq!(secrets, ["0123456789abcdef0123456789abcdef-new", SECRET]);
 }
 
 #[expect(clippy::needless_pass_by_value, reason = "quickcheck passes values")]
--- /dev/null
+++ b/crates/dandelion-route/src/ticket.rs
@@ -0,0 +1,76 @@
+//! Small identifiers of the request path.
+
+use dandelion_protocol::ids::ServiceId;
+use dandelion_protocol::ids::TeamId;
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Prompt bytes that count for prefix affinity.
+pub const PREFIX_BYTES: usize = 1024;
+
+/// A request at its owner; unique within one life of the daemon.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct Ticket(pub u64);
+
+/// Identity of a request's content: team, service, method, target and body.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct Fingerprint(pub u64);
+
+impl Fingerprint {
+    /// Digests a request. Method and target count because requests without a body would
+    /// otherwise all be the same.
+    pub fn of(
+        team: Option<&TeamId>,
+        service: &ServiceId,
+        method: &str,
+        target: &str,
+        body: &[u8],
+    ) -> Self {
+        let mut hasher = Xxh3::new();
+        let team = team.map_or("", TeamId::as_str);
+        for part in [team, service.as_str(), method, target] {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part.as_bytes());
+        }
+        hasher.update(body);
+        Self(hasher.digest())
+    }
+}
+
+/// Digest of the leading bytes of a prompt, for cache affinity.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct PrefixHash(pub u64);
+
+impl PrefixHash {
+    /// Digests the first [`PREFIX_BYTES`] of a prompt.
+    pub fn of(prompt: &[u8]) -> Self {
+        Self(xxh3_64(&prompt[..prompt.len().min(PREFIX_BYTES)]))
+    }
+}
+
+/// Prompt tokens that cost an engine as much as one generated token.
+pub const PROMPT_PER_OUTPUT: u64 = 16;
+
+/// Work of a request, predicted or done. A plain service's request has one output.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Work {
+    /// Prompt tokens.
+    pub prompt: u64,
+    /// Generated tokens.
+    pub output: u64,
+}
+
+impl Work {
+    /// Returns the work in units of generated tokens, at least 1.
+    pub fn cost(&self) -> u64 {
+        (self.prompt / PROMPT_PER_OUTPUT + self.output).max(1)
+    }
+}
