Wait after a change until it is in force, show request ids as sent

Cause: a trial against three real daemons showed that a list right after a change lags by a feed period (an empty key list after a grant), that a second apply at once was stopped as if another operator had raced it, and that a conflict shows the winning request id in decimal. Conclusion: the next command sees the change before it.

--- a/crates/dandelion-rpc/src/error.rs
+++ b/crates/dandelion-rpc/src/error.rs
@@ -3,11 +3,15 @@
 use dandelion_protocol::control::ProposeError;
 use dandelion_protocol::control::Rejection;
 use dandelion_protocol::ids::NameError;
+use dandelion_protocol::ids::RequestId;
+use dandelion_protocol::ids::Revision;
 use dandelion_protocol::outcome::Refusal;
 use serde::Deserialize;
 use serde::Serialize;
 use thiserror::Error;
 
+use crate::change::format_request_id;
+
 /// Stable code of an error.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -121,17 +125,48 @@
 
 impl From<Rejection> for RpcError {
     fn from(rejection: Rejection) -> Self {
-        let code = match &rejection {
-            Rejection::Conflict { .. } => ErrorCode::Conflict,
-            Rejection::IdReused { .. } => ErrorCode::IdReused,
-            Rejection::Invalid { .. } => ErrorCode::InvalidArgument,
-            Rejection::NotFound { .. } => ErrorCode::NotFound,
-            Rejection::Unreadable { .. } => ErrorCode::Unsupported,
-        };
-        split(code, &rejection.to_string())
+        match &rejection {
+            Rejection::Conflict {
+                revision,
+                winner,
+                request,
+            } => conflict(*revision, winner, *request),
+            Rejection::IdReused {
+                request,
+                winner,
+                revision,
+            } => id_reused(*request, winner, *revision),
+            Rejection::Invalid { .. } => split(ErrorCode::InvalidArgument, &rejection.to_string()),
+            Rejection::NotFound { .. } => split(ErrorCode::NotFound, &rejection.to_string()),
+            Rejection::Unreadable { .. } => split(ErrorCode::Unsupported, &rejection.to_string()),
+        }
     }
 }
 
+/// Names the winner of a race; the request id is written as operators send it.
+fn conflict(revision: Revision, winner: &str, request: RequestId) -> RpcError {
+    let request = format_request_id(request);
+    RpcError::new(
+        ErrorCode::Conflict,
+        &format!(
+            "the state is at revision {revision}, not the expected one: `{winner}` changed it by \
+             request {request}"
+        ),
+        "read it again and resend with a new request id",
+    )
+}
+
+fn id_reused(request: RequestId, winner: &str, revision: Revision) -> RpcError {
+    let request = format_request_id(request);
+    RpcError::new(
+        ErrorCode::IdReused,
+        &format!(
+            "request id {request} already names another change by `{winner}` at revision {revision}"
+        ),
+        "choose a new request id",
+    )
+}
+
 impl From<Refusal> for RpcError {
     fn from(refusal: Refusal) -> Self {
         let code = match refusal.status() {
--- a/crates/dandelion-rpc/tests/convert.rs
+++ b/crates/dandelion-rpc/tests/convert.rs
@@ -1,7 +1,12 @@
 //! Messages to configuration types and back.
 
 use dandelion_protocol::config;
+use dandelion_protocol::control::Rejection;
+use dandelion_protocol::ids::RequestId;
+use dandelion_protocol::ids::Revision;
 use dandelion_rpc::ErrorCode;
+use dandelion_rpc::RpcError;
+use dandelion_rpc::change::format_request_id;
 use dandelion_rpc::convert;
 use dandelion_rpc::generated::GrantKeyRequest;
 use dandelion_rpc::generated::Job;
@@ -85,3 +90,29 @@
     };
     assert!(!format!("{answer:?}").contains("s3cr3t"));
 }
+
+#[test]
+fn winner_named() {
+    let request = RequestId(0x77);
+    let winner = "berta".to_owned();
+    let revision = Revision(9);
+    let conflict = Rejection::Conflict {
+        revision,
+        winner: winner.clone(),
+        request,
+    };
+    let reused = Rejection::IdReused {
+        request,
+        winner,
+        revision,
+    };
+    let codes = [ErrorCode::Conflict, ErrorCode::IdReused];
+    for (rejection, code) in [conflict, reused].into_iter().zip(codes) {
+        let error = RpcError::from(rejection);
+        assert_eq!(error.code, code);
+        let shown = format_request_id(request);
+        for part in ["berta", "revision 9", &shown] {
+            assert!(error.message.contains(part), "{part} in {error}");
+        }
+    }
+}
--- a/crates/dandelionctl/src/apply/carry.rs
+++ b/crates/dandelionctl/src/apply/carry.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::io::BufRead;
 use std::io::Write;
+use std::time::Duration;
 
 use dandelion_protocol::ids::RequestId;
 use dandelion_rpc::ErrorCode;
@@ -22,6 +23,12 @@
 use crate::error::CtlError;
 use crate::session::Session;
 
+/// Times that a lagging list is read again.
+const MAX_READS: u32 = 15;
+
+/// Pause before a lagging list is read again.
+const READ_PAUSE: Duration = Duration::from_millis(200);
+
 /// Conflicts after which a plan is given up.
 const MAX_CONFLICTS: u32 = 20;
 
@@ -66,7 +73,9 @@
             }
             Err(error) if is_conflict(&error) && conflicts < MAX_CONFLICTS => {
                 conflicts += 1;
-                revision = check_again(session, wanted, prune, &plan.steps[done..]).await?;
+                let seen = read_after(session, revision).await?;
+                check_rest(&seen, wanted, prune, &plan.steps[done..])?;
+                revision = seen.revision;
             }
             Err(error) => return Err(error),
         }
@@ -74,19 +83,31 @@
     Ok(answer)
 }
 
-/// Reads the cell again; the rest of the plan must still be what is to be done.
-async fn check_again(
-    session: &Session,
+/// Reads the cell until it is past a revision that was refused: a daemon's lists can lag behind.
+async fn read_after(session: &Session, refused: u64) -> Result<Seen, CtlError> {
+    let mut seen = read_cell(session).await?;
+    for _ in 0..MAX_READS {
+        if seen.revision > refused {
+            break;
+        }
+        async_std::task::sleep(READ_PAUSE).await;
+        seen = read_cell(session).await?;
+    }
+    Ok(seen)
+}
+
+/// Checks that the rest of the plan is still what is to be done.
+fn check_rest(
+    seen: &Seen,
     wanted: &FileConfig,
     prune: bool,
     rest: &[Step],
-) -> Result<u64, CtlError> {
-    let seen = read_cell(session).await?;
+) -> Result<(), CtlError> {
     if plan(&seen.config, wanted, prune).steps == rest {
-        return Ok(seen.revision);
+        return Ok(());
     }
     Err(CtlError::Stopped {
-        reason: "another operator changed the same records".to_owned(),
+        reason: "the records changed since the difference was shown".to_owned(),
         remedy: "look at `dandelionctl history` and run the command again",
     })
 }
--- a/crates/dandelionctl/src/cli.rs
+++ b/crates/dandelionctl/src/cli.rs
@@ -98,6 +98,15 @@
         default_value = "15000"
     )]
     pub timeout_ms: u64,
+    /// Longest wait until a change is in force everywhere, in milliseconds; 0 does not wait
+    #[arg(
+        long,
+        global = true,
+        env = "DANDELION_SETTLE_MS",
+        value_name = "MS",
+        default_value = "3000"
+    )]
+    pub settle_ms: u64,
     /// Times that a request is sent again after a lost answer
     #[arg(
         long,
--- a/crates/dandelionctl/src/commands/cell/apply.rs
+++ b/crates/dandelionctl/src/commands/cell/apply.rs
@@ -41,6 +41,6 @@
         }
         let done = apply::carry_out(session, &wanted, self.prune, seen, &plan).await?;
         let shown = if self.yes { plan.text() } else { String::new() };
-        Ok(shown + &session.show(&done))
+        Ok(shown + &session.show_change(done).await)
     }
 }
--- a/crates/dandelionctl/src/commands/cell/explain.rs
+++ b/crates/dandelionctl/src/commands/cell/explain.rs
@@ -10,7 +10,7 @@
 /// Says what was decided about one thing, and why.
 #[derive(Debug, Args)]
 pub struct Explain {
-    /// Kind: request, upstream, daemon, change, job or team
+    /// Kind: request, upstream, daemon or change
     pub kind: String,
     /// Name or number
     pub id: String,
--- a/crates/dandelionctl/src/commands/control/add_voter.rs
+++ b/crates/dandelionctl/src/commands/control/add_voter.rs
@@ -24,6 +24,6 @@
             address: self.address.clone(),
         };
         let answer = session.client().add_voter(&request).await?;
-        Ok(session.show(&answer))
+        Ok(session.show_change(answer).await)
     }
 }
--- a/crates/dandelionctl/src/commands/control/remove_voter.rs
+++ b/crates/dandelionctl/src/commands/control/remove_voter.rs
@@ -21,6 +21,6 @@
             name: self.name.clone(),
         };
         let answer = session.client().remove_voter(&request).await?;
-        Ok(session.show(&answer))
+        Ok(session.show_change(answer).await)
     }
 }
--- a/crates/dandelionctl/src/commands/control/replace_voter.rs
+++ b/crates/dandelionctl/src/commands/control/replace_voter.rs
@@ -27,6 +27,6 @@
             address: self.address.clone(),
         };
         let answer = session.client().replace_voter(&request).await?;
-        Ok(session.show(&answer))
+        Ok(session.show_change(answer).await)
     }
 }
--- a/crates/dandelionctl/src/commands/fleet/limits.rs
+++ b/crates/dandelionctl/src/commands/fleet/limits.rs
@@ -29,6 +29,6 @@
             }),
         };
         let answer = session.client().fleet_limits(&request).await?;
-        Ok(session.show(&answer))
+        Ok(session.show_change(answer).await)
     }
 }
--- a/crates/dandelionctl/src/commands/fleet/resume.rs
+++ b/crates/dandelionctl/src/commands/fleet/resume.rs
@@ -18,6 +18,6 @@
             paused: false,
         };
         let answer = session.client().fleet_pause(&request).await?;
-        Ok(session.show(&answer))
+        Ok(session.show_change(answer).await)
     }
 }
--- a/crates/dandelionctl/src/commands/job/end.rs
+++ b/crates/dandelionctl/src/commands/job/end.rs
@@ -21,6 +21,6 @@
             name: self.job.clone(),
         };
         let answer = session.client().end_job(&request).await?;
-        Ok(session.show(&answer))
+        Ok(session.show_change(answer).await)
     }
 }
--- a/crates/dandelionctl/src/commands/job/put.rs
+++ b/crates/dandelionctl/src/commands/job/put.rs
@@ -57,6 +57,6 @@
             }),
         };
         let answer = session.client().put_job(&request).await?;
-        Ok(session.show(&answer))
+        Ok(session.show_change(answer).await)
     }
 }
--- a/crates/dandelionctl/src/commands/key/grant.rs
+++ b/crates/dandelionctl/src/commands/key/grant.rs
@@ -41,11 +41,12 @@
         });
         let request = self.request(session, digest.unwrap_or_default())?;
         let mut answer = session.client().grant_key(&request).await?;
-        match (made, &answer.change) {
-            (Some(made), _) => answer.secret = made,
-            (None, Some(change)) => return Ok(session.show(change)),
-            (None, None) => {}
-        }
+        let change = session.settle(answer.change.unwrap_or_default()).await;
+        let Some(made) = made else {
+            return Ok(session.show(&change));
+        };
+        answer.change = Some(change);
+        answer.secret = made;
         Ok(session.show(&answer))
     }
 }
--- a/crates/dandelionctl/src/commands/key/withdraw.rs
+++ b/crates/dandelionctl/src/commands/key/withdraw.rs
@@ -21,6 +21,6 @@
             name: self.key.clone(),
         };
         let answer = session.client().withdraw_key(&request).await?;
-        Ok(session.show(&answer))
+        Ok(session.show_change(answer).await)
     }
 }
--- a/crates/dandelionctl/src/commands/service/put.rs
+++ b/crates/dandelionctl/src/commands/service/put.rs
@@ -48,6 +48,6 @@
             }),
         };
         let answer = session.client().put_service(&request).await?;
-        Ok(session.show(&answer))
+        Ok(session.show_change(answer).await)
     }
 }
--- a/crates/dandelionctl/src/commands/service/remove.rs
+++ b/crates/dandelionctl/src/commands/service/remove.rs
@@ -21,6 +21,6 @@
             name: self.service.clone(),
         };
         let answer = session.client().remove_service(&request).await?;
-        Ok(session.show(&answer))
+        Ok(session.show_change(answer).await)
     }
 }
--- a/crates/dandelionctl/src/commands/team/put.rs
+++ b/crates/dandelionctl/src/commands/team/put.rs
@@ -36,6 +36,6 @@
             }),
         };
         let answer = session.client().put_team(&request).await?;
-        Ok(session.show(&answer))
+        Ok(session.show_change(answer).await)
     }
 }
--- a/crates/dandelionctl/src/commands/team/remove.rs
+++ b/crates/dandelionctl/src/commands/team/remove.rs
@@ -21,6 +21,6 @@
             name: self.team.clone(),
         };
         let answer = session.client().remove_team(&request).await?;
-        Ok(session.show(&answer))
+        Ok(session.show_change(answer).await)
     }
 }
--- a/crates/dandelionctl/src/commands/upstream/drain.rs
+++ b/crates/dandelionctl/src/commands/upstream/drain.rs
@@ -25,6 +25,6 @@
             boot: self.boot,
         };
         let answer = session.client().drain_upstream(&request).await?;
-        Ok(session.show(&answer))
+        Ok(session.show_change(answer).await)
     }
 }
--- a/crates/dandelionctl/src/commands/upstream/unpoison.rs
+++ b/crates/dandelionctl/src/commands/upstream/unpoison.rs
@@ -21,6 +21,6 @@
             fingerprint: self.fingerprint.clone(),
         };
         let answer = session.client().unpoison(&request).await?;
-        Ok(session.show(&answer))
+        Ok(session.show_change(answer).await)
     }
 }
--- a/crates/dandelionctl/src/session.rs
+++ b/crates/dandelionctl/src/session.rs
@@ -8,6 +8,8 @@
 use dandelion_rpc::OperatorClient;
 use dandelion_rpc::change;
 use dandelion_rpc::generated::Change;
+use dandelion_rpc::generated::ChangeAnswer;
+use dandelion_rpc::generated::StatusRequest;
 use dandelion_rpc::secret::Secret;
 
 use crate::cli::Options;
@@ -64,6 +66,33 @@
         render(self.options.output, answer)
     }
 
+    /// Waits until a change is in force everywhere, so that the next command sees it.
+    ///
+    /// The wait is bounded; the answer says how far the change has spread by then.
+    pub async fn settle(&self, answer: ChangeAnswer) -> ChangeAnswer {
+        let spread = answer.daemons_applied >= answer.daemons_total;
+        if spread || self.options.settle_ms == 0 {
+            return answer;
+        }
+        let request = StatusRequest {
+            wait_revision: Some(answer.revision),
+            timeout_ms: self.options.settle_ms,
+        };
+        match self.client.status(&request).await {
+            Ok(status) => ChangeAnswer {
+                revision: answer.revision,
+                daemons_applied: status.daemons_applied,
+                daemons_total: status.daemons_total,
+            },
+            Err(_) => answer,
+        }
+    }
+
+    /// Waits for a change and writes its answer in the chosen form.
+    pub async fn show_change(&self, answer: ChangeAnswer) -> String {
+        self.show(&self.settle(answer).await)
+    }
+
     /// Returns the request id of this run's change, if it makes one.
     pub fn sent(&self) -> Option<&str> {
         self.sent.get().map(String::as_str)
--- a/crates/dandelionctl/tests/cli/commands.rs
+++ b/crates/dandelionctl/tests/cli/commands.rs
@@ -87,6 +87,22 @@
     });
 }
 
+#[test]
+fn change_settles() {
+    block_on(async {
+        let daemon = Daemon::bind(&[]).await;
+        daemon.cell.state().lags = true;
+        for command in ["team put claims", "key grant night --team claims"] {
+            let words = format!("--operator anna {command}");
+            let text = run(&daemon, &words).await.expect("changed");
+            assert!(text.contains("in force on 3 of 3"), "{text}");
+            let words = format!("--operator anna --settle-ms 0 {command}");
+            let text = run(&daemon, &words).await.expect("changed");
+            assert!(text.contains("in force on 1 of 3"), "{text}");
+        }
+    });
+}
+
 #[test]
 fn completions_written() {
     block_on(async {
--- a/crates/dandelionctl/tests/cli/daemon/cell.rs
+++ b/crates/dandelionctl/tests/cli/daemon/cell.rs
@@ -61,6 +61,8 @@
     pub operators: Vec<String>,
     /// Changes that another operator makes before the next one is applied.
     pub raced: Vec<Team>,
+    /// Whether changes are answered before they have spread.
+    pub lags: bool,
     answers: BTreeMap<u128, u64>,
 }
 
@@ -81,7 +83,7 @@
         let author = Author::check(change)?;
         let mut state = self.state();
         if let Some(revision) = state.answers.get(&author.request.0) {
-            return Ok(answer(*revision));
+            return Ok(state.answer(*revision));
         }
         for team in std::mem::take(&mut state.raced) {
             put(&mut state.config.teams, team, |team| &team.id);
@@ -101,15 +103,17 @@
         state.operators.push(author.operator);
         let revision = state.revision;
         state.answers.insert(author.request.0, revision);
-        Ok(answer(revision))
+        Ok(state.answer(revision))
     }
 }
 
-fn answer(revision: u64) -> ChangeAnswer {
-    ChangeAnswer {
-        revision,
-        daemons_applied: 3,
-        daemons_total: 3,
+impl State {
+    fn answer(&self, revision: u64) -> ChangeAnswer {
+        ChangeAnswer {
+            revision,
+            daemons_applied: if self.lags { 1 } else { 3 },
+            daemons_total: 3,
+        }
     }
 }
 
@@ -213,6 +217,8 @@
         let revision = self.state().revision;
         Ok(StatusAnswer {
             revision,
+            daemons_applied: 3,
+            daemons_total: 3,
             reached: request
                 .wait_revision
                 .is_none_or(|wanted| wanted <= revision),
