Test apply against lists that lag

Cause: without the wait for the copy, each try would put a refused entry into the log. Before: no test of it. Conclusion: a lagging list costs one conflict.

--- a/crates/dandelionctl/tests/cli/apply.rs
+++ b/crates/dandelionctl/tests/cli/apply.rs
@@ -14,6 +14,7 @@
 use quickcheck::QuickCheck;
 
 use crate::daemon::Daemon;
+use crate::daemon::Stale;
 
 const FILE: &str = r#"
 [[job]]
@@ -164,6 +165,28 @@
     });
 }
 
+/// Lists of one reading of the cell.
+const LISTS: u32 = 3;
+
+#[test]
+fn lagging_lists() {
+    block_on(async {
+        let daemon = Daemon::bind(&[]).await;
+        daemon.cell.state().config.teams = vec![team("other", 1)];
+        daemon.cell.state().revision = 6;
+        daemon.cell.state().stale = Some(Stale {
+            config: FileConfig::default(),
+            revision: 5,
+            reads: 3 * LISTS,
+        });
+        apply(&daemon, FILE, &["--yes"]).await.expect("applied");
+        assert_eq!(daemon.cell.state().revision, 10);
+        let sent = daemon.tokens.lock().expect("no panic").len();
+        let changes = sent - 4 * LISTS as usize;
+        assert_eq!(changes, 1 + 4, "one conflict, then each change once");
+    });
+}
+
 #[test]
 fn race_here() {
     block_on(async {
--- a/crates/dandelionctl/tests/cli/daemon/cell.rs
+++ b/crates/dandelionctl/tests/cli/daemon/cell.rs
@@ -61,11 +61,24 @@
     pub operators: Vec<String>,
     /// Changes that another operator makes before the next one is applied.
     pub raced: Vec<Team>,
+    /// What lists show for a while in place of the state.
+    pub stale: Option<Stale>,
     /// Whether changes are answered before they have spread.
     pub lags: bool,
     answers: BTreeMap<u128, u64>,
 }
 
+/// A copy that lags behind.
+#[derive(Debug, Clone)]
+pub struct Stale {
+    /// What lists show.
+    pub config: FileConfig,
+    /// Its revision.
+    pub revision: u64,
+    /// Lists that still show it.
+    pub reads: u32,
+}
+
 /// The server.
 #[derive(Debug, Default)]
 pub struct Cell(Mutex<State>);
@@ -108,6 +121,16 @@
 }
 
 impl State {
+    fn listed(&mut self) -> (FileConfig, u64) {
+        match &mut self.stale {
+            Some(stale) if stale.reads > 0 => {
+                stale.reads -= 1;
+                (stale.config.clone(), stale.revision)
+            }
+            _ => (self.config.clone(), self.revision),
+        }
+    }
+
     fn answer(&self, revision: u64) -> ChangeAnswer {
         ChangeAnswer {
             revision,
@@ -142,10 +165,10 @@
     }
 
     async fn list_teams(&self, _: ListRequest) -> Result<ListTeamsAnswer, RpcError> {
-        let state = self.state();
+        let (config, revision) = self.state().listed();
         Ok(ListTeamsAnswer {
-            revision: state.revision,
-            teams: state.config.teams.clone(),
+            revision,
+            teams: config.teams,
         })
     }
 
@@ -163,10 +186,10 @@
     }
 
     async fn list_services(&self, _: ListRequest) -> Result<ListServicesAnswer, RpcError> {
-        let state = self.state();
+        let (config, revision) = self.state().listed();
         Ok(ListServicesAnswer {
-            revision: state.revision,
-            services: state.config.services.clone(),
+            revision,
+            services: config.services,
         })
     }
 
@@ -187,10 +210,10 @@
     }
 
     async fn list_jobs(&self, _: ListRequest) -> Result<ListJobsAnswer, RpcError> {
-        let state = self.state();
+        let (config, revision) = self.state().listed();
         Ok(ListJobsAnswer {
-            revision: state.revision,
-            jobs: state.config.jobs.clone(),
+            revision,
+            jobs: config.jobs,
         })
     }
 
--- a/crates/dandelionctl/tests/cli/daemon/mod.rs
+++ b/crates/dandelionctl/tests/cli/daemon/mod.rs
@@ -16,6 +16,7 @@
 use http_types::Request;
 
 pub use cell::Cell;
+pub use cell::Stale;
 pub use fault::Fault;
 
 /// A running stand-in daemon; it ends with the test.
