--- a/crates/dandelion-daemon/tests/settings.rs
+++ b/crates/dandelion-daemon/tests/settings.rs
@@ -14,7 +14,7 @@
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
 
-const SECRET: &str = "0123456789abcdef";
+const SECRET: &str = "0123456789abcdef0123456789abcdef";
 
 fn parse(flags: &[&str]) -> Result<Settings, clap::Error> {
     Settings::try_parse_from([&["dandelionrun"], flags].concat())
@@ -29,7 +29,7 @@
     let base = [
         "--name=a1",
         "--zone=limmat-1",
-        "--mesh-secrets=0123456789abcdef",
+        "--mesh-secrets=0123456789abcdef0123456789abcdef",
         "--control-peers=c1@127.0.0.1:9001",
     ];
     let setting = |flag: &str| flag.split('=').next().map(str::to_owned);
@@ -137,13 +137,15 @@
     assert!(!error.to_string().contains("hunter2"));
     let checked = check_with(&[]).expect("valid");
     assert!(!format!("{checked:?}").contains(SECRET));
+    let unchecked = parse(&["--mesh-secrets", SECRET, "--operator-token", SECRET]);
+    assert!(!format!("{unchecked:?}").contains(SECRET));
     let folder = tempfile::tempdir().expect("folder");
     let file = folder.path().join("secrets");
     std::fs::write(&file, format!("\n{SECRET}-new\n")).expect("written");
     let flag = format!("--mesh-secrets-file={}", file.display());
     let checked = check_with(&[&flag]).expect("valid");
     let secrets: Vec<&str> = checked.secrets.mesh.iter().map(Secret::reveal).collect();
-    assert_eq!(secrets, ["0123456789abcdef-new", SECRET]);
+    assert_eq!(secrets, ["0123456789abcdef0123456789abcdef-new", SECRET]);
 }
 
 #[expect(clippy::needless_pass_by_value, reason = "quickcheck passes values")]
@@ -198,3 +200,25 @@
         assert_eq!(name, expected);
     }
 }
+
+#[test]
+fn documented_variables() {
+    let page = include_str!("../../../docs/operators/install.md");
+    let (daemon_part, _) = page
+        .split_once("## Check")
+        .expect("the part on dandelionctl");
+    let is_part = |c: char| c.is_ascii_uppercase() || c == '_';
+    let words = daemon_part.split(|c: char| !is_part(c));
+    let named: Vec<&str> = words
+        .filter(|word| word.starts_with("DANDELION_"))
+        .collect();
+    assert!(named.len() > 8, "{named:?}");
+    let command = Settings::command();
+    let known: Vec<_> = command
+        .get_arguments()
+        .filter_map(clap::Arg::get_env)
+        .collect();
+    for name in named {
+        assert!(known.contains(&name.as_ref()), "{name}");
+    }
+}
--- a/crates/dandelionctl/src/commands/control/export.rs
+++ b/crates/dandelionctl/src/commands/control/export.rs
@@ -24,7 +24,7 @@
 impl Run for Export {
     async fn run(&self, session: &Session) -> Result<String, CtlError> {
         let answer = session.client().export_snapshot(&ListRequest {}).await?;
-        let digest = hex::encode(secret::digest_bytes(&answer.data));
+        let digest = secret::digest_hex(&answer.data);
         if digest != answer.digest {
             return Err(CtlError::Malformed(
                 "the snapshot does not match its digest; export it again".to_owned(),
--- a/crates/dandelionctl/src/session.rs
+++ b/crates/dandelionctl/src/session.rs
@@ -8,6 +8,9 @@
 use dandelion_rpc::OperatorClient;
 use dandelion_rpc::change;
 use dandelion_rpc::generated::Change;
+use dandelion_rpc::generated::ChangeAnswer;
+use dandelion_rpc::generated::StatusRequest;
+use dandelion_rpc::secret::Secret;
 
 use crate::cli::Options;
 use crate::error::CtlError;
@@ -28,7 +31,7 @@
     /// Opens a session; nothing is sent yet.
     pub fn open(options: &Options) -> Result<Self, CtlError> {
         let token = match (&options.token, &options.token_file) {
-            (Some(token), _) => Some(token.trim().to_owned()),
+            (Some(token), _) => Some(token.clone()),
             (None, Some(path)) => Some(read_token(path)?),
             (None, None) => None,
         };
@@ -63,6 +66,33 @@
         render(self.options.output, answer)
     }
 
+    /// Waits until a change is in force everywhere, so that the next command sees it.
+    ///
+    /// The wait is bounded; the answer says how far the change has spread by then.
+    pub async fn settle(&self, answer: ChangeAnswer) -> ChangeAnswer {
+        let spread = answer.daemons_applied >= answer.daemons_total;
+        if spread || self.options.settle_ms == 0 {
+            return answer;
+        }
+        let request = StatusRequest {
+            wait_revision: Some(answer.revision),
+            timeout_ms: self.options.settle_ms,
+        };
+        match self.client.status(&request).await {
+            Ok(status) => ChangeAnswer {
+                revision: answer.revision,
+                daemons_applied: status.daemons_applied,
+                daemons_total: status.daemons_total,
+            },
+            Err(_) => answer,
+        }
+    }
+
+    /// Waits for a change and writes its answer in the chosen form.
+    pub async fn show_change(&self, answer: ChangeAnswer) -> String {
+        self.show(&self.settle(answer).await)
+    }
+
     /// Returns the request id of this run's change, if it makes one.
     pub fn sent(&self) -> Option<&str> {
         self.sent.get().map(String::as_str)
@@ -131,9 +161,9 @@
     }
 }
 
-fn read_token(path: &Path) -> Result<String, CtlError> {
+fn read_token(path: &Path) -> Result<Secret, CtlError> {
     match std::fs::read_to_string(path) {
-        Ok(text) => Ok(text.trim().to_owned()),
+        Ok(text) => Ok(Secret::from(text.trim().to_owned())),
         Err(error) => Err(CtlError::usage(
             "--token-file",
             &path.display().to_string(),
--- a/crates/dandelionctl/tests/cli/commands.rs
+++ b/crates/dandelionctl/tests/cli/commands.rs
@@ -87,6 +87,22 @@
     });
 }
 
+#[test]
+fn change_settles() {
+    block_on(async {
+        let daemon = Daemon::bind(&[]).await;
+        daemon.cell.state().lags = true;
+        for command in ["team put claims", "key grant night --team claims"] {
+            let words = format!("--operator anna {command}");
+            let text = run(&daemon, &words).await.expect("changed");
+            assert!(text.contains("in force on 3 of 3"), "{text}");
+            let words = format!("--operator anna --settle-ms 0 {command}");
+            let text = run(&daemon, &words).await.expect("changed");
+            assert!(text.contains("in force on 1 of 3"), "{text}");
+        }
+    });
+}
+
 #[test]
 fn completions_written() {
     block_on(async {
@@ -119,3 +135,29 @@
     let error = Cli::try_parse_from(["dandelionctl", "team", "fold"]).expect_err("no such command");
     assert_eq!(error.exit_code(), i32::from(error::EXIT_USAGE));
 }
+
+/// Commands in the operators' pages, one a line, without variables of the shell.
+fn documented() -> Vec<String> {
+    let pages = [
+        include_str!("../../../../docs/operators/install.md"),
+        include_str!("../../../../docs/operators/first-team-and-job.md"),
+        include_str!("../../../../docs/operators/keys.md"),
+    ];
+    let lines = pages.iter().flat_map(|page| page.lines());
+    lines
+        .filter_map(|line| line.strip_prefix("    dandelionctl "))
+        .map(|line| line.split(" \"$").next().unwrap_or(line).to_owned())
+        .map(|line| line.trim_end_matches(" --digest").to_owned())
+        .collect()
+}
+
+#[test]
+fn documented_commands() {
+    let lines = documented();
+    assert!(lines.len() > 10, "{lines:?}");
+    for line in lines {
+        let words = format!("dandelionctl {line}");
+        let parsed = Cli::try_parse_from(words.split_whitespace());
+        assert!(parsed.is_ok(), "{line}: {}", parsed.expect_err("refused"));
+    }
+}
