--- a/crates/dandelion-route/src/balance/pool.rs
+++ b/crates/dandelion-route/src/balance/pool.rs
@@ -234,7 +234,7 @@
 
 /// Requests that a slot can add to what runs at once.
 pub(super) fn usable(slot: &Slot) -> u64 {
-    if slot.open && slot.health.takes_work() {
+    if slot.open && !slot.reserved && slot.health.takes_work() {
         u64::from(slot.allowed())
     } else {
         0
--- a/crates/dandelion-route/src/queue/admission.rs
+++ b/crates/dandelion-route/src/queue/admission.rs
@@ -30,7 +30,7 @@
 impl Pace {
     /// Learns from a request that took `latency` for `tokens`.
     pub fn learn(&mut self, tokens: u64, latency: Millis) {
-        let seen = (latency.0 * 1000 / tokens.max(1)).max(1);
+        let seen = (latency.0.saturating_mul(1000) / tokens.max(1)).max(1);
         self.micros = if self.micros == 0 {
             seen
         } else {
@@ -40,7 +40,7 @@
 
     /// Returns the time that one upstream slot takes for `cost`; zero while nothing is known.
     pub fn service(&self, cost: u64) -> Millis {
-        Millis(cost * self.micros / 1000)
+        Millis(cost.saturating_mul(self.micros) / 1000)
     }
 }
 
@@ -57,7 +57,8 @@
 ) -> Millis {
     let team = teams.get(index);
     let [interactive, rollout] = teams.queued();
-    let fair = team.queued[class] * teams.active().max(team.weight) / team.weight;
+    let active = teams.active().max(team.weight);
+    let fair = team.queued[class].saturating_mul(active) / team.weight;
     let ahead = if class == 0 {
         fair.min(interactive)
     } else {
--- a/crates/dandelion-route/src/queue/arrive.rs
+++ b/crates/dandelion-route/src/queue/arrive.rs
@@ -14,8 +14,9 @@
 use crate::ticket::Ticket;
 
 impl OwnerQueue {
-    pub(super) fn arrive(&mut self, now: Millis, arrival: Arrival, actions: &mut Vec<Action>) {
+    pub(super) fn arrive(&mut self, now: Millis, mut arrival: Arrival, actions: &mut Vec<Action>) {
         let ticket = arrival.ticket;
+        arrival.work = arrival.work.bounded();
         if self.places.contains_key(&ticket) || self.flights.contains_key(&ticket) {
             return;
         }
--- a/crates/dandelion-route/src/queue/event.rs
+++ b/crates/dandelion-route/src/queue/event.rs
@@ -42,7 +42,7 @@
 pub enum Finish {
     /// A whole answer.
     Clean,
-    /// No whole answer, or an error of the upstream.
+    /// No whole answer, an error of the upstream, or no connection to it.
     Failed,
     /// The upstream turned it away as overloaded.
     Congested,
--- a/crates/dandelion-route/src/queue/finish.rs
+++ b/crates/dandelion-route/src/queue/finish.rs
@@ -33,7 +33,7 @@
         };
         self.settle(now, &flight, finish, work, latency);
         let verdict = match finish {
-            Finish::Clean => Verdict::Clean(latency.0 * 1000 / work.cost()),
+            Finish::Clean => Verdict::Clean(latency.0.saturating_mul(1000) / work.cost()),
             Finish::Failed => Verdict::Failed,
             Finish::Congested => Verdict::Congested,
             Finish::NotSent | Finish::Cancelled | Finish::Preempted => Verdict::Neutral,
--- a/crates/dandelion-route/src/queue/machine.rs
+++ b/crates/dandelion-route/src/queue/machine.rs
@@ -68,13 +68,13 @@
     fn handle(&mut self, now: Millis, event: QueueEvent, actions: &mut Vec<Action>) {
         match event {
             QueueEvent::Arrive(arrival) => self.arrive(now, arrival, actions),
-            QueueEvent::Progress { ticket, work } => self.progress(now, ticket, work),
+            QueueEvent::Progress { ticket, work } => self.progress(now, ticket, work.bounded()),
             QueueEvent::Finished {
                 ticket,
                 finish,
                 work,
                 latency,
-            } => self.finish(now, ticket, finish, work, latency, actions),
+            } => self.finish(now, ticket, finish, work.bounded(), latency, actions),
             QueueEvent::Crashed { upstream, boot } => self.crash(now, &upstream, boot, actions),
             QueueEvent::Cancel { ticket } => self.cancel(now, ticket, actions),
             QueueEvent::Upstream(change) => self.change(now, &change, actions),
--- a/crates/dandelion-route/src/ticket.rs
+++ b/crates/dandelion-route/src/ticket.rs
@@ -59,6 +59,9 @@
 /// Prompt tokens that cost an engine as much as one generated token.
 pub const PROMPT_PER_OUTPUT: u64 = 16;
 
+/// Greatest number of tokens that is believed, so that sums cannot overflow.
+pub const MAX_TOKENS: u64 = 10_000_000;
+
 /// Work of a request, predicted or done. A plain service's request has one output.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Work {
@@ -69,6 +72,15 @@
 }
 
 impl Work {
+    /// Returns the work with each part cut to [`MAX_TOKENS`].
+    #[must_use]
+    pub fn bounded(self) -> Self {
+        Self {
+            prompt: self.prompt.min(MAX_TOKENS),
+            output: self.output.min(MAX_TOKENS),
+        }
+    }
+
     /// Returns the work in units of generated tokens, at least 1.
     pub fn cost(&self) -> u64 {
         (self.prompt / PROMPT_PER_OUTPUT + self.output).max(1)
--- a/crates/dandelion-route/tests/claims.rs
+++ b/crates/dandelion-route/tests/claims.rs
@@ -108,6 +108,44 @@
     assert_eq!(resent, ClaimReply::Answered(answer(3)));
 }
 
+#[test]
+fn foreign_settlement() {
+    let mut table = ClaimsTable::default();
+    apply(&mut table, 0, claim(1, attempt(1, 1)));
+    for result in [ClaimResult::NotRun, ClaimResult::Answered(answer(3))] {
+        let foreign = settle(1, attempt(2, 1), result);
+        assert_eq!(apply(&mut table, 1, foreign), ClaimReply::Ignored);
+    }
+    let running = apply(&mut table, 2, claim(1, attempt(2, 2)));
+    assert!(matches!(running, ClaimReply::Running { .. }));
+}
+
+#[test]
+fn unknown_stays() {
+    let mut table = ClaimsTable::default();
+    apply(&mut table, 0, claim(1, attempt(1, 1)));
+    apply(
+        &mut table,
+        1,
+        settle(1, attempt(1, 1), ClaimResult::Unknown),
+    );
+    let released = settle(1, attempt(1, 1), ClaimResult::NotRun);
+    assert_eq!(apply(&mut table, 2, released), ClaimReply::Ignored);
+    let resent = apply(&mut table, 3, claim(1, attempt(2, 1)));
+    assert_eq!(resent, ClaimReply::Unknown);
+}
+
+#[test]
+fn released_once() {
+    let mut table = ClaimsTable::default();
+    apply(&mut table, 0, claim(1, attempt(1, 1)));
+    apply(&mut table, 1, settle(1, attempt(1, 1), ClaimResult::NotRun));
+    let replayed = apply(&mut table, 2, claim(1, attempt(1, 1)));
+    assert_eq!(replayed, ClaimReply::Ignored);
+    let resent = apply(&mut table, 3, claim(1, attempt(2, 1)));
+    assert_eq!(resent, ClaimReply::Granted);
+}
+
 #[test]
 fn other_body() {
     let mut table = ClaimsTable::default();
--- a/crates/dandelion-route/tests/dispatch.rs
+++ b/crates/dandelion-route/tests/dispatch.rs
@@ -211,3 +211,93 @@
     }
     assert_eq!(started, 7);
 }
+
+#[test]
+fn absurd_predictions() {
+    let mut queue = open_queue(1, 1);
+    for ticket in 1..50 {
+        let mut huge = arrival(ticket, "t", Class::Interactive);
+        huge.work = Work {
+            prompt: u64::MAX,
+            output: u64::MAX,
+        };
+        huge.deadline = Millis(u64::MAX);
+        feed(&mut queue, 1, QueueEvent::Arrive(huge));
+    }
+    let finished = QueueEvent::Finished {
+        ticket: Ticket(1),
+        finish: Finish::Clean,
+        work: Work {
+            prompt: u64::MAX,
+            output: u64::MAX,
+        },
+        latency: Millis(u64::MAX),
+    };
+    assert_eq!(dispatched(&feed(&mut queue, 2, finished)).len(), 1);
+    assert_eq!((queue.inflight(), queue.waiting()), (1, 47));
+}
+
+#[test]
+fn no_idle_credit() {
+    let mut queue = open_queue(1, 1);
+    for ticket in 1..40 {
+        feed(
+            &mut queue,
+            1,
+            QueueEvent::Arrive(arrival(ticket, "busy", Class::Interactive)),
+        );
+    }
+    for ticket in 1..20 {
+        feed(&mut queue, 2, finish(ticket, Finish::Clean));
+    }
+    for ticket in 100..120 {
+        feed(
+            &mut queue,
+            3,
+            QueueEvent::Arrive(arrival(ticket, "late", Class::Interactive)),
+        );
+    }
+    let mut running = 20;
+    let mut late = 0;
+    for _ in 0..10 {
+        running = dispatched(&feed(&mut queue, 4, finish(running, Finish::Clean)))[0].0;
+        late += u32::from(running >= 100);
+    }
+    assert!(
+        (4..=6).contains(&late),
+        "{late} of 10 went to the late team"
+    );
+}
+
+#[test]
+fn weighted_shares() {
+    let mut queue = open_queue(1, 1);
+    let team = |name: &str, weight| Team {
+        id: name.parse().unwrap(),
+        weight,
+        max_inflight: None,
+        token_rate: None,
+    };
+    let teams = [team("one", 1), team("three", 3)];
+    let config = Config {
+        teams: teams.into_iter().map(|t| (t.id.clone(), t)).collect(),
+        ..Config::default()
+    };
+    queue.set_config(Millis(0), &config, 1000);
+    for ticket in 0..200 {
+        let name = if ticket < 100 { "one" } else { "three" };
+        let mut request = arrival(ticket, name, Class::Interactive);
+        request.deadline = Millis(u64::MAX);
+        feed(&mut queue, 1, QueueEvent::Arrive(request));
+    }
+    let mut running = 0;
+    let mut heavy = 0;
+    for _ in 0..40 {
+        running = dispatched(&feed(&mut queue, 2, finish(running, Finish::Clean)))[0].0;
+        heavy += u32::from(running >= 100);
+    }
+    assert!(
+        (29..=31).contains(&heavy),
+        "{heavy} of 40 went to the heavy team"
+    );
+}
--- a/crates/dandelion-route/tests/registry.rs
+++ b/crates/dandelion-route/tests/registry.rs
@@ -57,6 +57,19 @@
     assert_eq!(next, Some(Change::Joined(announce("u", 4, 1))));
 }
 
+#[test]
+fn mark_before_news() {
+    let mut registry = Registry::default();
+    let id: dandelion_protocol::ids::UpstreamId = "u".parse().unwrap();
+    registry.set_drains(&BTreeMap::from([(id.clone(), Incarnation(3))]));
+    for (boot, sequence) in [(2, 1), (3, 1)] {
+        let heard = registry.accept(Millis(0), announce("u", boot, sequence));
+        assert_eq!(heard, Some(Change::Leaving(id.clone())));
+    }
+    let next = registry.accept(Millis(0), announce("u", 4, 1));
+    assert_eq!(next, Some(Change::Joined(announce("u", 4, 1))));
+}
+
 #[test]
 fn silent_upstreams() {
     let mut registry = Registry::default();
