Number the takes of an epoch and republish on a change of charge

Ruled out: a longer wait before copies are dropped, which nothing enforces. Conclusion: the ledger answers copies of a take as it answered the first; a daemon that takes charge announces the newest version again.

--- a/crates/dandelion-rollout/src/coordinator/dispatch.rs
+++ b/crates/dandelion-rollout/src/coordinator/dispatch.rs
@@ -29,7 +29,7 @@
         if now < self.hold_until {
             return;
         }
-        while self.attempts.len() < self.capacity {
+        while self.attempts.len() < self.capacity.min(self.window) {
             let Some(place) = self.next_place(now) else {
                 return;
             };
--- a/crates/dandelion-rollout/src/coordinator/feed.rs
+++ b/crates/dandelion-rollout/src/coordinator/feed.rs
@@ -115,6 +115,7 @@
 
     pub(super) fn on_feed_answer(
         &mut self,
+        now: Millis,
         record: &FeedRecord,
         result: Result<LedgerReply, LedgerRefusal>,
         out: &mut Actions,
@@ -132,7 +133,11 @@
                 Answer::Fed(count)
             }
             Ok(_) => return,
-            Err(refusal) => Answer::Refused(refused(&refusal)),
+            Err(refusal) => {
+                // A refused feed of before may have been recorded by a late copy.
+                self.read_ledger(now, out);
+                Answer::Refused(refused(&refusal))
+            }
         };
         Self::reply(feed.ticket, answer, out);
     }
--- a/crates/dandelion-rollout/src/coordinator/generation.rs
+++ b/crates/dandelion-rollout/src/coordinator/generation.rs
@@ -97,7 +97,9 @@
         if attempt.cancelled {
             return;
         }
-        attempt.upstream = Some(upstream);
+        if attempt.upstream.replace(upstream).is_none() {
+            self.window = self.window.saturating_mul(2);
+        }
         attempt.progress = now;
         if let Err(reason) = attempt.builder.add(report, newest) {
             self.counts.discard(reason);
@@ -287,6 +289,7 @@
         self.settle_attempt(id, failure.tokens);
         if failure.ran == Ran::NotRun {
             self.hold_until = now + TICK;
+            self.window = (self.attempts.len().min(self.window) / 2).max(1);
             return;
         }
         self.count_fail(place, out);
--- a/crates/dandelion-rollout/src/coordinator/machine.rs
+++ b/crates/dandelion-rollout/src/coordinator/machine.rs
@@ -49,6 +49,7 @@
     pub(super) job: Job,
     pub(super) settings: Settings,
     pub(super) daemon: DaemonId,
+    pub(super) incarnation: Incarnation,
     pub(super) epoch: Option<u64>,
     pub(super) deposed: bool,
     pub(super) newest: WeightVersion,
@@ -63,12 +64,15 @@
     pub(super) next_cursor: u64,
     pub(super) pull: Option<PendingPull>,
     pub(super) taking: Option<Token>,
+    pub(super) next_take: u64,
     pub(super) cutting: Option<PendingCut>,
     pub(super) holder: Option<(TrainerId, Millis)>,
     pub(super) since_publish: u64,
     pub(super) attempts: BTreeMap<AttemptId, Attempt>,
     pub(super) next_attempt: u64,
     pub(super) capacity: usize,
+    /// Attempts at once that engines took lately; halved when one is refused.
+    pub(super) window: usize,
     pub(super) hold_until: Millis,
     pub(super) scorer: ScorerQueue,
     pub(super) scoring: BTreeMap<u64, Place>,
@@ -94,20 +98,26 @@
         now: Millis,
         actions: &mut Vec<Action>,
     ) -> Self {
-        let mut coordinator = Self::idle(job, daemon.clone(), settings);
+        let mut coordinator = Self::idle(job, daemon, incarnation, settings);
+        coordinator.read_ledger(now, actions);
+        coordinator
+    }
+
+    /// Takes charge, or reads the ledger anew if already in charge.
+    pub(super) fn read_ledger(&mut self, now: Millis, out: &mut Actions) {
         let lead = LedgerChange::Lead {
-            daemon,
-            incarnation,
+            daemon: self.daemon.clone(),
+            incarnation: self.incarnation,
         };
-        coordinator.propose(now, lead, actions);
-        coordinator
+        self.propose(now, lead, out);
     }
 
-    fn idle(job: Job, daemon: DaemonId, settings: Settings) -> Self {
+    fn idle(job: Job, daemon: DaemonId, incarnation: Incarnation, settings: Settings) -> Self {
         Self {
             job,
             settings,
             daemon,
+            incarnation,
             epoch: None,
             deposed: false,
             newest: WeightVersion::default(),
@@ -122,12 +132,14 @@
             next_cursor: 0,
             pull: None,
             taking: None,
+            next_take: 0,
             cutting: None,
             holder: None,
             since_publish: 0,
             attempts: BTreeMap::new(),
             next_attempt: 0,
             capacity: 0,
+            window: usize::MAX,
             hold_until: Millis::ZERO,
             scorer: ScorerQueue::open(ScorerSettings::default()),
             scoring: BTreeMap::new(),
--- a/crates/dandelion-rollout/src/coordinator/proposals.rs
+++ b/crates/dandelion-rollout/src/coordinator/proposals.rs
@@ -13,6 +13,7 @@
 use crate::coordinator::machine::Actions;
 use crate::coordinator::machine::Coordinator;
 use crate::coordinator::settings::TICK;
+use crate::ledger::FeedRecord;
 use crate::ledger::JobView;
 use crate::ledger::LedgerChange;
 use crate::ledger::LedgerCommand;
@@ -87,7 +88,7 @@
         }
         match known.change {
             LedgerChange::Lead { .. } => self.on_lead(now, result, out),
-            LedgerChange::Feed { feed } => self.on_feed_answer(&feed, result, out),
+            LedgerChange::Feed { feed } => self.on_feed_answer(now, &feed, result, out),
             LedgerChange::Publish { .. } => self.on_publish_answer(now, token, result, out),
             LedgerChange::Renew { trainer, lease } => {
                 self.on_renew_answer(now, token, (&trainer, lease), result, out);
@@ -105,6 +106,10 @@
         let Ok(LedgerReply::Leading(view)) = result else {
             return;
         };
+        if self.epoch == Some(view.epoch) {
+            self.adopt_feeds(view.feeds, out);
+            return;
+        }
         self.adopt(*view, out);
         if self.job.ended {
             let epoch = self.epoch.unwrap_or(0);
@@ -118,8 +123,23 @@
         self.next_cursor = view.next;
         self.past_spent = view.spent;
         self.done = view.done;
+        // The daemon before may have died after the ledger took a version and before the
+        // configuration did.
+        out.push(Action::PublishConfig(self.newest));
         self.current = view.current;
-        for feed in view.feeds {
+        self.adopt_feeds(view.feeds, out);
+    }
+
+    /// Fetches the prompts of feeds that this daemon did not record itself.
+    fn adopt_feeds(&mut self, feeds: Vec<FeedRecord>, out: &mut Actions) {
+        for feed in feeds {
+            if self
+                .feeds
+                .iter()
+                .any(|known| known.record.first == feed.first)
+            {
+                continue;
+            }
             out.push(Action::Fetch {
                 blob: BlobId::Feed(feed.first),
                 holders: feed.holders.clone(),
--- a/crates/dandelion-rollout/src/coordinator/pull.rs
+++ b/crates/dandelion-rollout/src/coordinator/pull.rs
@@ -174,8 +174,10 @@
             return;
         }
         pull.stage = Stage::Taking;
+        self.next_take += 1;
         let take = LedgerChange::Take {
             epoch: self.epoch.unwrap_or(0),
+            number: self.next_take,
             trainer: pull.request.trainer.clone(),
             cursor: pull.request.cursor,
             held: pull.request.held,
--- a/crates/dandelion-rollout/src/ledger/command.rs
+++ b/crates/dandelion-rollout/src/ledger/command.rs
@@ -48,6 +48,8 @@
     Take {
         /// Epoch of the daemon in charge.
         epoch: u64,
+        /// Counts the takes of the epoch, from 1; a late copy of an older one changes nothing.
+        number: u64,
         /// Trainer process.
         trainer: TrainerId,
         /// Cursor that it pulls.
@@ -229,6 +231,9 @@
         /// End of its lease.
         until: WallMillis,
     },
+    /// A newer take was applied.
+    #[error("a newer pull took the place of this one; use the answer to the newer pull")]
+    Superseded,
     /// The trainer has no lease.
     #[error("the trainer holds no lease on the job; pull again")]
     NoLease,
--- a/crates/dandelion-rollout/src/ledger/job.rs
+++ b/crates/dandelion-rollout/src/ledger/job.rs
@@ -43,6 +43,13 @@
     until: WallMillis,
 }
 
+/// The newest take of the epoch.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct LastTake {
+    number: u64,
+    refusal: Option<LedgerRefusal>,
+}
+
 /// What is recorded of one job; its size does not grow with the samples delivered.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobLedger {
@@ -59,6 +66,7 @@
     reserved: u64,
     spent: u64,
     sequence: u64,
+    last_take: LastTake,
     samples: u64,
     ended: bool,
 }
@@ -115,6 +123,7 @@
             self.reserved = 0;
             self.spent = 0;
             self.sequence = 0;
+            self.last_take = LastTake::default();
         }
         LedgerReply::Leading(Box::new(self.view()))
     }
@@ -172,6 +181,24 @@
     }
 
     pub(super) fn take(&mut self, at: WallMillis, pull: &Pull) -> Outcome {
+        if pull.number < self.last_take.number {
+            return Err(LedgerRefusal::Superseded);
+        }
+        // A copy of a refused take must not be accepted later: the trainer was told otherwise.
+        if pull.number == self.last_take.number
+            && let Some(refusal) = &self.last_take.refusal
+        {
+            return Err(refusal.clone());
+        }
+        let outcome = self.take_first(at, pull);
+        self.last_take = LastTake {
+            number: pull.number,
+            refusal: outcome.as_ref().err().cloned(),
+        };
+        outcome
+    }
+
+    fn take_first(&mut self, at: WallMillis, pull: &Pull) -> Outcome {
         self.check_lease(at, pull.trainer)?;
         self.check_cursor(pull)?;
         self.lease = Some(Lease {
@@ -351,6 +378,7 @@
 /// A trainer's pull as the ledger sees it.
 #[derive(Debug)]
 pub(super) struct Pull<'a> {
+    pub number: u64,
     pub trainer: &'a TrainerId,
     pub cursor: u64,
     pub held: Option<u64>,
--- a/crates/dandelion-rollout/src/ledger/table.rs
+++ b/crates/dandelion-rollout/src/ledger/table.rs
@@ -82,6 +82,7 @@
         LedgerChange::Renew { trainer, lease } => job.renew(context.at, &trainer, lease),
         LedgerChange::Take {
             epoch,
+            number,
             trainer,
             cursor,
             held,
@@ -91,6 +92,7 @@
         } => {
             job.check_epoch(epoch)?;
             let pull = Pull {
+                number,
                 trainer: &trainer,
                 cursor,
                 held,
--- a/crates/dandelion-rollout/tests/bench/faults.rs
+++ b/crates/dandelion-rollout/tests/bench/faults.rs
@@ -70,4 +70,8 @@
     ReportOrdered,
     /// The ledger grants tokens and does not record it.
     DropReserve,
+    /// The ledger freezes a batch and does not record it.
+    DropCut,
+    /// The ledger takes every trainer process for the same.
+    OneName,
 }
--- a/crates/dandelion-rollout/tests/bench/shell.rs
+++ b/crates/dandelion-rollout/tests/bench/shell.rs
@@ -132,8 +132,11 @@
             command.change,
             LedgerChange::Take { .. } | LedgerChange::Cut { .. }
         );
-        let drops = self.plan.mutation == Some(Mutation::DropReserve)
-            && matches!(command.change, LedgerChange::Reserve { .. });
+        let drops = match self.plan.mutation {
+            Some(Mutation::DropReserve) => matches!(command.change, LedgerChange::Reserve { .. }),
+            Some(Mutation::DropCut) => matches!(command.change, LedgerChange::Cut { .. }),
+            _ => false,
+        };
         let kept = drops.then(|| self.table.clone());
         let result = self.table.apply(&context, command).unwrap();
         if let Some(kept) = kept {
@@ -157,6 +160,10 @@
         match (self.plan.mutation, change) {
             (Some(Mutation::AckSkipped), LedgerChange::Take { skipped, .. }) => *skipped = false,
             (Some(Mutation::ForgetAcks), LedgerChange::Take { skipped, .. }) => *skipped = true,
+            (
+                Some(Mutation::OneName),
+                LedgerChange::Take { trainer, .. } | LedgerChange::Cut { trainer, .. },
+            ) => "anyone".clone_into(&mut trainer.0),
             (Some(Mutation::DropPublish), LedgerChange::Publish { version }) => {
                 *version = WeightVersion(0);
             }
--- a/crates/dandelion-rollout/tests/histories.rs
+++ b/crates/dandelion-rollout/tests/histories.rs
@@ -128,6 +128,16 @@
     assert!(with_defect(Mutation::ReportOrdered, |world| world.checks.misattributed) > 0);
 }
 
+#[test]
+fn dropped_cut() {
+    assert!(with_defect(Mutation::DropCut, |world| world.checks.changed) > 0);
+}
+
+#[test]
+fn one_name() {
+    assert!(with_defect(Mutation::OneName, |world| world.checks.shared) > 0);
+}
+
 #[test]
 fn dropped_reserve() {
     let over = (0..SEEDS).map(|seed| {
--- a/crates/dandelion-rollout/tests/ledger.rs
+++ b/crates/dandelion-rollout/tests/ledger.rs
@@ -27,6 +27,7 @@
 struct Bench {
     table: LedgerTable,
     at: u64,
+    takes: u64,
 }
 
 type Outcome = Result<LedgerReply, LedgerRefusal>;
@@ -48,6 +49,7 @@
         let mut bench = Self {
             table: LedgerTable::default(),
             at: 1000,
+            takes: 0,
         };
         bench.lead("a").unwrap();
         bench.feed(0, count, 77).unwrap();
@@ -86,8 +88,10 @@
     }
 
     fn take_held(&mut self, name: &str, cursor: u64, skipped: bool, held: Option<u64>) -> Outcome {
+        self.takes += 1;
         self.apply(LedgerChange::Take {
             epoch: 1,
+            number: self.takes,
             trainer: trainer(name),
             cursor,
             held,
@@ -211,6 +215,23 @@
     ));
 }
 
+#[test]
+fn refused_copy() {
+    let mut bench = Bench::fed(8);
+    bench.take("t", 0, false).unwrap();
+    bench.cut(1, batch(0, 0, 4)).unwrap();
+    let refused = bench.take("u", 1, false);
+    assert!(matches!(refused, Err(LedgerRefusal::Held { .. })));
+    // A copy of the refused pull comes when the lease is over; it must not acknowledge.
+    bench.at = 2000;
+    bench.takes -= 1;
+    assert_eq!(bench.take("u", 1, false), refused);
+    assert!(bench.done().is_empty());
+    assert_eq!(state(bench.take("t", 1, true)), CursorState::Open);
+    bench.takes = 0;
+    assert_eq!(bench.take("t", 0, false), Err(LedgerRefusal::Superseded));
+}
+
 #[test]
 fn wrong_digest() {
     let mut bench = Bench::fed(8);
