--- a/crates/dandelion-rollout/src/coordinator/deliver.rs
+++ b/crates/dandelion-rollout/src/coordinator/deliver.rs
@@ -149,6 +149,17 @@
         self.set_stage(Stage::Storing(batch, now));
     }
 
+    /// Returns the batch that is formed and not frozen yet.
+    pub(super) fn forming(&self) -> Option<&Batch> {
+        if let Some(cut) = &self.cutting {
+            return Some(&cut.batch);
+        }
+        match self.pull.as_ref().map(|pull| &pull.stage) {
+            Some(Stage::Storing(batch, _)) => Some(batch),
+            _ => None,
+        }
+    }
+
     fn is_ready_to_cut(&self) -> bool {
         let open = self
             .pull
--- a/crates/dandelion-rollout/src/coordinator/feed.rs
+++ b/crates/dandelion-rollout/src/coordinator/feed.rs
@@ -168,6 +168,9 @@
             taken.extend(&batch.groups);
             taken.extend(&batch.dropped);
         }
+        if let Some(batch) = self.forming() {
+            taken.extend(&batch.groups.iter().map(|group| group.group).collect());
+        }
         self.pool.add(first, prompts, &taken);
     }
 
--- a/crates/dandelion-rollout/src/coordinator/pool.rs
+++ b/crates/dandelion-rollout/src/coordinator/pool.rs
@@ -74,7 +74,7 @@
                 continue;
             }
             self.prompts.insert(number, prompt.as_str().into());
-            if !taken.contains(number) {
+            if !taken.contains(number) && !self.groups.contains_key(&number) {
                 self.waiting.insert(number, number + 1);
             }
         }
--- a/crates/dandelion-rollout/src/coordinator/proposals.rs
+++ b/crates/dandelion-rollout/src/coordinator/proposals.rs
@@ -133,11 +133,9 @@
     /// Fetches the prompts of feeds that this daemon did not record itself.
     fn adopt_feeds(&mut self, feeds: Vec<FeedRecord>, out: &mut Actions) {
         for feed in feeds {
-            if self
-                .feeds
-                .iter()
-                .any(|known| known.record.first == feed.first)
-            {
+            let over = self.done.covers(feed.first, feed.first + feed.count);
+            let mut known = self.feeds.iter();
+            if over || known.any(|known| known.record.first == feed.first) {
                 continue;
             }
             out.push(Action::Fetch {
--- a/crates/dandelion-rollout/tests/bench/trainer.rs
+++ b/crates/dandelion-rollout/tests/bench/trainer.rs
@@ -134,7 +134,7 @@
         }
     }
 
-    /// Lets a second trainer process pull what the first one does.
+    /// Lets a second trainer process pull from the same checkpoint as the first one.
     pub fn intrude(&mut self) {
         let ticket = self.new_ticket();
         self.intruder = ticket;
@@ -142,7 +142,7 @@
             trainer: TrainerId("intruder".to_owned()),
             cursor: self.trainer.cursor,
             held: None,
-            skipped: false,
+            skipped: self.trainer.skipped,
             wait: Millis(1000),
         };
         self.send_pull(ticket, request);
