--- a/crates/dandelion-rollout/src/coordinator/deliver.rs
+++ b/crates/dandelion-rollout/src/coordinator/deliver.rs
@@ -273,7 +273,7 @@
         };
         match result {
             Ok(LedgerReply::Cut { published, .. }) => {
-                self.on_published(now, *published, out);
+                self.on_recorded(now, *published, out);
                 self.freeze(&cut.batch, &cut.record, *published);
                 if self.is_cutting() {
                     self.hand_out(&cut.batch, &cut.record, out);
@@ -281,7 +281,7 @@
             }
             Ok(_) => {}
             Err(LedgerRefusal::Stale { published, .. }) => {
-                self.on_published(now, *published, out);
+                self.on_recorded(now, *published, out);
                 self.reopen(&cut.batch, out);
             }
             Err(_) => {
--- a/crates/dandelion-rollout/src/coordinator/machine.rs
+++ b/crates/dandelion-rollout/src/coordinator/machine.rs
@@ -53,6 +53,8 @@
     pub(super) epoch: Option<u64>,
     pub(super) deposed: bool,
     pub(super) newest: WeightVersion,
+    /// Newest version that the configuration has, or was told.
+    pub(super) announced: WeightVersion,
     pub(super) pace: PublishPace,
     pub(super) pool: Pool,
     pub(super) feeds: Vec<FeedState>,
@@ -121,6 +123,7 @@
             epoch: None,
             deposed: false,
             newest: WeightVersion::default(),
+            announced: WeightVersion::default(),
             pace: PublishPace::default(),
             pool: Pool::default(),
             feeds: Vec::new(),
@@ -187,7 +190,10 @@
                 let token = self.propose(now, LedgerChange::Publish { version }, out);
                 self.asking.insert(token, ticket);
             }
-            Event::Published { version } => self.on_published(now, version, out),
+            Event::Published { version } => {
+                self.announced = self.announced.max(version);
+                self.on_published(now, version, out);
+            }
             Event::Pull { ticket, request } => self.on_pull(now, ticket, request, out),
             Event::Renew {
                 ticket,
@@ -245,6 +251,16 @@
         self.drop_stale(out);
     }
 
+    /// Learns of a version from the ledger. The daemon that recorded it may have died before the
+    /// configuration took it, so it is announced by whoever learns of it first.
+    pub(super) fn on_recorded(&mut self, now: Millis, version: WeightVersion, out: &mut Actions) {
+        if version > self.announced {
+            self.announced = version;
+            out.push(Action::PublishConfig(version));
+        }
+        self.on_published(now, version, out);
+    }
+
     fn on_tick(&mut self, now: Millis, out: &mut Actions) {
         self.resend(now, out);
         self.expire_scores(now);
--- a/crates/dandelion-rollout/src/coordinator/proposals.rs
+++ b/crates/dandelion-rollout/src/coordinator/proposals.rs
@@ -110,22 +110,19 @@
             self.adopt_feeds(view.feeds, out);
             return;
         }
-        self.adopt(*view, out);
+        self.adopt(now, *view, out);
         if self.job.ended {
             let epoch = self.epoch.unwrap_or(0);
             self.propose(now, LedgerChange::End { epoch }, out);
         }
     }
 
-    fn adopt(&mut self, view: JobView, out: &mut Actions) {
+    fn adopt(&mut self, now: Millis, view: JobView, out: &mut Actions) {
         self.epoch = Some(view.epoch);
-        self.newest = self.newest.max(view.published);
+        self.on_recorded(now, view.published, out);
         self.next_cursor = view.next;
         self.past_spent = view.spent;
         self.done = view.done;
-        // The daemon before may have died after the ledger took a version and before the
-        // configuration did.
-        out.push(Action::PublishConfig(self.newest));
         self.current = view.current;
         self.adopt_feeds(view.feeds, out);
     }
@@ -156,8 +153,7 @@
         let ticket = self.asking.remove(&token);
         let answer = match result {
             Ok(LedgerReply::Published(version)) => {
-                out.push(Action::PublishConfig(version));
-                self.on_published(now, version, out);
+                self.on_recorded(now, version, out);
                 Answer::Published(version)
             }
             Ok(_) => return,
--- a/crates/dandelion-rollout/src/coordinator/pull.rs
+++ b/crates/dandelion-rollout/src/coordinator/pull.rs
@@ -201,7 +201,7 @@
         }
         self.taking = None;
         if let Ok(LedgerReply::Taken { state, published }) = &result {
-            self.on_published(now, *published, out);
+            self.on_recorded(now, *published, out);
             self.learn_cursor(state, skipped, out);
         }
         let waits = self
