--- a/crates/dandelion-rollout/src/coordinator/dispatch.rs
+++ b/crates/dandelion-rollout/src/coordinator/dispatch.rs
@@ -29,7 +29,7 @@
         if now < self.hold_until {
             return;
         }
-        while self.attempts.len() < self.capacity.min(self.window) {
+        while self.attempts.len() < self.capacity && self.unconfirmed < self.window {
             let Some(place) = self.next_place(now) else {
                 return;
             };
@@ -107,6 +107,7 @@
         let id = self.new_attempt();
         let attempt = Attempt::begin(place, id, resume.clone(), max_tokens, hedge, now);
         self.attempts.insert(id, attempt);
+        self.unconfirmed += 1;
         self.pool.begin(place, id, now);
         self.counts.attempts += 1;
         let Some(state) = self.pool.group(place.0) else {
--- a/crates/dandelion-rollout/src/coordinator/generation.rs
+++ b/crates/dandelion-rollout/src/coordinator/generation.rs
@@ -98,6 +98,7 @@
             return;
         }
         if attempt.upstream.replace(upstream).is_none() {
+            self.unconfirmed -= 1;
             self.window = self.window.saturating_mul(2);
         }
         attempt.progress = now;
@@ -250,6 +251,9 @@
         let Some(attempt) = self.attempts.remove(&id) else {
             return;
         };
+        if attempt.upstream.is_none() {
+            self.unconfirmed -= 1;
+        }
         let least = attempt.reported();
         let used = tokens
             .unwrap_or(attempt.reserved)
@@ -289,7 +293,7 @@
         self.settle_attempt(id, failure.tokens);
         if failure.ran == Ran::NotRun {
             self.hold_until = now + TICK;
-            self.window = (self.attempts.len().min(self.window) / 2).max(1);
+            self.window = ((self.unconfirmed + 1).min(self.window) / 2).max(1);
             return;
         }
         self.count_fail(place, out);
--- a/crates/dandelion-rollout/src/coordinator/machine.rs
+++ b/crates/dandelion-rollout/src/coordinator/machine.rs
@@ -73,8 +73,10 @@
     pub(super) attempts: BTreeMap<AttemptId, Attempt>,
     pub(super) next_attempt: u64,
     pub(super) capacity: usize,
-    /// Attempts at once that engines took lately; halved when one is refused.
+    /// Attempts that may wait for their first token; halved when one is refused.
     pub(super) window: usize,
+    /// Attempts that wait for their first token.
+    pub(super) unconfirmed: usize,
     pub(super) hold_until: Millis,
     pub(super) scorer: ScorerQueue,
     pub(super) scoring: BTreeMap<u64, Place>,
@@ -143,6 +145,7 @@
             next_attempt: 0,
             capacity: 0,
             window: usize::MAX,
+            unconfirmed: 0,
             hold_until: Millis::ZERO,
             scorer: ScorerQueue::open(ScorerSettings::default()),
             scoring: BTreeMap::new(),
--- a/crates/dandelion-rollout/tests/bench/checks.rs
+++ b/crates/dandelion-rollout/tests/bench/checks.rs
@@ -27,6 +27,8 @@
     pub taken: u64,
     /// Sum of the versions that they lagged behind.
     pub staleness: u64,
+    /// Tokens of samples taken.
+    pub tokens: u64,
     /// Groups reported as given up.
     pub dropped: BTreeSet<u64>,
     seen: BTreeSet<SampleId>,
@@ -61,6 +63,7 @@
         self.dropped.extend(&batch.dropped);
         for sample in samples(batch) {
             self.taken += 1;
+            self.tokens += sample.text.len() as u64;
             let oldest = sample.oldest().unwrap_or(published);
             self.staleness += published.0.saturating_sub(oldest.0);
             if !self.seen.insert(sample.id.clone()) {
--- a/crates/dandelion-rollout/tests/bench/shell.rs
+++ b/crates/dandelion-rollout/tests/bench/shell.rs
@@ -3,12 +3,15 @@
 use dandelion_kernel::ApplyContext;
 use dandelion_kernel::Table;
 use dandelion_protocol::codec;
+use dandelion_protocol::control::Proposal;
 use dandelion_protocol::control::ProposeError;
 use dandelion_protocol::ids::Incarnation;
+use dandelion_protocol::ids::RequestId;
 use dandelion_protocol::ids::Revision;
 use dandelion_protocol::ids::WeightVersion;
 use dandelion_protocol::outcome::Ran;
 use dandelion_protocol::time::WallMillis;
+use dandelion_rollout::LedgerTable;
 use dandelion_rollout::coordinator::Action;
 use dandelion_rollout::coordinator::Answer;
 use dandelion_rollout::coordinator::AttemptId;
@@ -120,8 +123,7 @@
         answers: bool,
     ) {
         self.log_entries += 1;
-        // A proposal carries a 16-byte id, its author, a time and the table's name besides.
-        self.log_bytes += codec::encode(&command).unwrap().len() as u64 + 64;
+        self.log_bytes += self.proposal_bytes(index, &command);
         self.mutate(&mut command.change);
         let context = ApplyContext {
             revision: Revision(self.log_entries),
@@ -156,6 +158,19 @@
         }
     }
 
+    /// Returns the size of the entry that the log would hold.
+    fn proposal_bytes(&self, index: usize, command: &LedgerCommand) -> u64 {
+        let proposal = Proposal {
+            id: RequestId(u128::MAX),
+            author: self.hosts[index].id.to_string(),
+            at: WallMillis(1 << 40),
+            expected: None,
+            table: LedgerTable::NAME.to_owned(),
+            command: codec::encode(command).unwrap(),
+        };
+        codec::encode(&proposal).unwrap().len() as u64
+    }
+
     fn mutate(&self, change: &mut LedgerChange) {
         match (self.plan.mutation, change) {
             (Some(Mutation::AckSkipped), LedgerChange::Take { skipped, .. }) => *skipped = false,
