Keep whole groups over a change of charge and predict lag by observed times

Ruled out: keeping groups in the log (payload bytes); a smaller lead for every job, which costs idle time where samples are quick.

--- a/crates/dandelion-rollout/src/coordinator/action.rs
+++ b/crates/dandelion-rollout/src/coordinator/action.rs
@@ -116,6 +116,10 @@
         /// Holders.
         holders: Vec<DaemonId>,
     },
+    /// Collects the whole groups that this daemon and its peers keep of the job, for `Recovered`.
+    Recover,
+    /// Lets every daemon forget the whole groups below this one.
+    ReleaseGroups(u64),
     /// Lets the holders forget a payload.
     Release {
         /// Identity.
--- a/crates/dandelion-rollout/src/coordinator/deliver.rs
+++ b/crates/dandelion-rollout/src/coordinator/deliver.rs
@@ -44,6 +44,7 @@
 
     pub(super) fn on_fetched(&mut self, blob: BlobId, payload: Option<Payload>, out: &mut Actions) {
         match blob {
+            BlobId::Group(_) => {}
             BlobId::Feed(first) => self.on_feed_fetched(first, payload),
             BlobId::Batch(cursor, digest) => {
                 self.on_batch_fetched((cursor, digest), payload, out);
@@ -182,6 +183,7 @@
         out: &mut Actions,
     ) {
         match blob {
+            BlobId::Group(_) => {}
             BlobId::Feed(first) => self.on_feed_stored(now, first, holders, out),
             BlobId::Batch(_, digest) => self.on_batch_stored(now, digest, holders, out),
         }
--- a/crates/dandelion-rollout/src/coordinator/dispatch.rs
+++ b/crates/dandelion-rollout/src/coordinator/dispatch.rs
@@ -18,7 +18,7 @@
 use crate::ledger::LedgerReply;
 
 /// Quantile of observed sample times by which a sample is predicted to be done.
-const PREDICTED_PERMILLE: u32 = 500;
+const PREDICTED_PERMILLE: u32 = 900;
 
 /// Longest samples that a reservation in the ledger covers at the least.
 const MIN_CHUNK: u64 = 16;
@@ -56,7 +56,8 @@
         } else {
             self.job.max_staleness
         };
-        self.steps_ahead() <= bound && self.pace_allows(now, bound)
+        let waits = self.pull.is_some();
+        self.steps_ahead() <= bound && (waits || self.predicted_lag(now) <= bound)
     }
 
     /// Returns the versions published before a group that starts now is handed out, if the
@@ -72,16 +73,23 @@
         (trained + self.pool.started()) / step
     }
 
-    fn pace_allows(&self, now: Millis, bound: u64) -> bool {
-        if self.pull.is_some() {
-            return true;
-        }
-        let span = self.durations.quantile(PREDICTED_PERMILLE).unwrap_or(0);
-        self.pace.expected(now, now + Millis(span)) <= bound
+    /// Returns the versions expected to be published before a sample that starts now is handed
+    /// out: by its place in line, or by the time that it takes if that is longer.
+    fn predicted_lag(&self, now: Millis) -> u64 {
+        let span = Millis(self.durations.quantile(PREDICTED_PERMILLE).unwrap_or(0));
+        let published = if self.pull.is_some() {
+            self.pace.during(span)
+        } else {
+            self.pace.expected(now, now + span)
+        };
+        self.steps_ahead().max(published)
     }
 
-    fn min_version(&self) -> WeightVersion {
-        let slack = self.job.max_staleness.saturating_sub(self.steps_ahead());
+    fn min_version(&self, now: Millis) -> WeightVersion {
+        let slack = self
+            .job
+            .max_staleness
+            .saturating_sub(self.predicted_lag(now));
         WeightVersion(self.newest.0.saturating_sub(slack))
     }
 
@@ -93,7 +101,7 @@
         hedge: bool,
         out: &mut Actions,
     ) -> bool {
-        let min_version = self.min_version();
+        let min_version = self.min_version(now);
         let Some(slot) = self.pool.slot(place) else {
             return false;
         };
--- a/crates/dandelion-rollout/src/coordinator/event.rs
+++ b/crates/dandelion-rollout/src/coordinator/event.rs
@@ -1,5 +1,7 @@
 //! What can happen to a coordinator.
 
+use std::sync::Arc;
+
 use dandelion_protocol::config::Job;
 use dandelion_protocol::control::ProposeError;
 use dandelion_protocol::ids::DaemonId;
@@ -7,6 +9,7 @@
 use dandelion_protocol::ids::WeightVersion;
 use dandelion_protocol::outcome::Ran;
 use dandelion_protocol::rollout::FeedRequest;
+use dandelion_protocol::rollout::Group;
 use dandelion_protocol::rollout::PullRequest;
 use dandelion_protocol::rollout::TrainerId;
 
@@ -137,6 +140,8 @@
         /// Its bytes.
         payload: Option<Payload>,
     },
+    /// Whole groups that daemons kept from the time before this one took charge.
+    Recovered(Vec<Arc<Group>>),
     /// Time passed; expected every [`crate::coordinator::settings::TICK`].
     Tick,
 }
--- a/crates/dandelion-rollout/src/coordinator/feed.rs
+++ b/crates/dandelion-rollout/src/coordinator/feed.rs
@@ -6,6 +6,7 @@
 use dandelion_protocol::outcome::Refusal;
 use dandelion_protocol::outcome::RefusalCode;
 use dandelion_protocol::rollout::FeedRequest;
+use dandelion_protocol::rollout::Group;
 use dandelion_protocol::time::Millis;
 
 use crate::coordinator::action::Action;
@@ -18,6 +19,7 @@
 use crate::ledger::LedgerChange;
 use crate::ledger::LedgerRefusal;
 use crate::ledger::LedgerReply;
+use crate::ledger::RangeSet;
 use crate::payload::BlobId;
 use crate::payload::Payload;
 use crate::payload::prompts_digest;
@@ -102,7 +104,11 @@
             digest: feed.digest,
             holders: self.holders_or_self(holders),
         };
-        self.propose(now, LedgerChange::Feed { feed: record }, out);
+        let feed = LedgerChange::Feed {
+            epoch: self.epoch.unwrap_or(0),
+            feed: record,
+        };
+        self.propose(now, feed, out);
     }
 
     pub(super) fn holders_or_self(&self, holders: Vec<DaemonId>) -> Vec<DaemonId> {
@@ -162,7 +168,8 @@
         }
     }
 
-    fn load_prompts(&mut self, first: u64, prompts: &[String]) {
+    /// Returns the groups that are done or in a batch.
+    fn taken(&self) -> RangeSet {
         let mut taken = self.done.clone();
         if let Some(batch) = &self.current {
             taken.extend(&batch.groups);
@@ -171,6 +178,11 @@
         if let Some(batch) = self.forming() {
             taken.extend(&batch.groups.iter().map(|group| group.group).collect());
         }
+        taken
+    }
+
+    fn load_prompts(&mut self, first: u64, prompts: &[String]) {
+        let taken = self.taken();
         self.pool.add(first, prompts, &taken);
     }
 
@@ -206,8 +218,21 @@
         self.feeds.iter().all(|feed| feed.prompts == Prompts::Here)
     }
 
+    /// Takes over whole groups from the time before this daemon was in charge.
+    pub(super) fn on_recovered(&mut self, groups: &[Arc<Group>], out: &mut Actions) {
+        let taken = self.taken();
+        for group in groups {
+            if !taken.contains(group.group) {
+                self.pool.recover(group);
+            }
+        }
+        self.hold_until = Millis::ZERO;
+        self.drop_stale(out);
+    }
+
     /// Lets go of feeds whose groups are all acknowledged.
     pub(super) fn trim_feeds(&mut self, out: &mut Actions) {
+        let before = self.feeds.len();
         let done = &self.done;
         self.feeds.retain(|feed| {
             let record = &feed.record;
@@ -220,5 +245,9 @@
             }
             !over
         });
+        if self.feeds.len() < before {
+            let open = self.feeds.iter().map(|feed| feed.record.first).min();
+            out.push(Action::ReleaseGroups(open.unwrap_or(self.done.end())));
+        }
     }
 }
--- a/crates/dandelion-rollout/src/coordinator/generation.rs
+++ b/crates/dandelion-rollout/src/coordinator/generation.rs
@@ -1,8 +1,11 @@
 //! Attempts: progress, ends, scoring.
 
+use std::sync::Arc;
+
 use dandelion_protocol::ids::UpstreamId;
 use dandelion_protocol::ids::WeightVersion;
 use dandelion_protocol::outcome::Ran;
+use dandelion_protocol::rollout::Group;
 use dandelion_protocol::rollout::Sample;
 use dandelion_protocol::rollout::SampleId;
 use dandelion_protocol::time::Millis;
@@ -11,14 +14,14 @@
 use crate::attribution::SegmentBuilder;
 use crate::attribution::SegmentReport;
 use crate::coordinator::action::Action;
-use crate::coordinator::action::ScoreCall;
 use crate::coordinator::event::AttemptId;
 use crate::coordinator::event::Failure;
 use crate::coordinator::machine::Actions;
 use crate::coordinator::machine::Coordinator;
 use crate::coordinator::pool::Place;
 use crate::coordinator::settings::TICK;
-use crate::scorer::ScoreVerdict;
+use crate::payload::BlobId;
+use crate::payload::Payload;
 use crate::staleness::is_fresh;
 
 /// Most engines that a sample stays away from.
@@ -208,10 +211,10 @@
         if let Some(slot) = self.pool.slot(place) {
             slot.running.clear();
         }
-        self.finish(place, id, prefix);
+        self.finish(place, id, prefix, out);
     }
 
-    fn finish(&mut self, place: Place, id: AttemptId, prefix: Prefix) {
+    fn finish(&mut self, place: Place, id: AttemptId, prefix: Prefix, out: &mut Actions) {
         let oldest = prefix.oldest().unwrap_or(self.newest);
         if prefix.segments.is_empty() || !is_fresh(oldest, self.newest, self.job.max_staleness) {
             self.counts.stale += 1;
@@ -235,7 +238,18 @@
             self.scoring.insert(id.0, place);
             self.scorer.push(id.0);
         }
-        self.pool.fill(place, sample, !scored);
+        let whole = self.pool.fill(place, sample, !scored);
+        Self::keep_whole(whole, out);
+    }
+
+    /// Keeps a whole group on a second daemon, so that a change of charge does not cost it.
+    pub(super) fn keep_whole(whole: Option<Arc<Group>>, out: &mut Actions) {
+        if let Some(group) = whole {
+            out.push(Action::Replicate {
+                blob: BlobId::Group(group.group),
+                payload: Payload::Group(group),
+            });
+        }
     }
 
     fn sample_id(&self, place: Place) -> SampleId {
@@ -313,65 +327,6 @@
             self.cancel(other, out);
         }
     }
-
-    pub(super) fn call_scorer(&mut self, now: Millis, out: &mut Actions) {
-        while let Some(number) = self.scorer.next(now) {
-            let call = self.score_call(number);
-            match call {
-                Some(call) => out.push(Action::Score(call)),
-                None => self.scorer.forget(number),
-            }
-        }
-    }
-
-    fn score_call(&mut self, number: u64) -> Option<ScoreCall> {
-        let place = *self.scoring.get(&number)?;
-        let state = self.pool.group(place.0)?;
-        let sample = state.slots[place.1 as usize].sample.as_ref()?;
-        Some(ScoreCall {
-            attempt: AttemptId(number),
-            sample: sample.id.clone(),
-            prompt: std::sync::Arc::clone(&state.prompt),
-            text: sample.text.clone(),
-        })
-    }
-
-    pub(super) fn on_scored(&mut self, now: Millis, id: AttemptId, result: Result<f64, Ran>) {
-        match result {
-            Ok(score) => {
-                if self.scorer.finish(id.0)
-                    && let Some(place) = self.scoring.remove(&id.0)
-                {
-                    self.pool.score(place, score);
-                }
-            }
-            Err(ran) => self.score_failed(now, id.0, ran),
-        }
-    }
-
-    fn score_failed(&mut self, now: Millis, number: u64, ran: Ran) {
-        if self.scorer.fail(now, number, ran) != Some(ScoreVerdict::Discard) {
-            return;
-        }
-        if let Some(place) = self.scoring.remove(&number) {
-            self.counts.unscored += 1;
-            self.counts.wasted += self.pool.reset(place);
-        }
-    }
-
-    pub(super) fn expire_scores(&mut self, now: Millis) {
-        for number in self.scorer.overdue(now) {
-            self.score_failed(now, number, Ran::Unknown);
-        }
-    }
-
-    pub(super) fn forget_score(&mut self, place: Place) {
-        let number = self.scoring.iter().find(|(_, other)| **other == place);
-        if let Some(number) = number.map(|(number, _)| *number) {
-            self.scoring.remove(&number);
-            self.scorer.forget(number);
-        }
-    }
 }
 
 /// Returns the tokens a second of an attempt, at least 1.
--- a/crates/dandelion-rollout/src/coordinator/machine.rs
+++ b/crates/dandelion-rollout/src/coordinator/machine.rs
@@ -211,10 +211,11 @@
             } => self.on_progress(now, attempt, upstream, &report, out),
             Event::Done { attempt } => self.on_done(now, attempt, out),
             Event::Failed { attempt, failure } => self.on_failed(now, attempt, failure, out),
-            Event::Scored { attempt, result } => self.on_scored(now, attempt, result),
+            Event::Scored { attempt, result } => self.on_scored(now, attempt, result, out),
             Event::LedgerAnswer { token, answer } => self.on_answer(now, token, answer, out),
             Event::Replicated { blob, holders } => self.on_replicated(now, blob, holders, out),
             Event::Fetched { blob, payload } => self.on_fetched(blob, payload, out),
+            Event::Recovered(groups) => self.on_recovered(&groups, out),
             Event::Tick => self.on_tick(now, out),
         }
     }
--- a/crates/dandelion-rollout/src/coordinator/mod.rs
+++ b/crates/dandelion-rollout/src/coordinator/mod.rs
@@ -11,6 +11,7 @@
 pub mod pool;
 pub mod proposals;
 pub mod pull;
+pub mod scoring;
 pub mod settings;
 pub mod tail;
 
--- a/crates/dandelion-rollout/src/coordinator/pool.rs
+++ b/crates/dandelion-rollout/src/coordinator/pool.rs
@@ -202,34 +202,43 @@
         }
     }
 
-    /// Stores the sample of a place.
-    pub fn fill(&mut self, place: Place, sample: Sample, whole: bool) {
-        let Some(state) = self.groups.get_mut(&place.0) else {
-            return;
-        };
+    /// Stores the sample of a place; returns the group if that makes it whole.
+    pub fn fill(&mut self, place: Place, sample: Sample, whole: bool) -> Option<Arc<Group>> {
+        let state = self.groups.get_mut(&place.0)?;
         let slot = &mut state.slots[place.1 as usize];
         slot.sample = Some(sample);
         slot.whole = whole;
         slot.prefix = Prefix::default();
         self.queue.remove(&place);
-        self.check_ready(place.0);
+        self.check_ready(place.0)
     }
 
-    /// Marks the sample of a place as scored.
-    pub fn score(&mut self, place: Place, score: f64) {
-        let Some(slot) = self.slot(place) else {
-            return;
-        };
+    /// Marks the sample of a place as scored; returns the group if that makes it whole.
+    pub fn score(&mut self, place: Place, score: f64) -> Option<Arc<Group>> {
+        let slot = self.slot(place)?;
         if let Some(sample) = &mut slot.sample {
             sample.score = Some(score);
             slot.whole = true;
         }
-        self.check_ready(place.0);
+        self.check_ready(place.0)
+    }
+
+    fn check_ready(&mut self, group: u64) -> Option<Arc<Group>> {
+        let state = self.groups.get(&group).filter(|state| state.is_whole())?;
+        self.ready.insert(group);
+        let samples = state.slots.iter().filter_map(|slot| slot.sample.clone());
+        Some(Arc::new(Group {
+            group,
+            prompt: state.prompt.to_string(),
+            samples: samples.collect(),
+        }))
     }
 
-    fn check_ready(&mut self, group: u64) {
-        if self.groups.get(&group).is_some_and(GroupState::is_whole) {
-            self.ready.insert(group);
+    /// Adds a whole group that another daemon generated, unless it is under way here.
+    pub fn recover(&mut self, group: &Group) {
+        if !self.groups.contains_key(&group.group) {
+            self.waiting.remove(group.group, group.group + 1);
+            self.give_back(std::slice::from_ref(group));
         }
     }
 
--- a/crates/dandelion-rollout/src/coordinator/proposals.rs
+++ b/crates/dandelion-rollout/src/coordinator/proposals.rs
@@ -21,6 +21,9 @@
 use crate::ledger::LedgerReply;
 use crate::payload::BlobId;
 
+/// Longest wait for the whole groups that other daemons keep.
+const RECOVERY: Millis = Millis::from_secs(2);
+
 /// A proposal without an answer.
 #[derive(Debug)]
 pub(super) struct Outstanding {
@@ -88,7 +91,7 @@
         }
         match known.change {
             LedgerChange::Lead { .. } => self.on_lead(now, result, out),
-            LedgerChange::Feed { feed } => self.on_feed_answer(now, &feed, result, out),
+            LedgerChange::Feed { feed, .. } => self.on_feed_answer(now, &feed, result, out),
             LedgerChange::Publish { .. } => self.on_publish_answer(now, token, result, out),
             LedgerChange::Renew { trainer, lease } => {
                 self.on_renew_answer(now, token, (&trainer, lease), result, out);
@@ -124,6 +127,9 @@
         self.past_spent = view.spent;
         self.done = view.done;
         self.current = view.current;
+        // Groups that are whole already need not be generated; dispatch waits a while for them.
+        self.hold_until = now + RECOVERY;
+        out.push(Action::Recover);
         self.adopt_feeds(view.feeds, out);
     }
 
--- a/crates/dandelion-rollout/src/ledger/command.rs
+++ b/crates/dandelion-rollout/src/ledger/command.rs
@@ -35,6 +35,8 @@
     },
     /// Records that prompts were fed; feeding the same again renews the holders.
     Feed {
+        /// Epoch of the daemon in charge, which is the one to hold the prompts.
+        epoch: u64,
         /// Feed and its payload holders.
         feed: FeedRecord,
     },
--- a/crates/dandelion-rollout/src/ledger/job.rs
+++ b/crates/dandelion-rollout/src/ledger/job.rs
@@ -139,9 +139,6 @@
     }
 
     pub(super) fn feed(&mut self, feed: FeedRecord) -> Outcome {
-        if self.ended {
-            return Err(LedgerRefusal::Ended);
-        }
         let bad = LedgerRefusal::BadFeed {
             first: feed.first,
             fed: self.fed,
--- a/crates/dandelion-rollout/src/ledger/table.rs
+++ b/crates/dandelion-rollout/src/ledger/table.rs
@@ -77,7 +77,10 @@
             daemon,
             incarnation,
         } => Ok(job.lead(daemon, incarnation)),
-        LedgerChange::Feed { feed } => job.feed(feed),
+        LedgerChange::Feed { epoch, feed } => {
+            job.check_epoch(epoch)?;
+            job.feed(feed)
+        }
         LedgerChange::Publish { version } => Ok(job.publish(version)),
         LedgerChange::Renew { trainer, lease } => job.renew(context.at, &trainer, lease),
         LedgerChange::Take {
--- a/crates/dandelion-rollout/src/payload.rs
+++ b/crates/dandelion-rollout/src/payload.rs
@@ -7,6 +7,7 @@
 use dandelion_protocol::codec::CodecError;
 use dandelion_protocol::ids::JobId;
 use dandelion_protocol::rollout::Batch;
+use dandelion_protocol::rollout::Group;
 use serde::Deserialize;
 use serde::Serialize;
 use thiserror::Error;
@@ -20,6 +21,8 @@
     Feed(u64),
     /// Batch, by its cursor and digest; a cursor may be formed anew before it is cut.
     Batch(u64, u64),
+    /// Whole group that is not in a batch yet, by its number.
+    Group(u64),
 }
 
 /// A payload.
@@ -30,6 +33,8 @@
     Prompts(Arc<Vec<String>>),
     /// One batch.
     Batch(Arc<Batch>),
+    /// One whole group.
+    Group(Arc<Group>),
 }
 
 impl Payload {
@@ -38,6 +43,7 @@
         match self {
             Self::Prompts(prompts) => prompts_digest(prompts),
             Self::Batch(batch) => batch_digest(batch),
+            Self::Group(group) => Ok(xxh3_64(&codec::encode(group)?)),
         }
     }
 
@@ -45,11 +51,12 @@
         match self {
             Self::Prompts(prompts) => prompts.iter().map(String::len).sum(),
             Self::Batch(batch) => batch.groups.iter().map(group_bytes).sum(),
+            Self::Group(group) => group_bytes(group),
         }
     }
 }
 
-fn group_bytes(group: &dandelion_protocol::rollout::Group) -> usize {
+fn group_bytes(group: &Group) -> usize {
     let texts = group.samples.iter().map(|sample| sample.text.len());
     group.prompt.len() + texts.sum::<usize>()
 }
@@ -104,6 +111,11 @@
             });
         }
         self.held = held;
+        if let Payload::Batch(batch) = &payload {
+            for group in &batch.groups {
+                self.remove(&key.0, BlobId::Group(group.group));
+            }
+        }
         self.blobs.insert(key, payload);
         Ok(())
     }
@@ -137,6 +149,30 @@
         }
     }
 
+    /// Returns the whole groups of a job that are not in a batch, for a daemon that takes charge.
+    pub fn groups(&self, job: &JobId) -> Vec<Arc<Group>> {
+        let range = (job.clone(), BlobId::Group(0))..=(job.clone(), BlobId::Group(u64::MAX));
+        let payloads = self.blobs.range(range).map(|(_, payload)| payload);
+        let groups = payloads.filter_map(|payload| match payload {
+            Payload::Group(group) => Some(Arc::clone(group)),
+            _ => None,
+        });
+        groups.collect()
+    }
+
+    /// Forgets the whole groups below `first`, all of which are acknowledged.
+    pub fn release_groups(&mut self, job: &JobId, first: u64) {
+        let range = (job.clone(), BlobId::Group(0))..(job.clone(), BlobId::Group(first));
+        let old: Vec<BlobId> = self
+            .blobs
+            .range(range)
+            .map(|((_, blob), _)| *blob)
+            .collect();
+        for blob in old {
+            self.remove(job, blob);
+        }
+    }
+
     /// Forgets all payloads of a job.
     pub fn release_job(&mut self, job: &JobId) {
         let blobs: Vec<BlobId> = self
--- a/crates/dandelion-rollout/src/staleness.rs
+++ b/crates/dandelion-rollout/src/staleness.rs
@@ -31,6 +31,11 @@
         self.last = Some(now);
     }
 
+    /// Returns the versions that are published in a span, on the whole.
+    pub fn during(&self, span: Millis) -> u64 {
+        self.interval.map_or(0, |interval| span.0 / interval.0)
+    }
+
     /// Returns the versions expected to be published from `now` until `end`.
     pub fn expected(&self, now: Millis, end: Millis) -> u64 {
         let (Some(last), Some(interval)) = (self.last, self.interval) else {
--- a/crates/dandelion-rollout/tests/bench/shell.rs
+++ b/crates/dandelion-rollout/tests/bench/shell.rs
@@ -75,6 +75,17 @@
                     host.store.release(&self.plan.job.id, blob);
                 }
             }
+            Action::Recover => {
+                let job = &self.plan.job.id;
+                let kept = self.hosts.iter().flat_map(|host| host.store.groups(job));
+                let groups = kept.collect();
+                self.send_later(10, index, Event::Recovered(groups));
+            }
+            Action::ReleaseGroups(first) => {
+                for host in &mut self.hosts {
+                    host.store.release_groups(&self.plan.job.id, first);
+                }
+            }
             Action::StepDown => self.retire(index),
         }
     }
--- a/crates/dandelion-rollout/tests/ledger.rs
+++ b/crates/dandelion-rollout/tests/ledger.rs
@@ -80,7 +80,7 @@
             digest,
             holders: vec![daemon("a"), daemon("b")],
         };
-        self.apply(LedgerChange::Feed { feed })
+        self.apply(LedgerChange::Feed { epoch: 1, feed })
     }
 
     fn take(&mut self, name: &str, cursor: u64, skipped: bool) -> Outcome {
