--- a/crates/dandelion-rollout/src/coordinator/deliver.rs
+++ b/crates/dandelion-rollout/src/coordinator/deliver.rs
@@ -44,6 +44,7 @@
 
     pub(super) fn on_fetched(&mut self, blob: BlobId, payload: Option<Payload>, out: &mut Actions) {
         match blob {
+            BlobId::Group(_) => {}
             BlobId::Feed(first) => self.on_feed_fetched(first, payload),
             BlobId::Batch(cursor, digest) => {
                 self.on_batch_fetched((cursor, digest), payload, out);
@@ -149,6 +150,17 @@
         self.set_stage(Stage::Storing(batch, now));
     }
 
+    /// Returns the batch that is formed and not frozen yet.
+    pub(super) fn forming(&self) -> Option<&Batch> {
+        if let Some(cut) = &self.cutting {
+            return Some(&cut.batch);
+        }
+        match self.pull.as_ref().map(|pull| &pull.stage) {
+            Some(Stage::Storing(batch, _)) => Some(batch),
+            _ => None,
+        }
+    }
+
     fn is_ready_to_cut(&self) -> bool {
         let open = self
             .pull
@@ -171,6 +183,7 @@
         out: &mut Actions,
     ) {
         match blob {
+            BlobId::Group(_) => {}
             BlobId::Feed(first) => self.on_feed_stored(now, first, holders, out),
             BlobId::Batch(_, digest) => self.on_batch_stored(now, digest, holders, out),
         }
@@ -262,7 +275,7 @@
         };
         match result {
             Ok(LedgerReply::Cut { published, .. }) => {
-                self.on_published(now, *published, out);
+                self.on_recorded(now, *published, out);
                 self.freeze(&cut.batch, &cut.record, *published);
                 if self.is_cutting() {
                     self.hand_out(&cut.batch, &cut.record, out);
@@ -270,7 +283,7 @@
             }
             Ok(_) => {}
             Err(LedgerRefusal::Stale { published, .. }) => {
-                self.on_published(now, *published, out);
+                self.on_recorded(now, *published, out);
                 self.reopen(&cut.batch, out);
             }
             Err(_) => {
--- a/crates/dandelion-rollout/src/coordinator/machine.rs
+++ b/crates/dandelion-rollout/src/coordinator/machine.rs
@@ -49,9 +49,12 @@
     pub(super) job: Job,
     pub(super) settings: Settings,
     pub(super) daemon: DaemonId,
+    pub(super) incarnation: Incarnation,
     pub(super) epoch: Option<u64>,
     pub(super) deposed: bool,
     pub(super) newest: WeightVersion,
+    /// Newest version that the configuration has, or was told.
+    pub(super) announced: WeightVersion,
     pub(super) pace: PublishPace,
     pub(super) pool: Pool,
     pub(super) feeds: Vec<FeedState>,
@@ -63,12 +66,17 @@
     pub(super) next_cursor: u64,
     pub(super) pull: Option<PendingPull>,
     pub(super) taking: Option<Token>,
+    pub(super) next_take: u64,
     pub(super) cutting: Option<PendingCut>,
     pub(super) holder: Option<(TrainerId, Millis)>,
     pub(super) since_publish: u64,
     pub(super) attempts: BTreeMap<AttemptId, Attempt>,
     pub(super) next_attempt: u64,
     pub(super) capacity: usize,
+    /// Attempts that may wait for their first token; halved when one is refused.
+    pub(super) window: usize,
+    /// Attempts that wait for their first token.
+    pub(super) unconfirmed: usize,
     pub(super) hold_until: Millis,
     pub(super) scorer: ScorerQueue,
     pub(super) scoring: BTreeMap<u64, Place>,
@@ -94,23 +102,30 @@
         now: Millis,
         actions: &mut Vec<Action>,
     ) -> Self {
-        let mut coordinator = Self::idle(job, daemon.clone(), settings);
+        let mut coordinator = Self::idle(job, daemon, incarnation, settings);
+        coordinator.read_ledger(now, actions);
+        coordinator
+    }
+
+    /// Takes charge, or reads the ledger anew if already in charge.
+    pub(super) fn read_ledger(&mut self, now: Millis, out: &mut Actions) {
         let lead = LedgerChange::Lead {
-            daemon,
-            incarnation,
+            daemon: self.daemon.clone(),
+            incarnation: self.incarnation,
         };
-        coordinator.propose(now, lead, actions);
-        coordinator
+        self.propose(now, lead, out);
     }
 
-    fn idle(job: Job, daemon: DaemonId, settings: Settings) -> Self {
+    fn idle(job: Job, daemon: DaemonId, incarnation: Incarnation, settings: Settings) -> Self {
         Self {
             job,
             settings,
             daemon,
+            incarnation,
             epoch: None,
             deposed: false,
             newest: WeightVersion::default(),
+            announced: WeightVersion::default(),
             pace: PublishPace::default(),
             pool: Pool::default(),
             feeds: Vec::new(),
@@ -122,12 +137,15 @@
             next_cursor: 0,
             pull: None,
             taking: None,
+            next_take: 0,
             cutting: None,
             holder: None,
             since_publish: 0,
             attempts: BTreeMap::new(),
             next_attempt: 0,
             capacity: 0,
+            window: usize::MAX,
+            unconfirmed: 0,
             hold_until: Millis::ZERO,
             scorer: ScorerQueue::open(ScorerSettings::default()),
             scoring: BTreeMap::new(),
@@ -175,7 +193,10 @@
                 let token = self.propose(now, LedgerChange::Publish { version }, out);
                 self.asking.insert(token, ticket);
             }
-            Event::Published { version } => self.on_published(now, version, out),
+            Event::Published { version } => {
+                self.announced = self.announced.max(version);
+                self.on_published(now, version, out);
+            }
             Event::Pull { ticket, request } => self.on_pull(now, ticket, request, out),
             Event::Renew {
                 ticket,
@@ -190,10 +211,11 @@
             } => self.on_progress(now, attempt, upstream, &report, out),
             Event::Done { attempt } => self.on_done(now, attempt, out),
             Event::Failed { attempt, failure } => self.on_failed(now, attempt, failure, out),
-            Event::Scored { attempt, result } => self.on_scored(now, attempt, result),
+            Event::Scored { attempt, result } => self.on_scored(now, attempt, result, out),
             Event::LedgerAnswer { token, answer } => self.on_answer(now, token, answer, out),
             Event::Replicated { blob, holders } => self.on_replicated(now, blob, holders, out),
             Event::Fetched { blob, payload } => self.on_fetched(blob, payload, out),
+            Event::Recovered(groups) => self.on_recovered(&groups, out),
             Event::Tick => self.on_tick(now, out),
         }
     }
@@ -233,6 +255,16 @@
         self.drop_stale(out);
     }
 
+    /// Learns of a version from the ledger. The daemon that recorded it may have died before the
+    /// configuration took it, so it is announced by whoever learns of it first.
+    pub(super) fn on_recorded(&mut self, now: Millis, version: WeightVersion, out: &mut Actions) {
+        if version > self.announced {
+            self.announced = version;
+            out.push(Action::PublishConfig(version));
+        }
+        self.on_published(now, version, out);
+    }
+
     fn on_tick(&mut self, now: Millis, out: &mut Actions) {
         self.resend(now, out);
         self.expire_scores(now);
--- a/crates/dandelion-rollout/src/coordinator/proposals.rs
+++ b/crates/dandelion-rollout/src/coordinator/proposals.rs
@@ -13,6 +13,7 @@
 use crate::coordinator::machine::Actions;
 use crate::coordinator::machine::Coordinator;
 use crate::coordinator::settings::TICK;
+use crate::ledger::FeedRecord;
 use crate::ledger::JobView;
 use crate::ledger::LedgerChange;
 use crate::ledger::LedgerCommand;
@@ -20,6 +21,9 @@
 use crate::ledger::LedgerReply;
 use crate::payload::BlobId;
 
+/// Longest wait for the whole groups that other daemons keep.
+const RECOVERY: Millis = Millis::from_secs(2);
+
 /// A proposal without an answer.
 #[derive(Debug)]
 pub(super) struct Outstanding {
@@ -87,7 +91,7 @@
         }
         match known.change {
             LedgerChange::Lead { .. } => self.on_lead(now, result, out),
-            LedgerChange::Feed { feed } => self.on_feed_answer(&feed, result, out),
+            LedgerChange::Feed { feed, .. } => self.on_feed_answer(now, &feed, result, out),
             LedgerChange::Publish { .. } => self.on_publish_answer(now, token, result, out),
             LedgerChange::Renew { trainer, lease } => {
                 self.on_renew_answer(now, token, (&trainer, lease), result, out);
@@ -105,21 +109,38 @@
         let Ok(LedgerReply::Leading(view)) = result else {
             return;
         };
-        self.adopt(*view, out);
+        if self.epoch == Some(view.epoch) {
+            self.adopt_feeds(view.feeds, out);
+            return;
+        }
+        self.adopt(now, *view, out);
         if self.job.ended {
             let epoch = self.epoch.unwrap_or(0);
             self.propose(now, LedgerChange::End { epoch }, out);
         }
     }
 
-    fn adopt(&mut self, view: JobView, out: &mut Actions) {
+    fn adopt(&mut self, now: Millis, view: JobView, out: &mut Actions) {
         self.epoch = Some(view.epoch);
-        self.newest = self.newest.max(view.published);
+        self.on_recorded(now, view.published, out);
         self.next_cursor = view.next;
         self.past_spent = view.spent;
         self.done = view.done;
         self.current = view.current;
-        for feed in view.feeds {
+        // Groups that are whole already need not be generated; dispatch waits a while for them.
+        self.hold_until = now + RECOVERY;
+        out.push(Action::Recover);
+        self.adopt_feeds(view.feeds, out);
+    }
+
+    /// Fetches the prompts of feeds that this daemon did not record itself.
+    fn adopt_feeds(&mut self, feeds: Vec<FeedRecord>, out: &mut Actions) {
+        for feed in feeds {
+            let over = self.done.covers(feed.first, feed.first + feed.count);
+            let mut known = self.feeds.iter();
+            if over || known.any(|known| known.record.first == feed.first) {
+                continue;
+            }
             out.push(Action::Fetch {
                 blob: BlobId::Feed(feed.first),
                 holders: feed.holders.clone(),
@@ -138,8 +159,7 @@
         let ticket = self.asking.remove(&token);
         let answer = match result {
             Ok(LedgerReply::Published(version)) => {
-                out.push(Action::PublishConfig(version));
-                self.on_published(now, version, out);
+                self.on_recorded(now, version, out);
                 Answer::Published(version)
             }
             Ok(_) => return,
--- a/crates/dandelion-rollout/src/ledger/table.rs
+++ b/crates/dandelion-rollout/src/ledger/table.rs
@@ -77,11 +77,15 @@
             daemon,
             incarnation,
         } => Ok(job.lead(daemon, incarnation)),
-        LedgerChange::Feed { feed } => job.feed(feed),
+        LedgerChange::Feed { epoch, feed } => {
+            job.check_epoch(epoch)?;
+            job.feed(feed)
+        }
         LedgerChange::Publish { version } => Ok(job.publish(version)),
         LedgerChange::Renew { trainer, lease } => job.renew(context.at, &trainer, lease),
         LedgerChange::Take {
             epoch,
+            number,
             trainer,
             cursor,
             held,
@@ -91,6 +95,7 @@
         } => {
             job.check_epoch(epoch)?;
             let pull = Pull {
+                number,
                 trainer: &trainer,
                 cursor,
                 held,
--- a/crates/dandelion-rollout/tests/bench/shell.rs
+++ b/crates/dandelion-rollout/tests/bench/shell.rs
@@ -3,12 +3,15 @@
 use dandelion_kernel::ApplyContext;
 use dandelion_kernel::Table;
 use dandelion_protocol::codec;
+use dandelion_protocol::control::Proposal;
 use dandelion_protocol::control::ProposeError;
 use dandelion_protocol::ids::Incarnation;
+use dandelion_protocol::ids::RequestId;
 use dandelion_protocol::ids::Revision;
 use dandelion_protocol::ids::WeightVersion;
 use dandelion_protocol::outcome::Ran;
 use dandelion_protocol::time::WallMillis;
+use dandelion_rollout::LedgerTable;
 use dandelion_rollout::coordinator::Action;
 use dandelion_rollout::coordinator::Answer;
 use dandelion_rollout::coordinator::AttemptId;
@@ -72,6 +75,17 @@
                     host.store.release(&self.plan.job.id, blob);
                 }
             }
+            Action::Recover => {
+                let job = &self.plan.job.id;
+                let kept = self.hosts.iter().flat_map(|host| host.store.groups(job));
+                let groups = kept.collect();
+                self.send_later(10, index, Event::Recovered(groups));
+            }
+            Action::ReleaseGroups(first) => {
+                for host in &mut self.hosts {
+                    host.store.release_groups(&self.plan.job.id, first);
+                }
+            }
             Action::StepDown => self.retire(index),
         }
     }
@@ -120,8 +134,7 @@
         answers: bool,
     ) {
         self.log_entries += 1;
-        // A proposal carries a 16-byte id, its author, a time and the table's name besides.
-        self.log_bytes += codec::encode(&command).unwrap().len() as u64 + 64;
+        self.log_bytes += self.proposal_bytes(index, &command);
         self.mutate(&mut command.change);
         let context = ApplyContext {
             revision: Revision(self.log_entries),
@@ -132,8 +145,11 @@
             command.change,
             LedgerChange::Take { .. } | LedgerChange::Cut { .. }
         );
-        let drops = self.plan.mutation == Some(Mutation::DropReserve)
-            && matches!(command.change, LedgerChange::Reserve { .. });
+        let drops = match self.plan.mutation {
+            Some(Mutation::DropReserve) => matches!(command.change, LedgerChange::Reserve { .. }),
+            Some(Mutation::DropCut) => matches!(command.change, LedgerChange::Cut { .. }),
+            _ => false,
+        };
         let kept = drops.then(|| self.table.clone());
         let result = self.table.apply(&context, command).unwrap();
         if let Some(kept) = kept {
@@ -153,10 +169,27 @@
         }
     }
 
+    /// Returns the size of the entry that the log would hold.
+    fn proposal_bytes(&self, index: usize, command: &LedgerCommand) -> u64 {
+        let proposal = Proposal {
+            id: RequestId(u128::MAX),
+            author: self.hosts[index].id.to_string(),
+            at: WallMillis(1 << 40),
+            expected: None,
+            table: LedgerTable::NAME.to_owned(),
+            command: codec::encode(command).unwrap(),
+        };
+        codec::encode(&proposal).unwrap().len() as u64
+    }
+
     fn mutate(&self, change: &mut LedgerChange) {
         match (self.plan.mutation, change) {
             (Some(Mutation::AckSkipped), LedgerChange::Take { skipped, .. }) => *skipped = false,
             (Some(Mutation::ForgetAcks), LedgerChange::Take { skipped, .. }) => *skipped = true,
+            (
+                Some(Mutation::OneName),
+                LedgerChange::Take { trainer, .. } | LedgerChange::Cut { trainer, .. },
+            ) => "anyone".clone_into(&mut trainer.0),
             (Some(Mutation::DropPublish), LedgerChange::Publish { version }) => {
                 *version = WeightVersion(0);
             }
