Read test command lines without the shell's variables

Cause: a shell with DANDELION_* set changed what the tests of settings and dandelionctl saw. Before: verdicts depended on the environment. Conclusion: same verdict in every shell.

--- a/crates/dandelion-daemon/tests/settings.rs
+++ b/crates/dandelion-daemon/tests/settings.rs
@@ -3,7 +3,8 @@
 use std::path::Path;
 
 use clap::CommandFactory;
-use clap::Parser;
+use clap::FromArgMatches;
+use clap::builder::Resettable;
 use dandelion_daemon::settings::Checked;
 use dandelion_daemon::settings::EXIT_USAGE;
 use dandelion_daemon::settings::Secret;
@@ -16,8 +17,11 @@
 
 const SECRET: &str = "0123456789abcdef0123456789abcdef";
 
+/// Reads flags alone, so that the variables of the caller's shell make no difference.
 fn parse(flags: &[&str]) -> Result<Settings, clap::Error> {
-    Settings::try_parse_from([&["dandelionrun"], flags].concat())
+    let command = Settings::command().mut_args(|arg| arg.env(Resettable::Reset));
+    let matches = command.try_get_matches_from([&["dandelionrun"], flags].concat())?;
+    Settings::from_arg_matches(&matches)
 }
 
 fn check(flags: &[&str]) -> Result<Checked, SettingsError> {
--- a/crates/dandelionctl/tests/cli/apply.rs
+++ b/crates/dandelionctl/tests/cli/apply.rs
@@ -1,9 +1,7 @@
 //! Declarative configuration.
 
 use async_std::task::block_on;
-use clap::Parser;
 use dandelion_rpc::generated::Team;
-use dandelionctl::Cli;
 use dandelionctl::CtlError;
 use dandelionctl::apply::FileConfig;
 use dandelionctl::apply::Step;
@@ -15,6 +13,7 @@
 
 use crate::daemon::Daemon;
 use crate::daemon::Stale;
+use crate::parse;
 
 const FILE: &str = r#"
 [[job]]
@@ -68,7 +67,7 @@
         "apply",
         file,
     ];
-    let cli = Cli::try_parse_from([&base[..], flags].concat());
+    let cli = parse::parse(&[&base[..], flags].concat());
     cli.expect("flags parse").run().await
 }
 
--- a/crates/dandelionctl/tests/cli/commands.rs
+++ b/crates/dandelionctl/tests/cli/commands.rs
@@ -3,7 +3,6 @@
 use async_std::task::block_on;
 use clap::Command;
 use clap::CommandFactory;
-use clap::Parser;
 use dandelion_rpc::secret;
 use dandelionctl::Cli;
 use dandelionctl::CtlError;
@@ -11,10 +10,11 @@
 use serde_json::Value;
 
 use crate::daemon::Daemon;
+use crate::parse::parse;
 
 async fn run(daemon: &Daemon, words: &str) -> Result<String, CtlError> {
     let line = format!("dandelionctl --daemon {} {words}", daemon.address);
-    let cli = Cli::try_parse_from(line.split_whitespace());
+    let cli = parse(&line.split_whitespace().collect::<Vec<_>>());
     cli.expect("flags parse").run().await
 }
 
@@ -132,7 +132,7 @@
 
 #[test]
 fn usage_status() {
-    let error = Cli::try_parse_from(["dandelionctl", "team", "fold"]).expect_err("no such command");
+    let error = parse(&["dandelionctl", "team", "fold"]).expect_err("no such command");
     assert_eq!(error.exit_code(), i32::from(error::EXIT_USAGE));
 }
 
@@ -157,7 +157,7 @@
     assert!(lines.len() > 10, "{lines:?}");
     for line in lines {
         let words = format!("dandelionctl {line}");
-        let parsed = Cli::try_parse_from(words.split_whitespace());
+        let parsed = parse(&words.split_whitespace().collect::<Vec<_>>());
         assert!(parsed.is_ok(), "{line}: {}", parsed.expect_err("refused"));
     }
 }
--- a/crates/dandelionctl/tests/cli/main.rs
+++ b/crates/dandelionctl/tests/cli/main.rs
@@ -3,4 +3,5 @@
 mod apply;
 mod commands;
 mod daemon;
+mod parse;
 mod transport;
--- a/crates/dandelionctl/tests/cli/transport.rs
+++ b/crates/dandelionctl/tests/cli/transport.rs
@@ -2,13 +2,12 @@
 
 use async_std::net::TcpListener;
 use async_std::task::block_on;
-use clap::Parser;
-use dandelionctl::Cli;
 use dandelionctl::CtlError;
 use dandelionctl::error;
 
 use crate::daemon::Daemon;
 use crate::daemon::Fault;
+use crate::parse::parse;
 
 const PUT: [&str; 3] = ["team", "put", "claims"];
 
@@ -20,7 +19,7 @@
         "--daemon",
         daemons,
     ];
-    let cli = Cli::try_parse_from([&flags[..], words].concat());
+    let cli = parse(&[&flags[..], words].concat());
     cli.expect("flags parse").run().await
 }
 
