Recover whole groups and check operators' tokens in one place

Cause: the coordinator asks daemons for groups kept before it took charge; the token check stood twice.

--- a/crates/dandelion-daemon/src/api/operators.rs
+++ b/crates/dandelion-daemon/src/api/operators.rs
@@ -11,6 +11,7 @@
 use dandelion_rpc::RpcError;
 use dandelion_rpc::RpcResponse;
 use dandelion_rpc::dispatch::dispatch;
+use dandelion_rpc::token::check_token;
 use dandelion_telemetry::Event;
 use dandelion_telemetry::event;
 use http_types::Request;
@@ -19,9 +20,9 @@
 use http_types::headers::AUTHORIZATION;
 use http_types::headers::CONTENT_TYPE;
 
-use crate::api::secrets;
 use crate::core::Handle;
 use crate::operator::OperatorServer;
+use crate::settings::Secret;
 
 /// Procedures that read what only control daemons hold; they go to the leader.
 const LEADER_PROCEDURES: [&str; 11] = [
@@ -43,13 +44,9 @@
 
 /// Answers one procedure call.
 pub async fn call(core: &Handle, mut request: Request) -> Response {
-    if !is_operator(core, &request) {
+    if let Err(error) = check_operator(core, &request) {
         event!(Event::OperatorRefused);
-        return respond(RpcResponse::refused(&RpcError::new(
-            ErrorCode::Unauthenticated,
-            "the operator's token is missing or wrong",
-            "set DANDELION_OPERATOR_TOKEN for dandelionctl as for the daemons",
-        )));
+        return respond(RpcResponse::refused(&error));
     }
     let path = request.url().path().to_owned();
     let content_type = request.header(CONTENT_TYPE).map(|v| v.as_str().to_owned());
@@ -112,13 +109,10 @@
     )
 }
 
-fn is_operator(core: &Handle, request: &Request) -> bool {
-    let Some(token) = &core.settings.secrets.operator else {
-        return false;
-    };
-    let shown = request.header(AUTHORIZATION).map(|v| v.as_str());
-    let shown = shown.and_then(|text| text.strip_prefix("Bearer "));
-    shown.is_some_and(|text| secrets::matches(token, text))
+fn check_operator(core: &Handle, request: &Request) -> Result<(), RpcError> {
+    let token = core.settings.secrets.operator.as_ref();
+    let header = request.header(AUTHORIZATION).map(|v| v.as_str());
+    check_token(header, token.map(Secret::reveal))
 }
 
 fn respond(answer: RpcResponse) -> Response {
--- a/crates/dandelion-daemon/src/api/secrets.rs
+++ b/crates/dandelion-daemon/src/api/secrets.rs
@@ -1,10 +1,12 @@
 //! Comparison of shown secrets in constant time.
 
+use dandelion_rpc::secret::digest_secret;
 use subtle::ConstantTimeEq;
 
 use crate::settings::Secret;
 
-/// Returns whether `shown` is the secret.
+/// Returns whether `shown` is the secret; neither content nor length shows in the time taken.
 pub fn matches(secret: &Secret, shown: &str) -> bool {
-    bool::from(secret.reveal().as_bytes().ct_eq(shown.as_bytes()))
+    let known = digest_secret(secret.reveal());
+    bool::from(known.ct_eq(&digest_secret(shown)))
 }
--- a/crates/dandelion-daemon/src/node.rs
+++ b/crates/dandelion-daemon/src/node.rs
@@ -81,9 +81,7 @@
         }
         CallBody::Probe => ReplyBody::Alive,
         CallBody::InForce(revision) => ReplyBody::InForce(operator::spread_here(core, revision)),
-        CallBody::KeepPayload(_) | CallBody::FetchPayload(_) | CallBody::ReleasePayload(_) => {
-            rollouts::answer_payload(core, &body)
-        }
+        CallBody::Payload(bytes) => rollouts::answer_payload(core, &bytes),
         CallBody::Forward {
             path,
             content_type,
--- a/crates/dandelion-daemon/src/rollouts/driver.rs
+++ b/crates/dandelion-daemon/src/rollouts/driver.rs
@@ -190,6 +190,16 @@
                     holders,
                 ));
             }
+            Action::Recover => {
+                task::spawn(payloads::recover(core.clone(), self.id.clone()));
+            }
+            Action::ReleaseGroups(first) => {
+                task::spawn(payloads::release_groups(
+                    core.clone(),
+                    self.id.clone(),
+                    first,
+                ));
+            }
             Action::Release { blob, holders } => {
                 task::spawn(payloads::release(
                     core.clone(),
--- a/crates/dandelion-load/src/cluster/operator.rs
+++ b/crates/dandelion-load/src/cluster/operator.rs
@@ -6,6 +6,7 @@
 use dandelion_rpc::ClientError;
 use dandelion_rpc::OperatorClient;
 use dandelion_rpc::generated as rpc;
+use dandelion_rpc::secret::Secret;
 use dandelionctl::transport::HttpTransport;
 use rand::Rng;
 
@@ -26,7 +27,7 @@
         Self {
             transport: HttpTransport {
                 daemons: daemons.to_vec(),
-                token: Some(TOKEN.to_owned()),
+                token: Some(Secret::from(TOKEN.to_owned())),
                 timeout: Duration::from_secs(8),
                 resends: RESENDS,
             },
--- a/crates/dandelion-net/tests/mesh_streams.rs
+++ b/crates/dandelion-net/tests/mesh_streams.rs
@@ -164,6 +164,7 @@
     block_on(async {
         let (a, b) = pair().await;
         let huge = CallBody::Forward {
+            content_type: String::new(),
             path: "echo".to_owned(),
             body: vec![0; 17 << 20],
         };
--- a/crates/dandelion-protocol/src/mesh.rs
+++ b/crates/dandelion-protocol/src/mesh.rs
@@ -128,12 +128,8 @@
     CopyUsage(Vec<CounterReport>),
     /// Asks the control leader how far a revision has reached.
     InForce(Revision),
-    /// Keeps a payload of a rollout job, encoded by the rollout package.
-    KeepPayload(#[serde(with = "serde_bytes")] Vec<u8>),
-    /// Fetches a payload, named as the rollout package encodes it.
-    FetchPayload(#[serde(with = "serde_bytes")] Vec<u8>),
-    /// Lets a payload go.
-    ReleasePayload(#[serde(with = "serde_bytes")] Vec<u8>),
+    /// Keeps, fetches or releases payloads of a rollout job, encoded by the daemon package.
+    Payload(#[serde(with = "serde_bytes")] Vec<u8>),
     /// Forwards a trainer's or operator's HTTP request to the daemon in charge of it.
     Forward {
         /// Path with query.
@@ -170,10 +166,8 @@
     },
     /// Reply to `InForce`; nothing if the daemon does not lead.
     InForce(Option<Spread>),
-    /// Reply to `KeepPayload`: whether the payload is kept.
-    Kept(bool),
-    /// Reply to `FetchPayload`.
-    Payload(Option<ByteBuf>),
+    /// Reply to `Payload`, encoded by the daemon package.
+    Payload(ByteBuf),
     /// The call was refused.
     Refused(Refusal),
 }
