Keep what is known of earlier attempts in a refusal; count and trace requests

Cause: a refusal after a retry said not_run although an earlier attempt may have run; an owner's open requests were counted only until their head; a dropped request left the inflight gauge raised. Before: final ran taken from the last attempt alone. Conclusion: a refusal that says not run is true over all attempts.

--- a/crates/dandelion-daemon/src/serve/answer.rs
+++ b/crates/dandelion-daemon/src/serve/answer.rs
@@ -12,6 +12,7 @@
 use http_types::Response;
 use http_types::headers::HeaderName;
 
+use crate::serve::entry::OwnerPlace;
 use crate::serve::streams::StreamGuard;
 
 /// Header that carries the identity of a request in both directions.
@@ -26,13 +27,19 @@
     stream: ServeStream,
     cut: Signal,
     guard: StreamGuard,
+    place: OwnerPlace,
 }
 
 impl CallerStream {
     /// Wraps the parts that follow a head.
-    pub fn new(stream: ServeStream, guard: StreamGuard) -> Self {
+    pub fn new(stream: ServeStream, guard: StreamGuard, place: OwnerPlace) -> Self {
         let cut = guard.signal();
-        Self { stream, cut, guard }
+        Self {
+            stream,
+            cut,
+            guard,
+            place,
+        }
     }
 
     /// Makes the HTTP answer. Its body ends cleanly only after `End`.
@@ -75,6 +82,7 @@
         Ok(Some(bytes)) => Some((Ok(bytes), Some(stream))),
         Ok(None) => {
             drop(stream.guard);
+            drop(stream.place);
             None
         }
         Err(broken) => Some((Err(broken), None)),
--- a/crates/dandelion-daemon/src/serve/entry.rs
+++ b/crates/dandelion-daemon/src/serve/entry.rs
@@ -10,6 +10,8 @@
 use dandelion_protocol::codec;
 use dandelion_protocol::config::Service;
 use dandelion_protocol::ids::DaemonId;
+use dandelion_protocol::ids::RequestId;
+use dandelion_protocol::ids::ServiceId;
 use dandelion_protocol::ids::ZoneId;
 use dandelion_protocol::mesh::Header;
 use dandelion_protocol::mesh::ServePart;
@@ -19,6 +21,7 @@
 use dandelion_protocol::outcome::RefusalCode;
 use dandelion_protocol::time::Millis;
 use dandelion_route::digest::ZoneMessage;
+use dandelion_route::entry::Choice;
 use dandelion_route::entry::EntryView;
 use dandelion_route::entry::Wanted;
 use dandelion_route::outcome::AttemptOutcome;
@@ -26,6 +29,7 @@
 use dandelion_route::retry;
 use dandelion_route::retry::RetryBudget;
 use dandelion_route::ticket::PrefixHash;
+use dandelion_route::trace::Decision;
 use futures::FutureExt;
 use futures::select_biased;
 use http_types::Request;
@@ -93,17 +97,17 @@
     let id = new_request_id();
     let mut response = match answer(core, &mut request, id).await {
         Ok(response) => response,
-        Err(refusal) => server::refusal(&refusal),
+        Err(refusal) => {
+            let Refusal { code, ran, .. } = refusal;
+            core.decided(id, Decision::Refused { code, ran });
+            server::refusal(&refusal)
+        }
     };
     response.insert_header(REQUEST_ID_HEADER, format!("{:032x}", id.0));
     response
 }
 
-async fn answer(
-    core: &Handle,
-    request: &mut Request,
-    id: dandelion_protocol::ids::RequestId,
-) -> Result<Response, Refusal> {
+async fn answer(core: &Handle, request: &mut Request, id: RequestId) -> Result<Response, Refusal> {
     let route = prepare::route(request)?;
     let view = core.control.view();
     let service = view.config.services.get(&route.service);
@@ -131,27 +135,39 @@
     claim::serve_once(core, request, guard).await
 }
 
-/// Sends the request to owners until one answers or no retry is allowed.
+/// Sends the request to owners until one answers or no retry is allowed. What is known of earlier
+/// attempts stays part of the final refusal.
 async fn forward(
     core: &Handle,
     service: &Service,
-    request: ServeRequest,
+    mut request: ServeRequest,
     guard: StreamGuard,
 ) -> Result<Response, Refusal> {
-    let deadline = clock::boot_now() + request.timeout;
-    let mut request = request;
+    let began = clock::boot_now();
+    let deadline = began + request.timeout;
+    let mut known = AttemptOutcome::NotSent;
     loop {
         request.timeout = deadline.since(clock::boot_now());
         let refusal = match attempt(core, &request, &guard).await {
-            Ok(head) => return Ok(head.into_response(guard)),
+            Ok(head) => {
+                let metrics = core.metrics.team(request.team.as_ref(), request.class);
+                metrics.first_token(clock::boot_now().since(began));
+                return Ok(head.into_response(guard));
+            }
             Err(refusal) => refusal,
         };
         let outcome = outcome_of(refusal.ran);
+        core.decided(request.id, Decision::Ended { outcome });
+        known = known.then(outcome);
         let left = deadline.since(clock::boot_now());
-        if !is_worth_retrying(&refusal)
-            || !retry::may_retry(outcome, service.idempotent, &mut core.entry.budget(), left)
-        {
-            return Err(refusal);
+        let granted = is_worth_retrying(&refusal)
+            && retry::may_retry(outcome, service.idempotent, &mut core.entry.budget(), left);
+        core.decided(request.id, Decision::Retry { granted });
+        if !granted {
+            core.metrics
+                .team(request.team.as_ref(), request.class)
+                .refuse();
+            return Err(refusal.with_ran(known.ran()));
         }
     }
 }
@@ -165,11 +181,39 @@
     pub headers: Vec<Header>,
     /// The parts after the head.
     pub stream: ServeStream,
+    /// Counts the request at its owner until the answer ends.
+    pub place: OwnerPlace,
 }
 
 impl AnswerHead {
     fn into_response(self, guard: StreamGuard) -> Response {
-        CallerStream::new(self.stream, guard).into_response(self.status, &self.headers)
+        let stream = CallerStream::new(self.stream, guard, self.place);
+        stream.into_response(self.status, &self.headers)
+    }
+}
+
+/// Counts one request at an owner until it is dropped.
+#[derive(Debug)]
+pub struct OwnerPlace {
+    core: Handle,
+    owner: DaemonId,
+    service: ServiceId,
+}
+
+impl OwnerPlace {
+    fn take(core: &Handle, owner: &DaemonId, service: &ServiceId) -> Self {
+        core.entry.owners().begin(owner, service);
+        Self {
+            core: core.clone(),
+            owner: owner.clone(),
+            service: service.clone(),
+        }
+    }
+}
+
+impl Drop for OwnerPlace {
+    fn drop(&mut self) {
+        self.core.entry.owners().end(&self.owner, &self.service);
     }
 }
 
@@ -181,11 +225,9 @@
 ) -> Result<AnswerHead, Refusal> {
     let owner = pick(core, request)?;
     let mesh = core.mesh().ok_or_else(no_upstream)?;
+    let place = OwnerPlace::take(core, &owner, &request.service);
     let stream = mesh.serve(&owner, request.clone()).map_err(lost_owner)?;
-    core.entry.owners().begin(&owner, &request.service);
-    let result = first_part(stream, guard).await;
-    core.entry.owners().end(&owner, &request.service);
-    result
+    first_part(stream, guard, place).await
 }
 
 /// Opens an answer stream of this daemon's own request, without waiting for its head.
@@ -195,7 +237,11 @@
     mesh.serve(&owner, request.clone()).map_err(lost_owner)
 }
 
-async fn first_part(mut stream: ServeStream, guard: &StreamGuard) -> Result<AnswerHead, Refusal> {
+async fn first_part(
+    mut stream: ServeStream,
+    guard: &StreamGuard,
+    place: OwnerPlace,
+) -> Result<AnswerHead, Refusal> {
     let cut = guard.signal();
     let part = {
         let next = stream.next().fuse();
@@ -213,6 +259,7 @@
             status,
             headers,
             stream,
+            place,
         }),
         Ok(ServePart::Failed(refusal)) => Err(refusal),
         Ok(ServePart::Chunk(_) | ServePart::End { .. }) => Err(lost_owner(CallError::Unknown)),
@@ -227,9 +274,20 @@
         suspect: None,
         may_spill: true,
     };
-    let owners = core.entry.owners();
-    let choice = owners.pick_owner(clock::boot_now(), &wanted, &mut rand::rng());
-    choice.map(|c| c.owner).ok_or_else(no_upstream)
+    let choice = core
+        .entry
+        .owners()
+        .pick_owner(clock::boot_now(), &wanted, &mut rand::rng())
+        .ok_or_else(no_upstream)?;
+    let Choice { owner, reason } = choice;
+    core.decided(
+        request.id,
+        Decision::Owner {
+            owner: owner.clone(),
+            reason,
+        },
+    );
+    Ok(owner)
 }
 
 /// Overload is answered at once with a time to come back; only failures are tried elsewhere.
--- a/crates/dandelion-daemon/src/serve/exchange.rs
+++ b/crates/dandelion-daemon/src/serve/exchange.rs
@@ -14,6 +14,7 @@
 use dandelion_net::mesh::PartSender;
 use dandelion_net::mesh::StreamGone;
 use dandelion_protocol::ids::Incarnation;
+use dandelion_protocol::ids::TeamId;
 use dandelion_protocol::ids::UpstreamId;
 use dandelion_protocol::mesh::ServePart;
 use dandelion_protocol::mesh::ServeRequest;
@@ -27,6 +28,8 @@
 use dandelion_route::queue::QueueEvent;
 use dandelion_route::scrub;
 use dandelion_route::ticket::Ticket;
+use dandelion_route::trace::Decision;
+use dandelion_telemetry::metrics::TeamMetrics;
 use futures::FutureExt;
 use futures::select_biased;
 
@@ -57,14 +60,18 @@
 /// One request in the queue or at its upstream. Dropping it settles its place in the queue.
 struct Flight<'a> {
     core: &'a Handle,
+    team: Option<TeamId>,
     class: Class,
+    metrics: TeamMetrics,
     shard: Arc<Shard>,
     ticket: Ticket,
     verdicts: Receiver<Verdict>,
+    arrived: Millis,
     began: Option<Millis>,
     finish: Finish,
     meter: TokenMeter,
     settled: bool,
+    accounted: bool,
 }
 
 /// Why an attempt stopped before the answer was whole.
@@ -77,6 +84,8 @@
 impl<'a> Flight<'a> {
     fn open(core: &'a Handle, request: &ServeRequest) -> Self {
         let shard = core.owners.shard(&request.service);
+        let metrics = core.metrics.team(request.team.as_ref(), request.class);
+        metrics.begin();
         shard.begin(request.class);
         let ticket = Ticket(core.next_number());
         let now = clock::boot_now();
@@ -84,14 +93,18 @@
         let verdicts = shard.arrive(now, arrival);
         Self {
             core,
+            team: request.team.clone(),
             class: request.class,
+            metrics,
             shard,
             ticket,
             verdicts,
+            arrived: now,
             began: None,
             finish: Finish::Cancelled,
             meter: TokenMeter::default(),
             settled: false,
+            accounted: false,
         }
     }
 
@@ -100,7 +113,16 @@
     async fn run(&mut self, request: &ServeRequest, parts: &mut PartSender) -> Option<Refusal> {
         match self.verdicts.recv().await {
             Ok(Verdict::Dispatch { upstream, boot }) => {
-                self.began = Some(clock::boot_now());
+                let now = clock::boot_now();
+                self.began = Some(now);
+                self.metrics.queued(now.since(self.arrived));
+                self.core.decided(
+                    request.id,
+                    Decision::Dispatched {
+                        upstream: upstream.clone(),
+                        alone: false,
+                    },
+                );
                 self.attempt(request, &upstream, boot, parts).await
             }
             Ok(Verdict::Refuse(refusal)) => {
@@ -167,7 +189,7 @@
         parts.send(head_of(&exchange, upstream)).await?;
         self.pass_body(&mut exchange, parts).await?;
         self.finish = Finish::Clean;
-        self.account(request, true);
+        self.account(true);
         let end = ServePart::End {
             bytes: parts.bytes(),
         };
@@ -236,22 +258,30 @@
         Refusal::not_run(code, message, remedy).with_ran(Ran::Unknown)
     }
 
-    fn account(&self, request: &ServeRequest, whole: bool) {
-        let Some(team) = &request.team else { return };
-        let began = self.began.unwrap_or_default();
+    /// Counts the work for the bill, once; a broken answer counts its tokens but not as a request.
+    fn account(&mut self, whole: bool) {
+        let (Some(team), Some(began)) = (&self.team, self.began) else {
+            return;
+        };
+        if std::mem::replace(&mut self.accounted, true) {
+            return;
+        }
         let counts = Counts {
             requests: u64::from(whole),
             prompt_tokens: self.meter.prompt(),
             output_tokens: self.meter.output(),
             busy_ms: clock::boot_now().since(began).0,
         };
-        self.core.usage.record(team, request.class, &counts);
+        self.core.usage.record(team, self.class, &counts);
     }
 }
 
 impl Drop for Flight<'_> {
     fn drop(&mut self) {
+        self.account(false);
         self.shard.end(self.class);
+        let took = clock::boot_now().since(self.arrived);
+        self.metrics.end(took, self.meter.output());
         if self.settled {
             return;
         }
