Let hanging tests fail within their limit

Cause: of 13 seeded faults in dandelion-net, 4 showed only as a hang. Ruled out: weaker checks; the tests ask the same and stop waiting after 10 s. Before: 9 of 13 faults failed by assertion.

--- a/crates/dandelion-net/tests/common/mod.rs
+++ b/crates/dandelion-net/tests/common/mod.rs
@@ -151,6 +151,7 @@
         timing: Timing {
             heartbeat: Duration::from_millis(50),
             silence: Duration::from_millis(150),
+            dead: Duration::from_hours(1),
             min_delay: Duration::from_millis(5),
             max_delay: Duration::from_millis(20),
             ..Timing::default()
--- a/crates/dandelion-net/tests/mesh_peers.rs
+++ b/crates/dandelion-net/tests/mesh_peers.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use async_std::future::timeout;
 use async_std::net::TcpListener;
 use async_std::net::TcpStream;
 use async_std::task::block_on;
@@ -180,7 +181,8 @@
         assert!(matches!(stream.next().await, Ok(ServePart::Head { .. })));
         relay.mute.close();
         // What was on the silent connection is unknown; the next call takes the fresh one.
-        assert_eq!(stream.next().await, Err(CallError::Unknown));
+        let lost = timeout(LIMIT, stream.next()).await;
+        assert_eq!(lost, Ok(Err(CallError::Unknown)));
         assert_eq!(call_until(&a, &id("b")).await, replied());
     });
 }
--- a/crates/dandelion-net/tests/mesh_streams.rs
+++ b/crates/dandelion-net/tests/mesh_streams.rs
@@ -44,7 +44,8 @@
 }
 
 async fn wait_for(node: &Node, expected: Seen) {
-    while node.seen.recv().await.expect("the node runs") != expected {}
+    let seen = async { while node.seen.recv().await.expect("the node runs") != expected {} };
+    timeout(LIMIT, seen).await.expect("it is seen");
 }
 
 #[test]
--- a/crates/dandelion-net/tests/server_answers.rs
+++ b/crates/dandelion-net/tests/server_answers.rs
@@ -6,6 +6,7 @@
 
 use async_channel::Receiver;
 use async_channel::Sender;
+use async_std::future::timeout;
 use async_std::task::block_on;
 use async_std::task::sleep;
 use dandelion_net::http::body;
@@ -23,6 +24,8 @@
 use http_types::Request;
 use http_types::Response;
 
+/// Time after which a test that waits has failed.
+const LIMIT: Duration = Duration::from_secs(10);
 /// Most connections of the server under test.
 const CONNECTIONS: usize = 20;
 
@@ -81,6 +84,14 @@
     started: Receiver<()>,
 }
 
+impl Bench {
+    /// Waits until the work of one request is dropped.
+    async fn dropped(&self) {
+        let dropped = timeout(LIMIT, self.dropped.recv()).await;
+        dropped.expect("it is dropped").expect("the server runs");
+    }
+}
+
 async fn bench() -> Bench {
     let (dropped, drops) = async_channel::unbounded();
     let (started, starts) = async_channel::unbounded();
@@ -121,7 +132,7 @@
         bench.started.recv().await.expect("the handler runs");
         assert!(bench.dropped.is_empty());
         waiting.cancel().await;
-        bench.dropped.recv().await.expect("the handler is dropped");
+        bench.dropped().await;
     });
 }
 
@@ -144,8 +155,8 @@
         );
         drop(cancelled);
         // One drop is the quick request's, the other the stream's.
-        bench.dropped.recv().await.expect("dropped");
-        bench.dropped.recv().await.expect("dropped");
+        bench.dropped().await;
+        bench.dropped().await;
     });
 }
 
--- a/crates/dandelion-net/tests/server_intake.rs
+++ b/crates/dandelion-net/tests/server_intake.rs
@@ -37,6 +37,7 @@
     Limits {
         head_bytes: 1024,
         head_time: Duration::from_millis(300),
+        idle_time: Duration::from_secs(1),
         body_bytes: 64,
         body_time: Duration::from_millis(300),
         ..Limits::default()
