Send heartbeats only where their lack matters; describe the net

Cause: a heartbeat a second on every connection would take the 4 KB/s control budget with a few dozen peers; idle and streaming connections need fewer or none. Ruled out: no heartbeats at all (a lost flow would show only by the call's deadline). Before: about one a second on each open connection. After: none on an unused one, 7 to 9 bytes of payload each while an answer is awaited (heartbeats_needed).

--- a/crates/dandelion-net/src/mesh/config.rs
+++ b/crates/dandelion-net/src/mesh/config.rs
@@ -25,11 +25,15 @@
 pub struct Timing {
     /// Time for connecting, upgrading and authenticating.
     pub handshake: Duration,
-    /// Quiet time after which a heartbeat is sent.
+    /// Quiet time after which a heartbeat is sent while an answer is awaited. While answers come or
+    /// only one-way messages are sent, heartbeats are rarer; unused connections have none.
     pub heartbeat: Duration,
-    /// Quiet time after which a fresh connection is tried; it replaces the quiet one if it works.
+    /// Time without an answer to a heartbeat after which a fresh connection is tried; it replaces
+    /// the silent one if it works.
     pub silence: Duration,
-    /// Quiet time after which a connection is given up in any case.
+    /// Time without an answer to a heartbeat after which a connection is given up in any case; must
+    /// be more than four heartbeats. The peer gives up its side as well after this time if it
+    /// works on something for us.
     pub dead: Duration,
     /// Time after which a connection with nothing to do is closed.
     pub idle: Duration,
--- a/crates/dandelion-net/src/mesh/link.rs
+++ b/crates/dandelion-net/src/mesh/link.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -18,7 +17,6 @@
 use futures::pin_mut;
 use futures::select_biased;
 
-use crate::lock::lock;
 use crate::mesh::backoff::Backoff;
 use crate::mesh::error::MeshError;
 use crate::mesh::node::Shared;
@@ -28,6 +26,8 @@
 use crate::mesh::transport::Inlet;
 use crate::mesh::transport::Outlet;
 use crate::mesh::transport::dial;
+use crate::mesh::watch::Need;
+use crate::mesh::watch::Watch;
 use crate::signal::Signal;
 use crate::signal::Trigger;
 
@@ -35,8 +35,6 @@
 const QUEUE_LIMIT: usize = 4096;
 /// Messages written before the buffer is flushed at the latest.
 const BATCH: usize = 64;
-/// Heartbeats are sent at least this many heartbeat periods apart, also on busy connections.
-const BUSY_FACTOR: u32 = 4;
 
 /// A message for the peer. One with a ticket can be withdrawn until it is sent.
 #[derive(Debug)]
@@ -198,7 +196,7 @@
     }
 
     async fn drive(&self, connection: Connection, first: Option<Outbound>) -> Ended {
-        let watch = Watch::new();
+        let watch = Watch::new(Instant::now());
         let counters = &self.shared.counters;
         let outlet = Outlet {
             sink: connection.sink,
@@ -234,7 +232,9 @@
                 outlet.close().await;
                 return MeshError::Closed;
             };
-            watch.used();
+            if !matches!(item.message, MeshMessage::Ping(_)) {
+                watch.used(Instant::now());
+            }
             if let Err(error) = self.write_batch(&mut outlet, item).await {
                 return error;
             }
@@ -296,7 +296,7 @@
             if self.shared.faults.is_cut(&self.peer) {
                 continue;
             }
-            watch.heard();
+            watch.heard(Instant::now());
             let Some(link) = self.link.upgrade() else {
                 return MeshError::Closed;
             };
@@ -312,29 +312,23 @@
     /// Sends heartbeats and ends the connection when it is idle, or silent while a fresh one works.
     async fn guard(&self, watch: &Watch) -> Ended {
         let timing = &self.shared.config.timing;
-        let mut pinged = Instant::now();
         let mut number = 0;
         loop {
             task::sleep(timing.heartbeat / 2).await;
-            let quiet = watch.quiet();
             let busy = self.link.upgrade().is_some_and(|l| !l.pending.is_empty());
-            if !busy && watch.unused() >= timing.idle {
-                return Ended::Idle;
-            }
-            if quiet >= timing.dead {
-                return Ended::Failed(MeshError::Timeout);
-            }
-            if quiet >= timing.silence
-                && let Ok(fresh) = self.dial().await
-            {
-                return Ended::Replaced(fresh);
-            }
-            let due =
-                quiet >= timing.heartbeat || pinged.elapsed() >= timing.heartbeat * BUSY_FACTOR;
-            if due && pinged.elapsed() >= timing.heartbeat {
-                number += 1;
-                pinged = Instant::now();
-                let _closed = self.control.try_send(MeshMessage::Ping(number));
+            match watch.need(Instant::now(), busy, timing) {
+                Need::Nothing => (),
+                Need::Heartbeat => {
+                    number += 1;
+                    let _closed = self.control.try_send(MeshMessage::Ping(number));
+                }
+                Need::Replacement => {
+                    if let Ok(fresh) = self.dial().await {
+                        return Ended::Replaced(fresh);
+                    }
+                }
+                Need::End => return Ended::Failed(MeshError::Timeout),
+                Need::Close => return Ended::Idle,
             }
         }
     }
@@ -367,35 +361,3 @@
         let _over = timeout(delay, drop_all).await;
     }
 }
-
-/// When a connection was last heard of and last used for a message of ours.
-#[derive(Debug)]
-struct Watch {
-    heard: Mutex<Instant>,
-    used: Mutex<Instant>,
-}
-
-impl Watch {
-    fn new() -> Self {
-        Self {
-            heard: Mutex::new(Instant::now()),
-            used: Mutex::new(Instant::now()),
-        }
-    }
-
-    fn heard(&self) {
-        *lock(&self.heard) = Instant::now();
-    }
-
-    fn used(&self) {
-        *lock(&self.used) = Instant::now();
-    }
-
-    fn quiet(&self) -> Duration {
-        lock(&self.heard).elapsed()
-    }
-
-    fn unused(&self) -> Duration {
-        lock(&self.used).elapsed()
-    }
-}
--- a/crates/dandelion-net/src/mesh/mod.rs
+++ b/crates/dandelion-net/src/mesh/mod.rs
@@ -16,6 +16,7 @@
 mod pending;
 mod session;
 mod transport;
+mod watch;
 
 pub use auth::Secret;
 pub use auth::Secrets;
--- a/crates/dandelion-net/src/mesh/session.rs
+++ b/crates/dandelion-net/src/mesh/session.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::time::Duration;
 
 use async_channel::Receiver;
 use async_channel::Sender;
@@ -89,12 +90,10 @@
     }
 
     async fn read(&self, mut inlet: Inlet) -> MeshError {
-        let limit = self.shared.config.timing.dead;
         loop {
-            let message = match timeout(limit, inlet.next()).await {
-                Ok(Ok(message)) => message,
-                Ok(Err(error)) => return error,
-                Err(_late) => return MeshError::Timeout,
+            let message = match self.next_message(&mut inlet).await {
+                Ok(message) => message,
+                Err(error) => return error,
             };
             if self.shared.faults.is_cut(&self.from) {
                 continue;
@@ -105,6 +104,27 @@
         }
     }
 
+    /// Waits for the next message. A peer that waits for something of ours sends heartbeats; one
+    /// that doesn't closes its connection when it is idle.
+    async fn next_message(&self, inlet: &mut Inlet) -> Result<MeshMessage, MeshError> {
+        let timing = &self.shared.config.timing;
+        let mut quiet = Duration::ZERO;
+        loop {
+            match timeout(timing.dead, inlet.next()).await {
+                Ok(outcome) => return outcome,
+                Err(_late) if self.is_working() => return Err(MeshError::Timeout),
+                Err(_late) if quiet >= timing.idle => return Err(MeshError::Timeout),
+                Err(_late) => quiet += timing.dead,
+            }
+        }
+    }
+
+    fn is_working(&self) -> bool {
+        [&self.calls, &self.streams]
+            .iter()
+            .any(|map| !lock(map).is_empty())
+    }
+
     fn take(&self, message: MeshMessage) -> Result<(), MeshError> {
         match message {
             MeshMessage::Raft(_) | MeshMessage::Feed(_) | MeshMessage::Digest(_) => {
--- a/crates/dandelion-net/tests/mesh_peers.rs
+++ b/crates/dandelion-net/tests/mesh_peers.rs
@@ -22,6 +22,7 @@
 use common::secrets;
 use common::serve;
 use dandelion_net::mesh::CallError;
+use dandelion_net::mesh::Family;
 use dandelion_net::mesh::MeshError;
 use dandelion_net::mesh::Secret;
 use dandelion_net::mesh::decode_message;
@@ -35,6 +36,8 @@
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
 
+/// Largest payload of a heartbeat in its first minutes.
+const HEARTBEAT_BYTES: u64 = 9;
 const LIMIT: Duration = Duration::from_secs(10);
 
 /// Calls until the peer replies, as after a connection failed.
@@ -187,6 +190,29 @@
     });
 }
 
+#[test]
+fn heartbeats_needed() {
+    // None on a connection that nobody waits on; small ones while an answer is awaited.
+    block_on(async {
+        let (a, b) = pair().await;
+        assert_eq!(call_until(&a, &id("b")).await, replied());
+        let before = a.mesh.traffic(Family::Link);
+        sleep(Duration::from_millis(500)).await;
+        assert_eq!(a.mesh.traffic(Family::Link), before);
+        let mut stream = a.mesh.serve(&id("b"), serve("hold")).expect("queued");
+        assert!(matches!(stream.next().await, Ok(ServePart::Head { .. })));
+        let mut after = before;
+        while after.received < before.received + 3 {
+            sleep(Duration::from_millis(10)).await;
+            after = a.mesh.traffic(Family::Link);
+        }
+        let beats = after.sent - before.sent;
+        assert!(after.sent_bytes - before.sent_bytes <= beats * HEARTBEAT_BYTES);
+        drop(stream);
+        while b.seen.recv().await != Ok(Seen::Dropped("hold".to_owned())) {}
+    });
+}
+
 #[test]
 fn partition_heals() {
     block_on(async {
