Shut a mesh down by any handle; add a relay that goes silent and a prefix cache

Cause: a handler that holds its own mesh kept it alive for good; scenarios need silent connections before any peer, and engines whose cache rewards affinity. Ruled out: weak handles in the handler, which each user would have to get right. Before: no test. After: shutdown_ends and prefixes_cached pass. Conclusion: the fakes cover the silent and affinity scenarios.

--- a/crates/dandelion-fakes/src/announce.rs
+++ b/crates/dandelion-fakes/src/announce.rs
@@ -41,6 +41,8 @@
     pub daemons: Vec<SocketAddr>,
     /// Value of `x-announce-secret`, if set.
     pub secret: Option<String>,
+    /// Address to announce in place of its own, such as that of a relay before it.
+    pub address: Option<SocketAddr>,
     /// Time between announcements.
     pub period: Duration,
 }
@@ -57,6 +59,7 @@
             price: PriceKind::Regular,
             daemons: daemons.to_vec(),
             secret: None,
+            address: None,
             period: Duration::from_secs(1),
         }
     }
@@ -102,6 +105,9 @@
         sequence += 1;
         let mut announcement = report(&identity);
         announcement.sequence = sequence;
+        if let Some(address) = identity.address {
+            announcement.address = address.to_string();
+        }
         let posts = identity.daemons.iter();
         join_all(posts.map(|to| post(&client, *to, &identity, &announcement))).await;
         async_std::task::sleep(identity.period).await;
--- a/crates/dandelion-fakes/src/engine/config.rs
+++ b/crates/dandelion-fakes/src/engine/config.rs
@@ -20,6 +20,10 @@
     pub token_time: Duration,
     /// Relative slowdown of each token when the batch is full: 1.0 doubles the time.
     pub slowdown: f64,
+    /// Prompt prefixes that the cache holds; the least recently used one goes first.
+    pub cached: usize,
+    /// Time before the first token of a prompt whose prefix is not cached.
+    pub prefill: Duration,
     /// Weight version at the start.
     pub version: WeightVersion,
     /// Time for loading a version.
@@ -43,6 +47,8 @@
             capacity: 8,
             token_time: Duration::from_millis(5),
             slowdown: 0.5,
+            cached: 32,
+            prefill: Duration::ZERO,
             version: WeightVersion(1),
             load_time: Duration::from_millis(100),
             failing_loads: 0,
--- a/crates/dandelion-fakes/src/engine/handler.rs
+++ b/crates/dandelion-fakes/src/engine/handler.rs
@@ -94,6 +94,9 @@
             return std::future::pending().await;
         }
         let cancel = place.cancel_by(id);
+        if !state.lookup(&ask.prompt) {
+            async_std::task::sleep(state.config.prefill).await;
+        }
         let generation = Generation {
             place,
             prompt: ask.prompt,
@@ -165,6 +168,6 @@
     let order = (Ordering::SeqCst, Ordering::SeqCst);
     let fails = state.failing.fetch_update(order.0, order.1, one_less);
     if fails.is_err() {
-        state.version.store(version.0, Ordering::SeqCst);
+        state.swap(version);
     }
 }
--- a/crates/dandelion-fakes/src/engine/mod.rs
+++ b/crates/dandelion-fakes/src/engine/mod.rs
@@ -3,6 +3,7 @@
 mod config;
 mod generate;
 mod handler;
+mod prefix;
 mod server;
 mod state;
 
--- a/crates/dandelion-fakes/src/engine/server.rs
+++ b/crates/dandelion-fakes/src/engine/server.rs
@@ -73,7 +73,7 @@
 
     /// Swaps the version at once, also under running streams.
     pub fn set_version(&self, version: WeightVersion) {
-        self.state.version.store(version.0, Ordering::SeqCst);
+        self.state.swap(version);
     }
 
     /// Returns the loaded version.
@@ -116,7 +116,7 @@
 fn announcement(identity: &Identity, address: SocketAddr, state: &State) -> Announcement {
     let waiting = state.waiting.load(Ordering::SeqCst);
     let running = state.running.load(Ordering::SeqCst);
-    let share = running * 1000 / state.config.capacity.max(1);
+    let share = lock(&state.prefixes).len() * 1000 / state.config.cached.max(1);
     Announcement {
         upstream: identity.upstream.clone(),
         boot: identity.boot,
--- a/crates/dandelion-fakes/src/engine/state.rs
+++ b/crates/dandelion-fakes/src/engine/state.rs
@@ -18,6 +18,7 @@
 use serde::Serialize;
 
 use crate::engine::config::EngineConfig;
+use crate::engine::prefix::PrefixCache;
 use crate::intake::Seen;
 use crate::intake::lock;
 
@@ -45,6 +46,10 @@
     pub cancelled: u64,
     /// Tokens generated.
     pub tokens: u64,
+    /// Requests whose prompt prefix was cached.
+    pub hits: u64,
+    /// Requests whose prompt prefix was not cached.
+    pub misses: u64,
 }
 
 /// Cancels one request in the batch.
@@ -71,6 +76,7 @@
     pub runs: Mutex<BTreeMap<String, u64>>,
     cancels: Mutex<BTreeMap<u64, Cancel>>,
     pub seen: Seen,
+    pub prefixes: Mutex<PrefixCache>,
     pub crash: Trigger,
     places: (Sender<()>, Receiver<()>),
 }
@@ -93,6 +99,7 @@
             runs: Mutex::default(),
             cancels: Mutex::default(),
             seen: Seen::default(),
+            prefixes: Mutex::default(),
             crash,
             places,
         }
@@ -103,6 +110,24 @@
         WeightVersion(self.version.load(Ordering::SeqCst))
     }
 
+    /// Swaps the loaded version; cached prefixes are of no use with new weights.
+    pub fn swap(&self, version: WeightVersion) {
+        self.version.store(version.0, Ordering::SeqCst);
+        lock(&self.prefixes).clear();
+    }
+
+    /// Looks a prompt up in the prefix cache and counts; true if it was there.
+    pub fn lookup(&self, prompt: &str) -> bool {
+        let hit = lock(&self.prefixes).touch(prompt, self.config.cached);
+        let mut counts = lock(&self.counts);
+        if hit {
+            counts.hits += 1;
+        } else {
+            counts.misses += 1;
+        }
+        hit
+    }
+
     /// Dies: no further answer, no further announcement.
     pub fn die(&self) {
         self.crashed.store(true, Ordering::SeqCst);
--- a/crates/dandelion-fakes/src/lib.rs
+++ b/crates/dandelion-fakes/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod plain;
 pub mod platform;
 pub mod raw;
+pub mod relay;
 pub mod scorer;
 pub mod weights;
 
--- a/crates/dandelion-fakes/tests/engine_streams.rs
+++ b/crates/dandelion-fakes/tests/engine_streams.rs
@@ -171,6 +171,25 @@
     });
 }
 
+#[test]
+fn prefixes_cached() {
+    block_on(async {
+        let mut small = config();
+        small.cached = 2;
+        let engine = Engine::bind(small).await.expect("loopback port");
+        for (prompt, hits) in [("a", 0), ("a", 1), ("b", 1), ("a", 2), ("c", 2), ("b", 2)] {
+            let ask = json!({"prompt": prompt, "max_tokens": 1});
+            generate(&engine, &ask).await.expect("whole");
+            assert_eq!(engine.counts().hits, hits, "{prompt}");
+        }
+        engine.set_version(WeightVersion(2));
+        generate(&engine, &json!({"prompt": "b", "max_tokens": 1}))
+            .await
+            .expect("whole");
+        assert_eq!((engine.counts().hits, engine.counts().misses), (2, 5));
+    });
+}
+
 #[test]
 fn batch_full() {
     block_on(async {
--- a/crates/dandelion-net/src/mesh/node.rs
+++ b/crates/dandelion-net/src/mesh/node.rs
@@ -52,6 +52,7 @@
 const LOCAL_MESSAGES: usize = 4096;
 /// Connections that may be in their handshake at a time; further ones are closed.
 const MAX_HANDSHAKES: usize = 256;
+const LOCK_HELD: &str = "no holder of this lock panics";
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -74,7 +75,8 @@
     stop: Trigger,
 }
 
-/// A running mesh node; copies are handles to the same node. It stops when the last is dropped.
+/// A running mesh node; copies are handles to the same node. It stops
+/// when the last is dropped or by [`Mesh::shutdown`].
 #[derive(Debug)]
 pub struct Mesh<H> {
     node: Arc<Node<H>>,
@@ -88,17 +90,23 @@
     }
 }
 
-impl<H> Drop for Node<H> {
-    fn drop(&mut self) {
+impl<H> Node<H> {
+    fn shut_down(&self) {
         self.stop.raise();
-        if let Ok(peers) = self.peers.get_mut() {
-            for link in peers.values() {
-                link.stop();
-            }
+        self.local.close();
+        let mut peers = self.peers.write().expect(LOCK_HELD);
+        for (_, link) in peers.drain() {
+            link.stop();
         }
     }
 }
 
+impl<H> Drop for Node<H> {
+    fn drop(&mut self) {
+        self.shut_down();
+    }
+}
+
 impl<H> Mesh<H>
 where
     H: MeshHandler,
@@ -132,6 +140,12 @@
         })
     }
 
+    /// Closes every connection and stops listening, also while other handles exist, such as one in
+    /// the handler itself.
+    pub fn shutdown(&self) {
+        self.node.shut_down();
+    }
+
     /// Returns the address that the node listens on.
     pub fn local_addr(&self) -> SocketAddr {
         self.node.address
@@ -144,11 +158,7 @@
 
     /// Makes a peer known, or known under a new address.
     pub fn set_peer(&self, peer: &DaemonId, address: SocketAddr) {
-        let mut peers = self
-            .node
-            .peers
-            .write()
-            .expect("no holder of this lock panics");
+        let mut peers = self.node.peers.write().expect(LOCK_HELD);
         if peers.get(peer).is_some_and(|link| link.address == address) {
             return;
         }
@@ -160,11 +170,7 @@
 
     /// Forgets a peer and closes the connection to it.
     pub fn remove_peer(&self, peer: &DaemonId) {
-        let mut peers = self
-            .node
-            .peers
-            .write()
-            .expect("no holder of this lock panics");
+        let mut peers = self.node.peers.write().expect(LOCK_HELD);
         if let Some(link) = peers.remove(peer) {
             link.stop();
         }
@@ -255,11 +261,7 @@
     }
 
     fn link(&self, peer: &DaemonId) -> Option<Arc<Link>> {
-        let peers = self
-            .node
-            .peers
-            .read()
-            .expect("no holder of this lock panics");
+        let peers = self.node.peers.read().expect(LOCK_HELD);
         peers.get(peer).cloned()
     }
 
--- a/crates/dandelion-net/tests/mesh_peers.rs
+++ b/crates/dandelion-net/tests/mesh_peers.rs
@@ -5,11 +5,9 @@
 use std::time::Duration;
 
 use async_std::future::timeout;
-use async_std::net::TcpListener;
 use async_std::net::TcpStream;
 use async_std::task::block_on;
 use async_std::task::sleep;
-use async_std::task::spawn;
 use common::Node;
 use common::Seen;
 use common::config;
@@ -21,6 +19,7 @@
 use common::replied;
 use common::secrets;
 use common::serve;
+use dandelion_fakes::relay::Relay;
 use dandelion_net::mesh::CallError;
 use dandelion_net::mesh::Family;
 use dandelion_net::mesh::MeshError;
@@ -122,6 +121,20 @@
     });
 }
 
+#[test]
+fn shutdown_ends() {
+    block_on(async {
+        let (a, b) = pair().await;
+        assert_eq!(call_until(&a, &id("b")).await, replied());
+        let other = b.mesh.clone();
+        b.mesh.shutdown();
+        // The other handle keeps nothing open.
+        while a.mesh.call(&id("b"), forward("echo"), LIMIT).await != Err(CallError::NotSent) {}
+        let call = other.call(&id("a"), forward("echo"), LIMIT).await;
+        assert_eq!(call, Err(CallError::NotSent));
+    });
+}
+
 #[test]
 fn removal_ends() {
     block_on(async {
@@ -133,56 +146,18 @@
     });
 }
 
-/// Forwards connections; those opened before `mute` lose every byte from then on.
-struct Relay {
-    address: std::net::SocketAddr,
-    mute: async_channel::Sender<()>,
-}
-
-async fn relay(target: std::net::SocketAddr) -> Relay {
-    let listener = TcpListener::bind(("127.0.0.1", 0))
-        .await
-        .expect("loopback port");
-    let address = listener.local_addr().expect("bound");
-    let (mute, muted) = async_channel::bounded(1);
-    spawn(async move {
-        let mut old = true;
-        while let Ok((near, _)) = listener.accept().await {
-            let far = TcpStream::connect(target).await.expect("the node listens");
-            let silenced = if old { Some(muted.clone()) } else { None };
-            old = false;
-            spawn(pump(near.clone(), far.clone(), silenced.clone()));
-            spawn(pump(far, near, silenced));
-        }
-    });
-    Relay { address, mute }
-}
-
-async fn pump(mut from: TcpStream, mut to: TcpStream, muted: Option<async_channel::Receiver<()>>) {
-    let mut bytes = [0; 4096];
-    while let Ok(count @ 1..) = from.read(&mut bytes).await {
-        if muted
-            .as_ref()
-            .is_some_and(async_channel::Receiver::is_closed)
-        {
-            continue;
-        }
-        if to.write_all(&bytes[..count]).await.is_err() {
-            return;
-        }
-    }
-}
-
 #[test]
 fn silent_replaced() {
     block_on(async {
         let (a, b) = (node("a").await, node("b").await);
-        let relay = relay(b.mesh.local_addr()).await;
-        a.mesh.set_peer(&id("b"), relay.address);
+        let relay = Relay::bind(b.mesh.local_addr())
+            .await
+            .expect("loopback port");
+        a.mesh.set_peer(&id("b"), relay.local_addr());
         assert_eq!(call_until(&a, &id("b")).await, replied());
         let mut stream = a.mesh.serve(&id("b"), serve("hold")).expect("queued");
         assert!(matches!(stream.next().await, Ok(ServePart::Head { .. })));
-        relay.mute.close();
+        relay.mute_old();
         // What was on the silent connection is unknown; the next call takes the fresh one.
         let lost = timeout(LIMIT, stream.next()).await;
         assert_eq!(lost, Ok(Err(CallError::Unknown)));
