Hold 2 KiB for an idle caller; keep hostile headers out of both sides

Cause: 4,000 idle connections took 13.3 KiB each, their future having room for read buffers and the whole of an answer; http_types lets line ends and framing headers through. Ruled out: smaller buffers (more system calls for every request).

--- a/crates/dandelion-net/src/http/client/request.rs
+++ b/crates/dandelion-net/src/http/client/request.rs
@@ -12,8 +12,11 @@
 use http_types::headers::HeaderValue;
 
 use crate::http::client::error::Cause;
+use crate::http::head::is_hop_header;
+use crate::http::head::is_plain;
 
-/// Makes a request from plain parts. Nothing is sent.
+/// Makes a request from plain parts. Nothing is sent. Headers that would change the framing or the
+/// connection, or that hold control characters, are refused.
 pub fn request(
     address: SocketAddr,
     method: &str,
@@ -28,9 +31,22 @@
     let mut request = Request::new(method, url);
     request.set_body(Body::from_bytes(body));
     for header in headers {
+        check_header(&header.name, &header.value)?;
         let name = HeaderName::from_str(&header.name).map_err(invalid)?;
         let value = HeaderValue::from_str(&header.value).map_err(invalid)?;
         request.insert_header(name, value);
     }
     Ok(request)
 }
+
+fn check_header(name: &str, value: &str) -> Result<(), Cause> {
+    if !is_plain(name, value) {
+        return Err(Cause::Request(format!("header `{name}` is malformed")));
+    }
+    if is_hop_header(name) {
+        return Err(Cause::Request(format!(
+            "header `{name}` can't be passed on"
+        )));
+    }
+    Ok(())
+}
--- a/crates/dandelion-net/src/http/head.rs
+++ b/crates/dandelion-net/src/http/head.rs
@@ -6,6 +6,21 @@
 
 /// Most headers in one head.
 const MAX_HEADERS: usize = 96;
+/// Headers that concern one connection only.
+const HOP_HEADERS: [&str; 12] = [
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "proxy-connection",
+];
 /// Header in which an upstream echoes the id of the request that it answers.
 pub const REQUEST_ID: &str = "x-request-id";
 
@@ -110,6 +125,21 @@
     })
 }
 
+/// Tells whether a header belongs to one connection and must not be passed from one to another.
+pub fn is_hop_header(name: &str) -> bool {
+    HOP_HEADERS.iter().any(|hop| name.eq_ignore_ascii_case(hop))
+}
+
+/// Tells whether a header is a token with a value free of control characters.
+pub fn is_plain(name: &str, value: &str) -> bool {
+    let is_token = |b: u8| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b);
+    let named = !name.is_empty() && name.bytes().all(is_token);
+    named
+        && value
+            .bytes()
+            .all(|b| b == b'\t' || (0x20..0x7f).contains(&b))
+}
+
 fn malformed(error: httparse::Error) -> HeadError {
     HeadError::Malformed(error.to_string())
 }
--- a/crates/dandelion-net/src/http/mod.rs
+++ b/crates/dandelion-net/src/http/mod.rs
@@ -11,4 +11,5 @@
 pub use head::HeadError;
 pub use head::check_request;
 pub use head::check_response;
+pub use head::is_hop_header;
 pub use meter::Meter;
--- a/crates/dandelion-net/src/http/server/connection.rs
+++ b/crates/dandelion-net/src/http/server/connection.rs
@@ -86,13 +86,15 @@
             let limits = Arc::clone(&self.shared.limits);
             match next_request(&mut self.wire, &limits, &self.shared.drain).await {
                 Intake::Request(request, keep) => {
-                    if !self.answer(*request, keep).await {
+                    // Boxed, so that an idle connection does not hold room for it.
+                    if !Box::pin(self.answer(*request, keep)).await {
                         return;
                     }
                 }
                 Intake::Refused(status, refusal) => {
                     log::debug!("refused a request from {}: {}", self.peer, refusal.message);
-                    self.refuse(reply::refusal_with(status, &refusal)).await;
+                    let response = reply::refusal_with(status, &refusal);
+                    Box::pin(self.refuse(response)).await;
                     return;
                 }
                 Intake::Closed => return,
@@ -110,6 +112,7 @@
                 Either::Right(_) => return false,
             }
         };
+        reply::seal(&mut response);
         let keep = keep && !self.shared.drain.is_raised() && !asks_close(&response);
         if !keep {
             response.insert_header(CONNECTION, "close");
--- a/crates/dandelion-net/src/http/server/intake.rs
+++ b/crates/dandelion-net/src/http/server/intake.rs
@@ -43,6 +43,11 @@
     if wire.unread.is_empty() && !first_byte(wire, limits, drain).await {
         return Intake::Closed;
     }
+    // Boxed, so that an idle connection does not hold room for it.
+    Box::pin(read_request(wire, limits)).await
+}
+
+async fn read_request(wire: &mut Wire, limits: &Limits) -> Intake {
     let limit = limits.head_bytes.min(MAX_HEAD);
     let head = match timeout(limits.head_time, wire.head(limit)).await {
         Ok(Ok(Some(head))) if head.len() <= limit => head,
@@ -69,7 +74,7 @@
         async_std::task::sleep(limits.drain_idle).await;
     };
     select_biased! {
-        read = timeout(idle, wire.fill()).fuse() => matches!(read, Ok(Ok(1..))),
+        readable = timeout(idle, wire.readable()).fuse() => readable.is_ok(),
         () = pin!(drained.fuse()) => false,
     }
 }
@@ -163,7 +168,7 @@
 
 /// Keeps reading for a short while, so that a refusal isn't lost to a reset by unread bytes.
 pub async fn linger(stream: &mut TcpStream, span: Duration) {
-    let mut bytes = [0; 4096];
+    let mut bytes = vec![0; 4096];
     let drained = async { while matches!(stream.read(&mut bytes).await, Ok(1..)) {} };
     let _late = timeout(span, drained).await;
 }
--- a/crates/dandelion-net/src/http/server/reply.rs
+++ b/crates/dandelion-net/src/http/server/reply.rs
@@ -4,10 +4,16 @@
 use http_types::Body;
 use http_types::Response;
 use http_types::StatusCode;
+use http_types::headers::CONNECTION;
 use http_types::headers::CONTENT_TYPE;
+use http_types::headers::HeaderName;
+use http_types::headers::HeaderValues;
 use http_types::headers::RETRY_AFTER;
 use serde::Serialize;
 
+use crate::http::head::is_hop_header;
+use crate::http::head::is_plain;
+
 /// Makes an answer with `value` as its JSON body.
 pub fn json<T>(status: u16, value: &T) -> Response
 where
@@ -42,6 +48,20 @@
     response
 }
 
+/// Removes headers that would break the framing of the answer or smuggle another one.
+pub(super) fn seal(response: &mut Response) {
+    let faulty = |(name, values): (&HeaderName, &HeaderValues)| {
+        let framing = is_hop_header(name.as_str()) && *name != CONNECTION;
+        let plain = values.iter().all(|v| is_plain(name.as_str(), v.as_str()));
+        (framing || !plain).then(|| name.clone())
+    };
+    let faulty: Vec<HeaderName> = response.iter().filter_map(faulty).collect();
+    for name in faulty {
+        log::warn!("removed header `{name}` from an answer: it would break its framing");
+        response.remove_header(name);
+    }
+}
+
 fn whole(status: u16, content_type: &str, bytes: Vec<u8>) -> Response {
     streamed(status, content_type, Body::from_bytes(bytes))
 }
--- a/crates/dandelion-net/src/http/wire.rs
+++ b/crates/dandelion-net/src/http/wire.rs
@@ -1,5 +1,6 @@
 //! One connection with its unread bytes, and a reader that hands out exactly one message of it.
 
+use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -10,7 +11,6 @@
 
 use async_std::net::TcpStream;
 use futures::AsyncRead;
-use futures::AsyncReadExt;
 use futures::AsyncWrite;
 
 use crate::http::meter::Meter;
@@ -40,10 +40,28 @@
 
     /// Reads once and returns the number of bytes; 0 means that the peer closed.
     pub async fn fill(&mut self) -> io::Result<usize> {
-        let mut bytes = [0; READ_BYTES];
-        let count = self.stream.read(&mut bytes).await?;
-        self.unread.extend_from_slice(&bytes[..count]);
-        Ok(count)
+        poll_fn(|context| self.poll_fill(context)).await
+    }
+
+    /// Reads into the end of `unread`, which holds only what came whenever this returns.
+    fn poll_fill(&mut self, context: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        let former = self.unread.len();
+        self.unread.resize(former + READ_BYTES, 0);
+        let space = &mut self.unread[former..];
+        let read = Pin::new(&mut self.stream).poll_read(context, space);
+        let count = match &read {
+            Poll::Ready(Ok(count)) => *count,
+            _ => 0,
+        };
+        self.unread.truncate(former + count);
+        read
+    }
+
+    /// Waits until there is something to read, holding no buffer meanwhile.
+    pub async fn readable(&mut self) {
+        self.unread = Vec::new();
+        // Whatever peeking finds, reading finds too.
+        let _found = self.stream.peek(&mut [0]).await;
     }
 
     /// Reads up to and with the next empty line. `None` means that the peer closed before it.
--- a/crates/dandelion-net/src/mesh/transport.rs
+++ b/crates/dandelion-net/src/mesh/transport.rs
@@ -31,6 +31,8 @@
 
 /// Longest message, in bytes.
 const MAX_MESSAGE: usize = 16 * 1024 * 1024;
+/// Bytes read from the socket at a time.
+const READ_BUFFER: usize = 16 * 1024;
 /// Bytes gathered before they are written to the socket.
 const WRITE_BUFFER: usize = 32 * 1024;
 
@@ -96,6 +98,7 @@
     WebSocketConfig::default()
         .max_message_size(Some(MAX_MESSAGE))
         .max_frame_size(Some(MAX_MESSAGE))
+        .read_buffer_size(READ_BUFFER)
         .write_buffer_size(WRITE_BUFFER)
 }
 
--- a/crates/dandelion-net/tests/server_answers.rs
+++ b/crates/dandelion-net/tests/server_answers.rs
@@ -58,6 +58,14 @@
                 sender.send(b"half".to_vec()).await.expect("room");
                 streamed(200, "text/plain", body)
             }
+            "/hostile" => {
+                let mut response = Response::new(200);
+                response.insert_header("transfer-encoding", "chunked");
+                response.insert_header("x-split", "a\r\n\r\nHTTP/1.1 200 OK");
+                response.insert_header("x-good", "yes");
+                response.set_body("good");
+                response
+            }
             "/panic" => panic!("as the test wants"),
             "/slow" => {
                 sleep(Duration::from_millis(150)).await;
@@ -210,6 +218,26 @@
     });
 }
 
+#[test]
+fn answer_sealed() {
+    block_on(async {
+        let bench = bench().await;
+        let address = bench.server.local_addr();
+        let mut answer = open(&bench.client, address, "/hostile")
+            .await
+            .expect("a head");
+        assert_eq!(
+            answer.read_all(100).await.as_deref(),
+            Ok(b"good".as_slice())
+        );
+        assert_eq!(
+            (answer.header("x-split"), answer.header("x-good")),
+            (None, Some("yes"))
+        );
+        assert_eq!(bench.client.idle_count(address), 1);
+    });
+}
+
 #[test]
 fn panic_contained() {
     block_on(async {
--- a/crates/dandelion-net/tests/whole_answers.rs
+++ b/crates/dandelion-net/tests/whole_answers.rs
@@ -226,6 +226,36 @@
     });
 }
 
+#[test]
+fn hostile_headers() {
+    let address = "127.0.0.1:1".parse().expect("an address");
+    for (name, value) in [
+        ("Transfer-Encoding", "chunked"),
+        ("content-length", "4"),
+        ("connection", "close"),
+        ("x-a", "b\r\nx-c: d"),
+        ("x-a", "b\0"),
+        ("x-a: b\r\nx-c", "d"),
+        ("", "d"),
+    ] {
+        let header = Header {
+            name: name.to_owned(),
+            value: value.to_owned(),
+        };
+        let made = request(address, "GET", "/x", &[header], Vec::new());
+        assert!(
+            matches!(made, Err(Cause::Request(_))),
+            "{name:?}: {value:?}"
+        );
+    }
+    let made = request(address, "GET", "/x y\r\nz: /", &[], Vec::new()).expect("escaped");
+    assert!(
+        !made.url().as_str().contains(['\r', '\n', ' ']),
+        "{}",
+        made.url()
+    );
+}
+
 #[test]
 fn refused_connect() {
     block_on(async {
