--- a/crates/dandelion-net/tests/server_answers.rs
+++ b/crates/dandelion-net/tests/server_answers.rs
@@ -6,6 +6,7 @@
 
 use async_channel::Receiver;
 use async_channel::Sender;
+use async_std::future::timeout;
 use async_std::task::block_on;
 use async_std::task::sleep;
 use dandelion_net::http::body;
@@ -23,6 +24,8 @@
 use http_types::Request;
 use http_types::Response;
 
+/// Time after which a test that waits has failed.
+const LIMIT: Duration = Duration::from_secs(10);
 /// Most connections of the server under test.
 const CONNECTIONS: usize = 20;
 
@@ -55,6 +58,14 @@
                 sender.send(b"half".to_vec()).await.expect("room");
                 streamed(200, "text/plain", body)
             }
+            "/hostile" => {
+                let mut response = Response::new(200);
+                response.insert_header("transfer-encoding", "chunked");
+                response.insert_header("x-split", "a\r\n\r\nHTTP/1.1 200 OK");
+                response.insert_header("x-good", "yes");
+                response.set_body("good");
+                response
+            }
             "/panic" => panic!("as the test wants"),
             "/slow" => {
                 sleep(Duration::from_millis(150)).await;
@@ -81,6 +92,14 @@
     started: Receiver<()>,
 }
 
+impl Bench {
+    /// Waits until the work of one request is dropped.
+    async fn dropped(&self) {
+        let dropped = timeout(LIMIT, self.dropped.recv()).await;
+        dropped.expect("it is dropped").expect("the server runs");
+    }
+}
+
 async fn bench() -> Bench {
     let (dropped, drops) = async_channel::unbounded();
     let (started, starts) = async_channel::unbounded();
@@ -121,7 +140,7 @@
         bench.started.recv().await.expect("the handler runs");
         assert!(bench.dropped.is_empty());
         waiting.cancel().await;
-        bench.dropped.recv().await.expect("the handler is dropped");
+        bench.dropped().await;
     });
 }
 
@@ -144,8 +163,8 @@
         );
         drop(cancelled);
         // One drop is the quick request's, the other the stream's.
-        bench.dropped.recv().await.expect("dropped");
-        bench.dropped.recv().await.expect("dropped");
+        bench.dropped().await;
+        bench.dropped().await;
     });
 }
 
@@ -199,6 +218,26 @@
     });
 }
 
+#[test]
+fn answer_sealed() {
+    block_on(async {
+        let bench = bench().await;
+        let address = bench.server.local_addr();
+        let mut answer = open(&bench.client, address, "/hostile")
+            .await
+            .expect("a head");
+        assert_eq!(
+            answer.read_all(100).await.as_deref(),
+            Ok(b"good".as_slice())
+        );
+        assert_eq!(
+            (answer.header("x-split"), answer.header("x-good")),
+            (None, Some("yes"))
+        );
+        assert_eq!(bench.client.idle_count(address), 1);
+    });
+}
+
 #[test]
 fn panic_contained() {
     block_on(async {
