Cover five seeded faults that tests let through

Cause: 30 faults were seeded one at a time (trials); keys kept in the query, blocks without isolation, suspects never cleared and a start past its last moment were not caught by name.

--- a/crates/dandelion-route/tests/dispatch.rs
+++ b/crates/dandelion-route/tests/dispatch.rs
@@ -142,6 +142,26 @@
     assert!(dispatched(&feed(&mut queue, 60_001, finish(1, Finish::Clean))).is_empty());
 }
 
+#[test]
+fn too_late_to_start() {
+    let mut queue = open_queue(1, 1);
+    for ticket in 1..=2 {
+        feed(
+            &mut queue,
+            0,
+            QueueEvent::Arrive(arrival(ticket, "t", Class::Interactive)),
+        );
+    }
+    let actions = feed(&mut queue, 60_001, finish(1, Finish::Clean));
+    assert!(matches!(
+        actions[..],
+        [Action::Refuse {
+            ticket: Ticket(2),
+            ..
+        }]
+    ));
+}
+
 #[test]
 fn leaving_upstream() {
     let mut queue = open_queue(2, 1);
--- a/crates/dandelion-route/tests/poison.rs
+++ b/crates/dandelion-route/tests/poison.rs
@@ -12,6 +12,7 @@
 use dandelion_protocol::usage::Class;
 use dandelion_route::poison::Mark;
 use dandelion_route::poison::SuspectNote;
+use dandelion_route::poison::Suspects;
 use dandelion_route::poison::trial_owner;
 use dandelion_route::queue::Action;
 use dandelion_route::queue::Finish;
@@ -258,6 +259,57 @@
     assert_eq!(actions, vec![Action::Lost { ticket: Ticket(1) }]);
 }
 
+#[test]
+fn crashes_in_company() {
+    let mut suspects = Suspects::default();
+    for now in 0..5 {
+        let note = suspects.crash(Millis(now), POISON, false);
+        assert_eq!(note.mark, Mark::Suspect);
+    }
+    let note = suspects.crash(Millis(6), POISON, true);
+    assert_eq!(note.mark, Mark::Blocked);
+}
+
+#[test]
+fn cleared_suspect() {
+    let mut queue = open_queue(2, 2);
+    let mark = Mark::Suspect;
+    let fingerprint = Fingerprint(1);
+    let note = SuspectNote { fingerprint, mark };
+    feed(&mut queue, 1, QueueEvent::Notes(vec![note]));
+    let request = QueueEvent::Arrive(arrival(1, "t", Class::Interactive));
+    let sent = feed(&mut queue, 2, request.clone());
+    assert!(matches!(sent[..], [Action::Dispatch { alone: true, .. }]));
+    let finished = QueueEvent::Finished {
+        ticket: Ticket(1),
+        finish: Finish::Clean,
+        work: Work::default(),
+        latency: Millis(10),
+    };
+    let mark = Mark::Cleared;
+    let note = SuspectNote { fingerprint, mark };
+    let actions = feed(&mut queue, 3, finished);
+    assert_eq!(actions, vec![Action::Note(note)]);
+    let sent = feed(&mut queue, 4, request);
+    assert!(matches!(sent[..], [Action::Dispatch { alone: false, .. }]));
+}
+
+#[test]
+fn lifted_block() {
+    let mut suspects = Suspects::default();
+    suspects.crash(Millis(0), POISON, false);
+    suspects.crash(Millis(0), POISON, true);
+    suspects.set_blocked([]);
+    assert_eq!(
+        suspects.mark(POISON),
+        Some(Mark::Blocked),
+        "not yet in the configuration"
+    );
+    suspects.set_blocked([POISON]);
+    suspects.set_blocked([]);
+    assert_eq!(suspects.mark(POISON), None, "lifted by an operator");
+}
+
 #[test]
 fn one_trial_owner() {
     let owners: Vec<dandelion_protocol::ids::DaemonId> =
--- a/crates/dandelion-route/tests/scrub.rs
+++ b/crates/dandelion-route/tests/scrub.rs
@@ -132,6 +132,17 @@
     assert_eq!(names, ["content-type", "traceparent"]);
 }
 
+#[test]
+fn key_in_query() {
+    let key = "k-0123456789abcdef";
+    let patterns = KeyPatterns::of(key);
+    for planted in [key.to_owned(), percent(key), STANDARD.encode(key)] {
+        let target = format!("/v1/draft?a=1&q={planted}&{planted}&b=2");
+        let scrubbed = scrub_request(&target, &[], b"", &patterns).unwrap();
+        assert_eq!(scrubbed.target, "/v1/draft?a=1&b=2");
+    }
+}
+
 #[test]
 fn key_in_body() {
     let patterns = KeyPatterns::of("k-0123456789abcdef");
