Adapt limits to rising latency and failures, measure the two classes

Cause: plain services report no waiting requests, so only refusals lowered their limit; rollouts beside interactive requests were not measured. Ruled out: comparing with the least latency ever seen, which a heavier mix would hold at one. Conclusion: a rise is met within seconds, what lasts becomes usual.

--- a/crates/dandelion-route/examples/model/main.rs
+++ b/crates/dandelion-route/examples/model/main.rs
@@ -14,6 +14,7 @@
         "seed": seed,
         "fairness": parts::fairness::measure(seed),
         "overload": parts::overload::measure(seed),
+        "classes": parts::classes::measure(seed),
         "affinity": parts::affinity::measure(seed),
         "poison": parts::poison::measure(seed),
         "routing": parts::routing::measure(seed),
--- a/crates/dandelion-route/examples/model/parts/mod.rs
+++ b/crates/dandelion-route/examples/model/parts/mod.rs
@@ -1,6 +1,7 @@
 //! Parts of the queue model.
 
 pub mod affinity;
+pub mod classes;
 pub mod engine;
 pub mod fairness;
 pub mod fifo;
--- a/crates/dandelion-route/src/balance/ejection.rs
+++ b/crates/dandelion-route/src/balance/ejection.rs
@@ -24,11 +24,14 @@
         let mut probed = false;
         self.update(now, index, |slot| match verdict {
             Verdict::Clean(micros) => {
-                slot.limit.raise();
                 slot.sample(micros);
+                slot.adapt(now);
                 probed = slot.health.succeed(now);
             }
-            Verdict::Failed => failed = slot.health.fail(),
+            Verdict::Failed => {
+                slot.limit.lower(now);
+                failed = slot.health.fail();
+            }
             Verdict::Congested => slot.limit.lower(now),
             Verdict::Neutral => {}
         });
--- a/crates/dandelion-route/src/balance/limit.rs
+++ b/crates/dandelion-route/src/balance/limit.rs
@@ -1,4 +1,5 @@
-//! Concurrency limit of one upstream, adapted to what it takes without queueing inside.
+//! Concurrency limit of one upstream, adapted to what it takes without queueing inside: waiting
+//! requests in its reports, refusals, failures and rising latency lower it.
 
 use dandelion_protocol::time::Millis;
 use dandelion_protocol::upstream::ReportedLoad;
--- a/crates/dandelion-route/src/balance/slot.rs
+++ b/crates/dandelion-route/src/balance/slot.rs
@@ -13,6 +13,15 @@
 /// Weight of a new sample in the smoothed latency, as a divisor.
 const SMOOTHING: u64 = 8;
 
+/// Weight of a new sample in the usual latency, as a divisor.
+const USUAL_SMOOTHING: u64 = 128;
+
+/// Rise of the latency over the usual one that counts as congestion, in thousandths.
+const CONGESTED_PERMILLE: u64 = 1500;
+
+/// Samples needed before a rise counts.
+const CONGESTED_SAMPLES: u32 = 32;
+
 /// An upstream with its counts.
 #[derive(Debug, Clone)]
 pub struct Slot {
@@ -36,6 +45,8 @@
     pub reserved: bool,
     /// Smoothed latency per predicted token in microseconds, and samples behind it.
     pub latency: (u64, u32),
+    /// Latency as smoothed over many more samples, to tell a rise from what is usual.
+    usual: u64,
     /// Greatest own count since the last report, and in the interval before it.
     peaks: (u32, u32),
 }
@@ -54,6 +65,7 @@
             health: Health::new(warming),
             reserved: false,
             latency: (0, 0),
+            usual: 0,
             peaks: (0, 0),
         }
     }
@@ -106,5 +118,25 @@
             (old * (SMOOTHING - 1) + micros) / SMOOTHING
         };
         self.latency = (smoothed, count.saturating_add(1));
+        self.usual = if self.usual == 0 {
+            micros
+        } else {
+            (self.usual * (USUAL_SMOOTHING - 1) + micros) / USUAL_SMOOTHING
+        };
+    }
+
+    /// Moves the limit after a clean answer.
+    pub fn adapt(&mut self, now: Millis) {
+        if self.is_congested() {
+            self.limit.lower(now);
+        } else {
+            self.limit.raise();
+        }
+    }
+
+    /// Returns whether the latency has risen well over what is usual for this upstream.
+    pub fn is_congested(&self) -> bool {
+        let (latency, samples) = self.latency;
+        samples >= CONGESTED_SAMPLES && latency * 1000 > self.usual * CONGESTED_PERMILLE
     }
 }
--- a/crates/dandelion-route/tests/balance.rs
+++ b/crates/dandelion-route/tests/balance.rs
@@ -167,6 +167,22 @@
     assert_eq!(limit.get(), 20);
 }
 
+#[test]
+fn rising_latency() {
+    let mut pool = open_pool(1, 20);
+    let mut end = |now: u64, micros| {
+        pool.begin(Millis(now), 0, None);
+        pool.end(Millis(now), 0, Verdict::Clean(micros));
+        pool.slot(0).unwrap().limit.get()
+    };
+    let before = (0..200).map(|n| end(n * 100, 10_000)).last();
+    assert_eq!(before, Some(20));
+    let after = (200..280).map(|n| end(n * 100, 30_000)).last().unwrap();
+    assert!(after < 16, "limit {after}");
+    let usual = (280..2000).map(|n| end(n * 100, 30_000)).last();
+    assert_eq!(usual, Some(20), "what lasts becomes usual");
+}
+
 #[test]
 fn cache_gaps() {
     let mut index = PrefixIndex::default();
--- a/crates/dandelion-route/tests/scenarios.rs
+++ b/crates/dandelion-route/tests/scenarios.rs
@@ -38,6 +38,18 @@
     }
 }
 
+#[test]
+fn classes() {
+    for seed in SEEDS {
+        let report = parts::classes::measure(seed);
+        assert!(figure(&report, "/interactive_good") >= 0.99, "{report}");
+        assert!(figure(&report, "/rollouts_done") >= 0.99, "{report}");
+        let own = figure(&report, "/interactive_p99_ms");
+        assert!(own * 2.0 < figure(&report, "/baseline_p99_ms"), "{report}");
+        assert!(figure(&report, "/false_not_run") < 1.0, "{report}");
+    }
+}
+
 #[test]
 fn poison() {
     for seed in SEEDS {
