--- a/crates/dandelion-rollout/src/weights/event.rs
+++ b/crates/dandelion-rollout/src/weights/event.rs
@@ -57,6 +57,14 @@
         /// Whether the engine has them.
         done: bool,
     },
+    /// An engine answered that it swapped. It serves again, so the next one may swap, but the
+    /// version is believed only from `Seen`.
+    SwapAnswered {
+        /// Engine.
+        upstream: UpstreamId,
+        /// Weights.
+        artifact: Artifact,
+    },
     /// A swap order was refused or failed. That a swap succeeded is believed only from `Seen`.
     SwapFailed {
         /// Engine.
@@ -71,7 +79,8 @@
 /// An action.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SwapAction {
-    /// Orders an engine to fetch weights in the background.
+    /// Orders an engine to fetch weights in the background; the order's deadline is the fetch
+    /// timeout, after which the planner gives its permit or slot to another engine.
     Fetch {
         /// Engine.
         upstream: UpstreamId,
@@ -80,7 +89,8 @@
         /// Source.
         source: WeightSource,
     },
-    /// Orders an engine to put fetched weights into service.
+    /// Orders an engine to put fetched weights into service; the order's deadline is the swap
+    /// timeout.
     Swap {
         /// Engine.
         upstream: UpstreamId,
--- a/crates/dandelion-rollout/src/weights/mod.rs
+++ b/crates/dandelion-rollout/src/weights/mod.rs
@@ -1,6 +1,7 @@
 //! Plans for bringing weight versions to engines.
 
 pub mod event;
+pub mod failure;
 pub mod plan;
 pub mod planner;
 pub mod replica;
--- a/crates/dandelion-rollout/src/weights/plan.rs
+++ b/crates/dandelion-rollout/src/weights/plan.rs
@@ -1,5 +1,6 @@
 //! Starts fetches and swaps as slots allow.
 
+use dandelion_protocol::ids::Incarnation;
 use dandelion_protocol::ids::JobId;
 use dandelion_protocol::ids::ZoneId;
 use dandelion_protocol::time::Millis;
@@ -43,6 +44,7 @@
             if let Some(replica) = self.replicas.get_mut(&upstream) {
                 replica.work = Work::Swapping {
                     artifact: artifact.clone(),
+                    answered: false,
                 };
             }
             self.set_timer(now + self.settings.swap_timeout, &upstream);
@@ -69,10 +71,12 @@
                 return;
             };
             self.dequeue(&upstream);
+            let peer = self.boot_of(&source);
             if let Some(replica) = self.replicas.get_mut(&upstream) {
                 replica.work = Work::Fetching {
                     artifact: artifact.clone(),
                     source: source.clone(),
+                    peer,
                 };
             }
             self.set_timer(now + self.settings.fetch_timeout, &upstream);
@@ -99,6 +103,13 @@
         Some(WeightSource::Peer(peer))
     }
 
+    fn boot_of(&self, source: &WeightSource) -> Option<Incarnation> {
+        match source {
+            WeightSource::Store => None,
+            WeightSource::Peer(peer) => self.replicas.get(peer).map(|replica| replica.boot),
+        }
+    }
+
     fn artifact(&self, job: JobId) -> Artifact {
         Artifact {
             version: self.target(&job).unwrap_or_default(),
--- a/crates/dandelion-rollout/src/weights/planner.rs
+++ b/crates/dandelion-rollout/src/weights/planner.rs
@@ -32,7 +32,7 @@
     pub(super) zones: BTreeMap<ZoneId, Zone>,
     pub(super) sources: Sources,
     pub(super) permits_used: usize,
-    timers: BTreeSet<(Millis, UpstreamId)>,
+    pub(super) timers: BTreeSet<(Millis, UpstreamId)>,
     pub(super) decisions: u64,
 }
 
@@ -103,10 +103,12 @@
             return;
         }
         if known != Some(boot) {
+            let aside = self.replicas.get(upstream).is_some_and(|old| old.aside);
             self.on_gone(upstream);
             self.zones.entry(zone.clone()).or_default().engines += 1;
-            self.replicas
-                .insert(upstream.clone(), Replica::new(zone, boot));
+            let mut replica = Replica::new(zone, boot);
+            replica.aside = aside;
+            self.replicas.insert(upstream.clone(), replica);
         }
         let Some(replica) = self.replicas.get_mut(upstream) else {
             return;
@@ -132,7 +134,7 @@
         let Some(replica) = self.replicas.get(upstream) else {
             return;
         };
-        let swapped = matches!(&replica.work, Work::Swapping { artifact }
+        let swapped = matches!(&replica.work, Work::Swapping { artifact, .. }
             if is_loaded(&replica.loaded, artifact));
         let back = replica.aside && self.is_current(replica);
         if swapped {
@@ -192,6 +194,26 @@
         self.enqueue(upstream);
     }
 
+    /// Lets the next engine of the zone swap; the version is still to be reported.
+    fn on_swap_answered(&mut self, upstream: &UpstreamId, artifact: &Artifact) {
+        let Some(replica) = self.replicas.get_mut(upstream) else {
+            return;
+        };
+        let Work::Swapping {
+            artifact: wanted,
+            answered,
+        } = &mut replica.work
+        else {
+            return;
+        };
+        if wanted == artifact
+            && !std::mem::replace(answered, true)
+            && let Some(zone) = self.zones.get_mut(&replica.zone)
+        {
+            zone.swapping -= 1;
+        }
+    }
+
     fn on_swap_failed(
         &mut self,
         now: Millis,
@@ -200,13 +222,13 @@
         out: &mut Actions,
     ) {
         let work = self.replicas.get(upstream).map(|replica| &replica.work);
-        if matches!(work, Some(Work::Swapping { artifact: wanted }) if wanted == artifact) {
+        if matches!(work, Some(Work::Swapping { artifact: wanted, .. }) if wanted == artifact) {
             self.fail(now, upstream, out);
         }
     }
 
     /// Returns an engine to idle and frees what its work held.
-    fn end_work(&mut self, upstream: &UpstreamId) {
+    pub(super) fn end_work(&mut self, upstream: &UpstreamId) {
         let Some(replica) = self.replicas.get_mut(upstream) else {
             return;
         };
@@ -216,21 +238,24 @@
             self.timers.remove(&(timer, upstream.clone()));
         }
         match work {
-            Work::Fetching { source, .. } => self.end_fetch(&source),
-            Work::Swapping { .. } => {
+            Work::Fetching { source, peer, .. } => self.end_fetch(&source, peer),
+            Work::Swapping {
+                answered: false, ..
+            } => {
                 if let Some(zone) = self.zones.get_mut(&zone) {
                     zone.swapping -= 1;
                 }
             }
-            Work::Idle => {}
+            Work::Swapping { .. } | Work::Idle => {}
         }
     }
 
-    fn end_fetch(&mut self, source: &WeightSource) {
+    fn end_fetch(&mut self, source: &WeightSource, boot: Option<Incarnation>) {
         match source {
             WeightSource::Store => self.permits_used -= 1,
             WeightSource::Peer(peer) => {
-                if let Some(replica) = self.replicas.get_mut(peer) {
+                let replica = self.replicas.get_mut(peer);
+                if let Some(replica) = replica.filter(|replica| Some(replica.boot) == boot) {
                     replica.serving = replica.serving.saturating_sub(1);
                 }
                 self.offer(peer);
@@ -256,7 +281,7 @@
     }
 
     /// Queues what an idle engine needs next.
-    fn enqueue(&mut self, upstream: &UpstreamId) {
+    pub(super) fn enqueue(&mut self, upstream: &UpstreamId) {
         self.decisions += 1;
         let Some(replica) = self.replicas.get(upstream) else {
             return;
@@ -288,82 +313,6 @@
             zone.forget(upstream, replica.loaded.keys());
         }
     }
-
-    /// Counts a failed fetch or swap; the engine waits, or is set aside after too many.
-    fn fail(&mut self, now: Millis, upstream: &UpstreamId, out: &mut Actions) {
-        let Some(replica) = self.replicas.get(upstream) else {
-            return;
-        };
-        let artifact = match &replica.work {
-            Work::Fetching { artifact, .. } | Work::Swapping { artifact, .. } => artifact.clone(),
-            Work::Idle => return,
-        };
-        self.end_work(upstream);
-        let Some(replica) = self.replicas.get_mut(upstream) else {
-            return;
-        };
-        // What was fetched may be damaged; it is fetched again.
-        replica.fetched.remove(&artifact.job);
-        replica.failures += 1;
-        if replica.failures < self.settings.max_failures {
-            self.set_timer(now + self.settings.backoff, upstream);
-        } else {
-            replica.failures = 0;
-            self.set_aside(now, upstream, artifact, out);
-        }
-        self.sources.forget(upstream);
-        self.offer(upstream);
-        self.dequeue(upstream);
-    }
-
-    /// Keeps rollouts off an engine; after a while it is tried again.
-    fn set_aside(
-        &mut self,
-        now: Millis,
-        upstream: &UpstreamId,
-        artifact: Artifact,
-        out: &mut Actions,
-    ) {
-        self.set_timer(now + self.settings.aside, upstream);
-        let Some(replica) = self.replicas.get_mut(upstream) else {
-            return;
-        };
-        if !replica.aside {
-            replica.aside = true;
-            out.push(SwapAction::SetAside {
-                upstream: upstream.clone(),
-                artifact,
-            });
-        }
-    }
-
-    pub(super) fn set_timer(&mut self, at: Millis, upstream: &UpstreamId) {
-        if let Some(replica) = self.replicas.get_mut(upstream) {
-            replica.timer = Some(at);
-            self.timers.insert((at, upstream.clone()));
-        }
-    }
-
-    fn on_tick(&mut self, now: Millis, out: &mut Actions) {
-        while let Some((at, upstream)) = self.timers.first().cloned() {
-            if at > now {
-                return;
-            }
-            self.timers.remove(&(at, upstream.clone()));
-            self.on_timer(now, &upstream, out);
-        }
-    }
-
-    fn on_timer(&mut self, now: Millis, upstream: &UpstreamId, out: &mut Actions) {
-        let Some(replica) = self.replicas.get_mut(upstream) else {
-            return;
-        };
-        replica.timer = None;
-        match replica.work {
-            Work::Fetching { .. } | Work::Swapping { .. } => self.fail(now, upstream, out),
-            Work::Idle => self.enqueue(upstream),
-        }
-    }
 }
 
 fn is_loaded(loaded: &BTreeMap<JobId, WeightVersion>, artifact: &Artifact) -> bool {
@@ -391,6 +340,9 @@
                 artifact,
                 done,
             } => self.on_fetched(now, &upstream, artifact, done, actions),
+            SwapEvent::SwapAnswered { upstream, artifact } => {
+                self.on_swap_answered(&upstream, &artifact);
+            }
             SwapEvent::SwapFailed { upstream, artifact } => {
                 self.on_swap_failed(now, &upstream, &artifact, actions);
             }
--- a/crates/dandelion-rollout/src/weights/replica.rs
+++ b/crates/dandelion-rollout/src/weights/replica.rs
@@ -18,9 +18,13 @@
     Fetching {
         artifact: Artifact,
         source: WeightSource,
+        /// Life of the peer that serves it; a later life has forgotten it.
+        peer: Option<Incarnation>,
     },
     Swapping {
         artifact: Artifact,
+        /// Whether it answered, so that it serves again.
+        answered: bool,
     },
 }
 
--- a/crates/dandelion-rollout/src/weights/settings.rs
+++ b/crates/dandelion-rollout/src/weights/settings.rs
@@ -33,7 +33,7 @@
             swap_timeout: Millis::from_secs(20),
             max_failures: 3,
             aside: Millis::from_secs(60),
-            backoff: Millis::from_secs(1),
+            backoff: Millis(500),
         }
     }
 }
--- a/crates/dandelion-rollout/tests/bench/trainer.rs
+++ b/crates/dandelion-rollout/tests/bench/trainer.rs
@@ -203,7 +203,7 @@
         let span = self.plan.train * groups / u64::from(self.plan.job.step_groups);
         self.trainer.doing = Doing::Training(batch);
         self.after(span.max(1), Happening::Trained(life, cursor));
-        self.after(1500, Happening::Renew(life));
+        self.after(self.plan.settings.lease.0 / 3, Happening::Renew(life));
         let faults = self.faults();
         if self.roll(faults.trainer_restart) {
             self.trainer.life += 1;
@@ -269,7 +269,7 @@
         if life != self.trainer.life || !matches!(self.trainer.doing, Doing::Training(_)) {
             return;
         }
-        self.after(1500, Happening::Renew(life));
+        self.after(self.plan.settings.lease.0 / 3, Happening::Renew(life));
         let ticket = Ticket(self.new_ticket());
         let trainer = TrainerId(self.trainer.name());
         if let Some(leader) = self.any_leader() {
