--- a/crates/dandelion-protocol/src/rollout.rs
+++ b/crates/dandelion-protocol/src/rollout.rs
@@ -124,6 +124,16 @@
     pub version: WeightVersion,
 }
 
+/// Body of `POST /v1/jobs/{job}/lease`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RenewRequest {
+    /// Trainer process.
+    pub trainer: TrainerId,
+    /// Set to hand the lease back.
+    #[serde(default)]
+    pub release: bool,
+}
+
 /// Why a cursor's batch cannot be given any more.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/dandelion-rollout/src/coordinator/action.rs
+++ b/crates/dandelion-rollout/src/coordinator/action.rs
@@ -58,7 +58,7 @@
     Batch(Arc<Batch>),
     /// The batch cannot be given any more (410).
     Void(VoidBatch),
-    /// Nothing whole yet (204): pull the same cursor again after this time.
+    /// Nothing whole yet (202): pull the same cursor again after this time.
     Pending(Millis),
     /// Prompts of these groups were lost; feed the same ones again (409).
     FeedAgain {
--- a/crates/dandelion-rollout/src/coordinator/mod.rs
+++ b/crates/dandelion-rollout/src/coordinator/mod.rs
@@ -1,6 +1,7 @@
 //! The daemon in charge of one job: dispatch, stragglers, scoring, batches.
 
 pub mod action;
+pub mod answer_body;
 pub mod counts;
 pub mod deliver;
 pub mod dispatch;
