--- a/crates/dandelion-rollout/src/payload.rs
+++ b/crates/dandelion-rollout/src/payload.rs
@@ -43,7 +43,7 @@
         match self {
             Self::Prompts(prompts) => prompts_digest(prompts),
             Self::Batch(batch) => batch_digest(batch),
-            Self::Group(group) => Ok(xxh3_64(&codec::encode(group)?)),
+            Self::Group(group) => digest(group),
         }
     }
 
@@ -61,15 +61,25 @@
     group.prompt.len() + texts.sum::<usize>()
 }
 
+/// Bits cut off a digest, so that it is exact as a JSON number.
+const DIGEST_SHIFT: u32 = 12;
+
+fn digest<T>(value: &T) -> Result<u64, CodecError>
+where
+    T: Serialize,
+{
+    Ok(xxh3_64(&codec::encode(value)?) >> DIGEST_SHIFT)
+}
+
 /// Returns the digest of prompts.
 pub fn prompts_digest(prompts: &[String]) -> Result<u64, CodecError> {
-    Ok(xxh3_64(&codec::encode(&prompts)?))
+    digest(&prompts)
 }
 
 /// Returns the digest of a batch's groups; the recorded digest is not part of it.
 pub fn batch_digest(batch: &Batch) -> Result<u64, CodecError> {
     let parts = (batch.cursor, &batch.groups, &batch.dropped);
-    Ok(xxh3_64(&codec::encode(&parts)?))
+    digest(&parts)
 }
 
 /// The store is full.
