--- a/crates/dandelion-protocol/src/rollout.rs
+++ b/crates/dandelion-protocol/src/rollout.rs
@@ -129,7 +129,7 @@
 pub struct RenewRequest {
     /// Trainer process.
     pub trainer: TrainerId,
-    /// Whether it hands the lease back instead of renewing it.
+    /// Set to hand the lease back.
     #[serde(default)]
     pub release: bool,
 }
