Bring published weights to the engines from the control leader

Cause: nothing ordered engines to load a published version, so every sample of a later version would have been stale. Ruled out: orders by each owner on its own, which could not hold permits of the rate-limited store. Before: no order. After: the leader's swap planner orders through the engines' owners, fenced by term.

--- a/crates/dandelion-daemon/src/duties/view.rs
+++ b/crates/dandelion-daemon/src/duties/view.rs
@@ -68,6 +68,19 @@
         all.map(|u| (u.upstream.clone(), u.clone())).collect()
     }
 
+    /// Returns the daemon that last reported an upstream as its own.
+    pub fn owner(&self, upstream: &UpstreamId) -> Option<DaemonId> {
+        let reports = self.lock();
+        let owns = |heard: &Heard| {
+            let own = &heard.inventory.upstreams;
+            own.iter().any(|u| &u.upstream == upstream)
+        };
+        let owners = reports.iter().filter(|(_, heard)| owns(heard));
+        owners
+            .max_by_key(|(_, heard)| heard.at)
+            .map(|(id, _)| id.clone())
+    }
+
     /// Returns the demand for a service.
     pub fn demand(&self, now: Millis, service: &ServiceId) -> Demand {
         let reports = self.lock();
--- a/crates/dandelion-daemon/src/node.rs
+++ b/crates/dandelion-daemon/src/node.rs
@@ -14,6 +14,7 @@
 
 use crate::api;
 use crate::core::Handle;
+use crate::duties;
 use crate::operator;
 use crate::rollouts;
 use crate::serve;
@@ -75,6 +76,11 @@
             core.fleet.hear(clock::boot_now(), from, inventory);
             ReplyBody::Announced
         }
+        CallBody::OrderEngine {
+            upstream,
+            boot,
+            order,
+        } => ReplyBody::Ordered(duties::order_engine(core, &upstream, boot, &order).await),
         CallBody::CopyUsage(reports) => {
             core.usage.keep(reports);
             ReplyBody::Copied
--- a/crates/dandelion-daemon/src/run.rs
+++ b/crates/dandelion-daemon/src/run.rs
@@ -302,6 +302,7 @@
         task::spawn(send_outgoing(core.clone(), outgoing));
         task::spawn(duties::run_usage_duty(core.clone()));
         task::spawn(duties::run_fleet_duty(core.clone()));
+        task::spawn(duties::run_weights_duty(core.clone()));
         task::spawn(membership::run_probes(core.clone()));
     }
     task::spawn(run_feed(core.clone()));
--- a/crates/dandelion-fakes/src/engine/handler.rs
+++ b/crates/dandelion-fakes/src/engine/handler.rs
@@ -124,6 +124,9 @@
             Ok(order) => order,
             Err(refused) => return *refused,
         };
+        if order.kind == "fetch_version" {
+            return json(200, &value!({ "fetched": order.version }));
+        }
         if order.kind != "load_version" {
             return fault(400, "unknown kind of order");
         }
--- a/crates/dandelion-protocol/src/fleet.rs
+++ b/crates/dandelion-protocol/src/fleet.rs
@@ -32,6 +32,29 @@
     },
 }
 
+/// What an engine is ordered to do with weights.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WeightOrder {
+    /// Fetch a version in the background; answered once it is there.
+    FetchVersion,
+    /// Put a version into service.
+    LoadVersion,
+}
+
+/// An order to an engine, posted to its `/orders`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineOrder {
+    /// What to do.
+    pub kind: WeightOrder,
+    /// Version.
+    pub version: WeightVersion,
+    /// Fencing number: the issuer's leadership term.
+    pub term: Term,
+    /// Engine to fetch from, or none for the weight store.
+    pub source: Option<UpstreamId>,
+}
+
 /// An upstream as its owner reports it to the control leader.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamReport {
--- a/crates/dandelion-protocol/src/mesh.rs
+++ b/crates/dandelion-protocol/src/mesh.rs
@@ -7,6 +7,7 @@
 use crate::control::Answer;
 use crate::control::Proposal;
 use crate::control::ProposeError;
+use crate::fleet::EngineOrder;
 use crate::fleet::Inventory;
 use crate::ids::CellId;
 use crate::ids::DaemonId;
@@ -15,6 +16,7 @@
 use crate::ids::Revision;
 use crate::ids::ServiceId;
 use crate::ids::TeamId;
+use crate::ids::UpstreamId;
 use crate::ids::ZoneId;
 use crate::outcome::Refusal;
 use crate::time::Millis;
@@ -124,6 +126,15 @@
     Probe,
     /// Reports owned upstreams and demand to the control leader.
     Report(Inventory),
+    /// Passes an order on to an engine that the receiver owns.
+    OrderEngine {
+        /// Engine.
+        upstream: UpstreamId,
+        /// Life that the order is for.
+        boot: Incarnation,
+        /// Order.
+        order: EngineOrder,
+    },
     /// Copies usage counters to a daemon of another zone.
     CopyUsage(Vec<CounterReport>),
     /// Asks the control leader how far a revision has reached.
@@ -152,6 +163,8 @@
     Announced,
     /// Reply to `Probe`.
     Alive,
+    /// Reply to `OrderEngine`: the engine's HTTP status, or none if it gave no whole answer.
+    Ordered(Option<u16>),
     /// Reply to `CopyUsage`.
     Copied,
     /// Reply to `Forward`.
