--- a/crates/dandelion-load/src/registry.rs
+++ b/crates/dandelion-load/src/registry.rs
@@ -4,6 +4,7 @@
 use serde_json::Value;
 
 use crate::scenarios::path;
+use crate::scenarios::rollout;
 use crate::scenarios::spot;
 
 /// A scenario: its name, what it shows and how it is run with a seed.
@@ -24,6 +25,11 @@
         about: "processes: a caller, an operator, a trainer and the usage report through daemons",
         run: path::run,
     },
+    Scenario {
+        name: "rollout",
+        about: "processes: trainers, versions published in mid-stream, an engine killed, resends",
+        run: rollout::run,
+    },
     Scenario {
         name: "spot",
         about: "model: zones of cheap upstreams vanish, stock runs out, answers are lost",
--- a/crates/dandelion-load/src/scenarios/mod.rs
+++ b/crates/dandelion-load/src/scenarios/mod.rs
@@ -1,4 +1,5 @@
 //! The scenarios, one a file.
 
 pub mod path;
+pub mod rollout;
 pub mod spot;
--- /dev/null
+++ b/crates/dandelion-load/src/scenarios/rollout.rs
@@ -0,0 +1,304 @@
+//! Trainers on shared daemons: versions published while samples run, engines killed, answers
+//! pulled again through other daemons.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use anyhow::Context;
+use anyhow::bail;
+use async_std::task;
+use dandelion_fakes::announce::Identity;
+use dandelion_fakes::engine;
+use dandelion_fakes::engine::Engine;
+use dandelion_fakes::engine::EngineConfig;
+use dandelion_protocol::ids::WeightVersion;
+use dandelion_protocol::rollout::Batch;
+use dandelion_protocol::rollout::Sample;
+use dandelion_rpc::generated as rpc;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::cluster::Caller;
+use crate::cluster::Cluster;
+use crate::cluster::ClusterConfig;
+
+const TRAINERS: usize = 2;
+const STEPS: u64 = 8;
+const GROUP_SIZE: u32 = 4;
+const STEP_GROUPS: u32 = 4;
+const TOKENS: u32 = 24;
+const STALENESS: u64 = 2;
+const BUDGET: u64 = 200_000;
+const TRAIN_TIME: Duration = Duration::from_millis(400);
+const LIMIT: Duration = Duration::from_secs(45);
+const POLL: Duration = Duration::from_millis(50);
+
+/// Runs the scenario.
+pub fn run(seed: u64) -> anyhow::Result<Value> {
+    task::block_on(run_rollout(seed))
+}
+
+#[derive(Debug, Default)]
+struct Figures {
+    samples: u64,
+    doubled: u64,
+    wrong: u64,
+    stale: u64,
+    unpublished: u64,
+    changed_bytes: u64,
+    void_batches: u64,
+    staleness_sum: u64,
+    idle: Duration,
+    whole: Duration,
+}
+
+async fn run_rollout(seed: u64) -> anyhow::Result<Value> {
+    let cluster = Cluster::spawn(ClusterConfig::default()).await?;
+    let mut engines = Vec::new();
+    for trainer in 0..TRAINERS {
+        engines.extend(start_engines(&cluster, trainer).await?);
+    }
+    let mut trainers = Vec::new();
+    for trainer in 0..TRAINERS {
+        trainers.push(prepare(&cluster, trainer, seed).await?);
+    }
+    let killer = kill_one(&engines);
+    let runs = futures::future::join_all(trainers.into_iter().map(Trainer::run));
+    let (results, ()) = futures::join!(runs, killer);
+    let mut total = Figures::default();
+    for result in results {
+        add(&mut total, &result?);
+    }
+    let spent = tokens_spent(&cluster).await?;
+    Ok(json!({
+        "scenario": "rollout",
+        "kind": "processes",
+        "trainers": TRAINERS,
+        "samples": total.samples,
+        "samples_doubled": total.doubled,
+        "samples_lost": TRAINERS as u64 * STEPS * u64::from(STEP_GROUPS * GROUP_SIZE) - total.samples,
+        "samples_stale": total.stale,
+        "samples_wrong_text": total.wrong,
+        "samples_unpublished_version": total.unpublished,
+        "batches_changed_on_resend": total.changed_bytes,
+        "void_batches": total.void_batches,
+        "staleness_mean": total.staleness_sum as f64 / total.samples.max(1) as f64,
+        "trainer_idle_share": total.idle.as_secs_f64() / total.whole.as_secs_f64().max(0.001),
+        "budget_overspent": spent.saturating_sub(BUDGET),
+    }))
+}
+
+fn add(total: &mut Figures, one: &Figures) {
+    total.samples += one.samples;
+    total.doubled += one.doubled;
+    total.wrong += one.wrong;
+    total.stale += one.stale;
+    total.unpublished += one.unpublished;
+    total.changed_bytes += one.changed_bytes;
+    total.void_batches += one.void_batches;
+    total.staleness_sum += one.staleness_sum;
+    total.idle += one.idle;
+    total.whole += one.whole;
+}
+
+async fn start_engines(cluster: &Cluster, trainer: usize) -> anyhow::Result<Vec<Engine>> {
+    let mut engines = Vec::new();
+    for zone in ["z0", "z1", "z2"] {
+        let name = format!("engine-{trainer}-{zone}");
+        let service = format!("model-{trainer}");
+        let mut identity = Identity::new(&name, zone, &service, &cluster.in_zone(zone));
+        identity.period = Duration::from_millis(250);
+        let mut config = EngineConfig::new(identity);
+        config.version = WeightVersion(0);
+        config.token_time = Duration::from_millis(4);
+        config.load_time = Duration::from_millis(150);
+        engines.push(Engine::bind(config).await?);
+    }
+    Ok(engines)
+}
+
+/// Crashes one engine in the middle of the run.
+async fn kill_one(engines: &[Engine]) {
+    task::sleep(Duration::from_secs(3)).await;
+    if let Some(engine) = engines.first() {
+        engine.crash();
+    }
+}
+
+struct Trainer {
+    caller: Caller,
+    daemons: Vec<SocketAddr>,
+    job: String,
+    name: String,
+    figures: Figures,
+    seen: BTreeSet<(u64, u32)>,
+    version: u64,
+}
+
+async fn prepare(cluster: &Cluster, trainer: usize, seed: u64) -> anyhow::Result<Trainer> {
+    let operator = cluster.operator();
+    let team = format!("team-{trainer}");
+    let service = format!("model-{trainer}");
+    let job = format!("job-{trainer}");
+    operator.put_team(&team).await?;
+    let secret = operator.grant_key(&format!("key-{trainer}"), &team).await?;
+    operator
+        .put_service(&service, "engine", false, true)
+        .await?;
+    operator
+        .put_job(rpc::Job {
+            id: job.clone(),
+            team,
+            service,
+            group_size: GROUP_SIZE,
+            step_groups: STEP_GROUPS,
+            max_staleness: STALENESS,
+            token_budget: BUDGET,
+            max_tokens: TOKENS,
+            scorer: None,
+            ended: false,
+        })
+        .await?;
+    Ok(Trainer {
+        caller: Caller::new().with_key(&secret),
+        daemons: cluster.addresses(),
+        job,
+        name: format!("trainer-{trainer}-{seed}"),
+        figures: Figures::default(),
+        seen: BTreeSet::new(),
+        version: 0,
+    })
+}
+
+impl Trainer {
+    async fn run(mut self) -> anyhow::Result<Figures> {
+        self.publish().await?;
+        let groups = STEPS * u64::from(STEP_GROUPS);
+        let prompts: Vec<String> = (0..groups).map(|g| format!("{} {g}", self.job)).collect();
+        self.post_ok("prompts", &json!({ "first": 0, "prompts": prompts }))
+            .await?;
+        let began = Instant::now();
+        let wanted = groups * u64::from(GROUP_SIZE);
+        let mut cursor = 0;
+        let mut skipped = false;
+        while (self.seen.len() as u64) < wanted {
+            if began.elapsed() > LIMIT {
+                bail!(
+                    "{}: only {} of {wanted} samples in time",
+                    self.job,
+                    self.seen.len()
+                );
+            }
+            let waits = Instant::now();
+            let pull = json!({
+                "trainer": self.name, "cursor": cursor, "skipped": skipped, "wait": 5000,
+            });
+            let answer = self.pull(cursor, &pull).await?;
+            match answer.status {
+                200 => {
+                    self.figures.idle += waits.elapsed();
+                    let batch: Batch = serde_json::from_slice(&answer.body)?;
+                    self.check_resend(cursor, &pull, &answer.body).await?;
+                    self.check(&batch);
+                    cursor = batch.next;
+                    skipped = false;
+                    task::sleep(TRAIN_TIME).await;
+                    self.publish().await?;
+                }
+                410 => {
+                    let void: Value = serde_json::from_slice(&answer.body)?;
+                    self.figures.void_batches += 1;
+                    cursor = void["next"]
+                        .as_u64()
+                        .context("a void batch names the next")?;
+                    skipped = true;
+                }
+                _ => {
+                    self.figures.idle += waits.elapsed();
+                    task::sleep(POLL).await;
+                }
+            }
+        }
+        self.figures.whole = began.elapsed();
+        Ok(self.figures)
+    }
+
+    async fn pull(&self, cursor: u64, body: &Value) -> anyhow::Result<crate::cluster::Answer> {
+        let to = self.daemons[cursor as usize % self.daemons.len()];
+        let path = format!("/v1/jobs/{}/batch", self.job);
+        Ok(self.caller.post(to, &path, body).await?)
+    }
+
+    /// Pulls the same cursor through another daemon; the bytes must be the same, unless the batch
+    /// has become void meanwhile.
+    async fn check_resend(
+        &mut self,
+        cursor: u64,
+        body: &Value,
+        bytes: &[u8],
+    ) -> anyhow::Result<()> {
+        let again = self.pull(cursor + 1, body).await?;
+        let same = again.status != 200 || again.body == bytes;
+        self.figures.changed_bytes += u64::from(!same);
+        Ok(())
+    }
+
+    async fn publish(&mut self) -> anyhow::Result<()> {
+        self.version += 1;
+        self.post_ok("versions", &json!({ "version": self.version }))
+            .await
+    }
+
+    async fn post_ok(&self, verb: &str, body: &Value) -> anyhow::Result<()> {
+        let until = Instant::now() + LIMIT;
+        let path = format!("/v1/jobs/{}/{verb}", self.job);
+        loop {
+            let answer = self.caller.post(self.daemons[0], &path, body).await?;
+            if answer.status == 200 {
+                return Ok(());
+            }
+            if Instant::now() > until {
+                bail!("{path} answered {}: {}", answer.status, answer.text());
+            }
+            task::sleep(POLL).await;
+        }
+    }
+
+    fn check(&mut self, batch: &Batch) {
+        for group in &batch.groups {
+            for sample in &group.samples {
+                self.check_sample(&group.prompt, group.group, sample);
+            }
+        }
+    }
+
+    fn check_sample(&mut self, prompt: &str, group: u64, sample: &Sample) {
+        let figures = &mut self.figures;
+        figures.samples += 1;
+        figures.doubled += u64::from(!self.seen.insert((group, sample.id.index)));
+        let text: String = (0..TOKENS).map(|i| engine::token(prompt, i)).collect();
+        figures.wrong += u64::from(sample.text != text);
+        let versions = || sample.segments.iter().map(|s| s.version.0);
+        let oldest = versions().min().unwrap_or(0);
+        let newest = versions().max().unwrap_or(0);
+        figures.unpublished += u64::from(newest > self.version);
+        let age = self.version.saturating_sub(oldest);
+        figures.stale += u64::from(age > STALENESS);
+        figures.staleness_sum += age;
+    }
+}
+
+async fn tokens_spent(cluster: &Cluster) -> anyhow::Result<u64> {
+    let client = cluster.operator().client();
+    let mut most = 0;
+    for trainer in 0..TRAINERS {
+        let request = rpc::GetJobRequest {
+            name: format!("job-{trainer}"),
+        };
+        let progress = client.get_job(&request).await?.progress;
+        most = most.max(progress.map_or(0, |p| p.tokens_spent));
+    }
+    Ok(most)
+}
