Cut callers that take nothing

Cause: the write limit had no test. Ruled out: a test by time; the user timeout of TCP cuts such a caller as well, after 8 s, so the test shows that one of the two works, not which.

--- a/crates/dandelion-net/tests/server_answers.rs
+++ b/crates/dandelion-net/tests/server_answers.rs
@@ -53,6 +53,7 @@
         match request.url().path() {
             "/wait" => std::future::pending().await,
             "/stream" => streamed(200, "text/plain", body::from_stream(endless(guard))),
+            "/flood" => streamed(200, "text/plain", body::from_stream(flood(guard))),
             "/break" => {
                 let (sender, body) = body::channel(4);
                 sender.send(b"half".to_vec()).await.expect("room");
@@ -85,6 +86,14 @@
     })
 }
 
+fn flood(
+    guard: Dropped,
+) -> impl futures::Stream<Item = Result<Vec<u8>, body::Broken>> + Send + 'static {
+    futures::stream::unfold(guard, |guard| async {
+        Some((Ok(vec![7; 64 * 1024]), guard))
+    })
+}
+
 struct Bench {
     server: Server,
     client: Client,
@@ -106,6 +115,7 @@
     let limits = Limits {
         drain_idle: Duration::from_millis(100),
         connections: CONNECTIONS,
+        write_time: Duration::from_millis(300),
         ..Limits::default()
     };
     let address = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -168,6 +178,22 @@
     });
 }
 
+#[test]
+fn deaf_caller() {
+    // A caller that keeps its connection open but takes nothing is cut.
+    block_on(async {
+        let bench = bench().await;
+        let held = open(&bench.client, bench.server.local_addr(), "/flood").await;
+        let mut held = held.expect("a head");
+        bench.dropped().await;
+        let rest = held.read_all(1 << 30).await;
+        assert!(
+            matches!(rest, Err(SendError::Unknown(Cause::Closed(_)))),
+            "{rest:?}"
+        );
+    });
+}
+
 #[test]
 fn broken_visibly() {
     block_on(async {
