Say what stalled in the rollout scenario

Seen: attempts waited at the owner whose only engine had died; the queue held them to their deadline.

--- a/crates/dandelion-load/src/scenarios/rollout.rs
+++ b/crates/dandelion-load/src/scenarios/rollout.rs
@@ -2,6 +2,7 @@
 //! pulled again through other daemons.
 
 use std::collections::BTreeSet;
+use std::fmt::Write;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -69,7 +70,10 @@
     let (results, ()) = futures::join!(runs, killer);
     let mut total = Figures::default();
     for result in results {
-        add(&mut total, &result?);
+        match result {
+            Ok(figures) => add(&mut total, &figures),
+            Err(error) => bail!("{error:#}\n{}", progress(&cluster).await?),
+        }
     }
     let spent = tokens_spent(&cluster).await?;
     Ok(json!({
@@ -135,6 +139,7 @@
     figures: Figures,
     seen: BTreeSet<(u64, u32)>,
     version: u64,
+    last: String,
 }
 
 async fn prepare(cluster: &Cluster, trainer: usize, seed: u64) -> anyhow::Result<Trainer> {
@@ -169,6 +174,7 @@
         figures: Figures::default(),
         seen: BTreeSet::new(),
         version: 0,
+        last: String::new(),
     })
 }
 
@@ -185,8 +191,9 @@
         let mut skipped = false;
         while (self.seen.len() as u64) < wanted {
             if began.elapsed() > LIMIT {
+                let last = &self.last;
                 bail!(
-                    "{}: only {} of {wanted} samples in time",
+                    "{}: {} of {wanted} samples; {last}",
                     self.job,
                     self.seen.len()
                 );
@@ -196,6 +203,7 @@
                 "trainer": self.name, "cursor": cursor, "skipped": skipped, "wait": 5000,
             });
             let answer = self.pull(cursor, &pull).await?;
+            self.last = format!("last answer {} {:.200}", answer.status, answer.text());
             match answer.status {
                 200 => {
                     self.figures.idle += waits.elapsed();
@@ -290,6 +298,24 @@
     }
 }
 
+/// Describes what every daemon knows of the jobs and upstreams.
+async fn progress(cluster: &Cluster) -> anyhow::Result<String> {
+    let mut text = String::new();
+    for index in 0..cluster.len() {
+        let client = crate::cluster::CellOperator::new(&[cluster.http(index)]).client();
+        for trainer in 0..TRAINERS {
+            let name = format!("job-{trainer}");
+            let job = client.get_job(&rpc::GetJobRequest { name }).await?;
+            writeln!(text, "{index}: {} {:?}", job.daemon, job.progress)?;
+        }
+        let request = rpc::ListUpstreamsRequest::default();
+        for upstream in client.list_upstreams(&request).await?.upstreams {
+            writeln!(text, "{index}: {upstream:?}")?;
+        }
+    }
+    Ok(text)
+}
+
 async fn tokens_spent(cluster: &Cluster) -> anyhow::Result<u64> {
     let client = cluster.operator().client();
     let mut most = 0;
