Hand waiting requests back when no upstream is left

Cause: requests waited until their last moment at an owner whose last upstream was drained, as the entries learn of it only with the next digest, up to 15 s later in a large zone. Conclusion: drained owners refuse as not run at once, and the entry can place the request again.

--- a/crates/dandelion-route/src/balance/members.rs
+++ b/crates/dandelion-route/src/balance/members.rs
@@ -8,8 +8,7 @@
 use crate::balance::health::SLOW_START;
 use crate::balance::health::State;
 use crate::balance::pool::Pool;
-use crate::balance::pool::is_out;
-use crate::balance::pool::usable;
+use crate::balance::pool::Totals;
 use crate::balance::prefix::CacheEvent;
 use crate::balance::slot::Slot;
 use crate::registry::ANNOUNCE_EVERY;
@@ -44,7 +43,7 @@
     }
 
     pub(super) fn insert(&mut self, slot: Slot) -> u32 {
-        self.limits += usable(&slot);
+        self.add(&Totals::of(&slot));
         if let Some(index) = self.vacant.pop() {
             self.slots[index as usize] = Some(slot);
             return index;
@@ -59,7 +58,7 @@
             return self.join(now, heard);
         };
         self.update(now, index, |slot| {
-            slot.open = !slot.leaving;
+            slot.open = !slot.leaving && heard.capacity > 0;
             slot.report(&heard.load);
             slot.limit.set_ceiling(heard.capacity);
             slot.limit.observe(now, &heard.load);
@@ -98,8 +97,8 @@
         if !retired || slot.inflight > 0 {
             return;
         }
-        self.limits -= usable(slot);
-        self.ejected -= usize::from(is_out(slot));
+        let part = Totals::of(slot);
+        self.subtract(&part);
         self.slots[index as usize] = None;
         self.vacant.push(index);
     }
--- a/crates/dandelion-route/src/balance/pool.rs
+++ b/crates/dandelion-route/src/balance/pool.rs
@@ -75,6 +75,7 @@
     pub(super) turn: u64,
     pub(super) inflight: u32,
     pub(super) limits: u64,
+    pub(super) open: usize,
     pub(super) ejected: usize,
     pub(super) examined: u64,
 }
@@ -88,15 +89,28 @@
         let Some(slot) = &mut self.slots[index as usize] else {
             return;
         };
-        let before = (usable(slot), is_out(slot), slot.inflight);
+        let before = Totals::of(slot);
         change(slot);
-        let after = (usable(slot), is_out(slot), slot.inflight);
-        self.limits = self.limits + after.0 - before.0;
-        self.ejected = self.ejected + usize::from(after.1) - usize::from(before.1);
-        self.inflight = self.inflight + after.2 - before.2;
+        let after = Totals::of(slot);
+        self.add(&after);
+        self.subtract(&before);
         self.place(now, index);
     }
 
+    pub(super) fn add(&mut self, part: &Totals) {
+        self.limits += part.usable;
+        self.open += part.open;
+        self.ejected += part.out;
+        self.inflight += part.inflight;
+    }
+
+    pub(super) fn subtract(&mut self, part: &Totals) {
+        self.limits -= part.usable;
+        self.open -= part.open;
+        self.ejected -= part.out;
+        self.inflight -= part.inflight;
+    }
+
     pub(super) fn place(&mut self, now: Millis, index: u32) {
         if let Some((score, turn)) = self.placed[index as usize].take() {
             self.order.remove(&(score, turn, index));
@@ -216,6 +230,12 @@
         self.limits
     }
 
+    /// Returns whether some upstream is neither leaving nor silent. It may be full, ejected or kept
+    /// free for isolated requests.
+    pub fn is_open(&self) -> bool {
+        self.open > 0
+    }
+
     /// Returns the requests at upstreams.
     pub fn inflight(&self) -> u32 {
         self.inflight
@@ -227,16 +247,28 @@
     }
 }
 
-/// Whether a slot counts against the cap on ejections.
-pub(super) fn is_out(slot: &Slot) -> bool {
-    !matches!(slot.health.state, State::Active { .. })
+/// What one slot adds to the totals of its pool.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Totals {
+    usable: u64,
+    open: usize,
+    out: usize,
+    inflight: u32,
 }
 
-/// Requests that a slot can add to what runs at once.
-pub(super) fn usable(slot: &Slot) -> u64 {
-    if slot.open && !slot.reserved && slot.health.takes_work() {
-        u64::from(slot.allowed())
-    } else {
-        0
+impl Totals {
+    pub(super) fn of(slot: &Slot) -> Self {
+        let shared = slot.open && !slot.reserved && slot.health.takes_work();
+        Self {
+            usable: if shared { u64::from(slot.allowed()) } else { 0 },
+            open: usize::from(slot.open),
+            out: usize::from(is_out(slot)),
+            inflight: slot.inflight,
+        }
     }
 }
+
+/// Whether a slot counts against the cap on ejections.
+pub(super) fn is_out(slot: &Slot) -> bool {
+    !matches!(slot.health.state, State::Active { .. })
+}
--- a/crates/dandelion-route/src/balance/slot.rs
+++ b/crates/dandelion-route/src/balance/slot.rs
@@ -29,7 +29,7 @@
     pub id: UpstreamId,
     /// Life of the upstream.
     pub boot: Incarnation,
-    /// Whether it may get new work: neither leaving nor silent.
+    /// Whether it may get new work: neither leaving nor silent, and with some capacity.
     pub open: bool,
     /// Whether its boot is leaving; never unset within the boot.
     pub leaving: bool,
@@ -57,7 +57,7 @@
         Self {
             id: heard.upstream.clone(),
             boot: heard.boot,
-            open: true,
+            open: heard.capacity > 0,
             leaving: false,
             inflight: 0,
             foreign: heard.load.running + heard.load.waiting,
--- a/crates/dandelion-route/src/queue/arrive.rs
+++ b/crates/dandelion-route/src/queue/arrive.rs
@@ -11,6 +11,7 @@
 use crate::queue::machine::Place;
 use crate::queue::team::Waiting;
 use crate::queue::team::class_index;
+use crate::registry::ANNOUNCE_EVERY;
 use crate::ticket::Ticket;
 
 impl OwnerQueue {
@@ -153,11 +154,21 @@
         let after = self.predict_wait(team, &waiting.arrival);
         let refusal = if limited {
             admission::over_limit(service, ticket, after)
-        } else if self.pool.limits() == 0 {
-            admission::no_upstream(service, ticket, after)
         } else {
             admission::overloaded(service, ticket, after)
         };
         actions.push(Action::Refuse { ticket, refusal });
     }
+
+    /// Refuses all that waits as there is no upstream left, so that the entries can place it
+    /// elsewhere at once.
+    pub(super) fn hand_back(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        while let Some((_, ticket)) = self.latest.first().copied() {
+            if self.withdraw(now, ticket).is_none() {
+                return;
+            }
+            let refusal = admission::no_upstream(&self.settings.service, ticket, ANNOUNCE_EVERY);
+            actions.push(Action::Refuse { ticket, refusal });
+        }
+    }
 }
--- a/crates/dandelion-route/src/queue/dispatch.rs
+++ b/crates/dandelion-route/src/queue/dispatch.rs
@@ -17,6 +17,9 @@
     /// Dispatches while an upstream is free and a request may start.
     pub(super) fn pump(&mut self, now: Millis, actions: &mut Vec<Action>) {
         self.run_trials(now, actions);
+        if !self.pool.is_open() {
+            return self.hand_back(now, actions);
+        }
         while self.pool.has_free() {
             let Some((index, class, sequence)) = self.teams.head() else {
                 return;
--- a/crates/dandelion-route/tests/balance.rs
+++ b/crates/dandelion-route/tests/balance.rs
@@ -153,6 +153,18 @@
     assert_eq!(pool.slot(0).unwrap().allowed(), 4);
 }
 
+#[test]
+fn no_capacity() {
+    let mut pool = Pool::default();
+    let mut heard = announce("up-0", 1, 1);
+    heard.capacity = 0;
+    pool.apply(Millis(0), &Change::Joined(heard.clone()));
+    assert_eq!((pool.pick(None), pool.limits()), (None, 0));
+    heard.capacity = 3;
+    pool.apply(Millis(1), &Change::Reported(heard));
+    assert_eq!((pool.pick(None), pool.limits()), (Some(0), 3));
+}
+
 #[test]
 fn adaptive_limit() {
     let mut limit = AdaptiveLimit::new(20);
--- a/crates/dandelion-route/tests/dispatch.rs
+++ b/crates/dandelion-route/tests/dispatch.rs
@@ -180,6 +180,37 @@
     assert_eq!((queue.inflight(), queue.inflight_at(&id)), (1, 0));
 }
 
+#[test]
+fn last_upstream_leaves() {
+    let mut queue = open_queue(1, 1);
+    for ticket in 1..=3 {
+        feed(
+            &mut queue,
+            1,
+            QueueEvent::Arrive(arrival(ticket, "t", Class::Interactive)),
+        );
+    }
+    let id = "up-0".parse().unwrap();
+    let mut actions = feed(&mut queue, 2, QueueEvent::Upstream(Change::Leaving(id)));
+    let late = QueueEvent::Arrive(arrival(4, "t", Class::Interactive));
+    actions.extend(feed(&mut queue, 3, late));
+    let mut back = Vec::new();
+    for action in actions {
+        let Action::Refuse { ticket, refusal } = action else {
+            panic!("{action:?}");
+        };
+        assert_eq!(
+            (refusal.code, refusal.ran),
+            (RefusalCode::NoUpstream, Ran::NotRun)
+        );
+        back.push(ticket.0);
+    }
+    assert_eq!(
+        (back, queue.waiting(), queue.inflight()),
+        (vec![2, 3, 4], 0, 1)
+    );
+}
+
 #[test]
 fn inflight_limit() {
     let mut queue = open_queue(4, 4);
