Let the lead of generation follow the trainer's waiting

Cause: samples were as old as the bound allows even where the trainer never waited. Conclusion: the lead grows when the trainer waits and shrinks while it does not, and one version is kept in hand for long samples.

--- a/crates/dandelion-rollout/src/coordinator/deliver.rs
+++ b/crates/dandelion-rollout/src/coordinator/deliver.rs
@@ -277,6 +277,7 @@
             Ok(LedgerReply::Cut { published, .. }) => {
                 self.on_recorded(now, *published, out);
                 self.freeze(&cut.batch, &cut.record, *published);
+                self.record_wait(now);
                 if self.is_cutting() {
                     self.hand_out(&cut.batch, &cut.record, out);
                 }
@@ -294,6 +295,13 @@
         self.unpark(now, out);
     }
 
+    fn record_wait(&mut self, now: Millis) {
+        if let Some(pull) = &self.pull {
+            let waited = now.since(pull.since);
+            self.lead.record(waited, self.job.max_staleness);
+        }
+    }
+
     fn freeze(&mut self, batch: &Arc<Batch>, record: &BatchRecord, published: WeightVersion) {
         self.next_cursor = record.cursor + 1;
         self.current = Some(record.clone());
--- a/crates/dandelion-rollout/src/coordinator/dispatch.rs
+++ b/crates/dandelion-rollout/src/coordinator/dispatch.rs
@@ -20,6 +20,9 @@
 /// Quantile of observed sample times by which a sample is predicted to be done.
 const PREDICTED_PERMILLE: u32 = 900;
 
+/// Versions kept in hand for the samples that take longer than predicted.
+const TAIL_VERSIONS: u64 = 1;
+
 /// Longest samples that a reservation in the ledger covers at the least.
 const MIN_CHUNK: u64 = 16;
 
@@ -57,12 +60,13 @@
             self.job.max_staleness
         };
         let waits = self.pull.is_some();
-        self.steps_ahead() <= bound && (waits || self.predicted_lag(now) <= bound)
+        let step = u64::from(self.job.step_groups).max(1);
+        let room = self.groups_ahead() < self.lead.groups(step, bound);
+        room && (waits || self.predicted_lag(now) <= bound)
     }
 
-    /// Returns the versions published before a group that starts now is handed out, if the
-    /// trainer publishes once a step.
-    fn steps_ahead(&self) -> u64 {
+    /// Returns the groups that the trainer gets, or trains on, before one that starts now.
+    fn groups_ahead(&self) -> u64 {
         let step = u64::from(self.job.step_groups).max(1);
         let waits = self.pull.is_some() && self.since_publish >= step;
         let trained = if waits {
@@ -70,7 +74,13 @@
         } else {
             self.since_publish.min(step)
         };
-        (trained + self.pool.started()) / step
+        trained + self.pool.started()
+    }
+
+    /// Returns the versions published before a group that starts now is handed out, if the
+    /// trainer publishes once a step.
+    fn steps_ahead(&self) -> u64 {
+        self.groups_ahead() / u64::from(self.job.step_groups).max(1)
     }
 
     /// Returns the versions expected to be published before a sample that starts now is handed
@@ -86,10 +96,8 @@
     }
 
     fn min_version(&self, now: Millis) -> WeightVersion {
-        let slack = self
-            .job
-            .max_staleness
-            .saturating_sub(self.predicted_lag(now));
+        let lag = self.predicted_lag(now) + TAIL_VERSIONS;
+        let slack = self.job.max_staleness.saturating_sub(lag);
         WeightVersion(self.newest.0.saturating_sub(slack))
     }
 
--- a/crates/dandelion-rollout/src/coordinator/machine.rs
+++ b/crates/dandelion-rollout/src/coordinator/machine.rs
@@ -23,6 +23,7 @@
 use crate::coordinator::feed::FeedState;
 use crate::coordinator::feed::PendingFeed;
 use crate::coordinator::generation::Attempt;
+use crate::coordinator::lead::Lead;
 use crate::coordinator::pool::Place;
 use crate::coordinator::pool::Pool;
 use crate::coordinator::proposals::Outstanding;
@@ -70,6 +71,7 @@
     pub(super) cutting: Option<PendingCut>,
     pub(super) holder: Option<(TrainerId, Millis)>,
     pub(super) since_publish: u64,
+    pub(super) lead: Lead,
     pub(super) attempts: BTreeMap<AttemptId, Attempt>,
     pub(super) next_attempt: u64,
     pub(super) capacity: usize,
@@ -141,6 +143,7 @@
             cutting: None,
             holder: None,
             since_publish: 0,
+            lead: Lead::default(),
             attempts: BTreeMap::new(),
             next_attempt: 0,
             capacity: 0,
--- a/crates/dandelion-rollout/src/coordinator/pull.rs
+++ b/crates/dandelion-rollout/src/coordinator/pull.rs
@@ -45,6 +45,7 @@
 pub(super) struct PendingPull {
     pub ticket: Ticket,
     pub request: PullRequest,
+    pub since: Millis,
     pub deadline: Millis,
     pub stage: Stage,
 }
@@ -89,6 +90,7 @@
         self.pull = Some(PendingPull {
             ticket,
             request,
+            since: now,
             deadline,
             stage: Stage::Parked,
         });
