Release an ended job's payloads and record operators' publications in the ledger

Cause: payloads of an ended job stayed; a version published in the configuration alone was not in the log's order with the cuts; a reservation asked for before a lower budget could exceed it.

--- a/crates/dandelion-rollout/src/coordinator/dispatch.rs
+++ b/crates/dandelion-rollout/src/coordinator/dispatch.rs
@@ -185,7 +185,11 @@
         }
         self.reserving = None;
         match result {
-            Ok(LedgerReply::Reserved(limit)) => self.budget.grant(*limit),
+            Ok(LedgerReply::Reserved(limit)) => {
+                // The budget may have been lowered since this was asked.
+                let left = self.job.token_budget.saturating_sub(self.past_spent);
+                self.budget.grant(*limit.min(&left));
+            }
             _ => self.exhausted = true,
         }
     }
--- a/crates/dandelion-rollout/src/coordinator/machine.rs
+++ b/crates/dandelion-rollout/src/coordinator/machine.rs
@@ -27,12 +27,15 @@
 use crate::coordinator::pool::Place;
 use crate::coordinator::pool::Pool;
 use crate::coordinator::proposals::Outstanding;
+use crate::coordinator::proposals::refused;
 use crate::coordinator::pull::PendingCut;
 use crate::coordinator::pull::PendingPull;
 use crate::coordinator::settings::Settings;
 use crate::ledger::BatchRecord;
 use crate::ledger::LedgerChange;
+use crate::ledger::LedgerRefusal;
 use crate::ledger::RangeSet;
+use crate::payload::BlobId;
 use crate::quantile::Quantiles;
 use crate::scorer::ScorerQueue;
 use crate::scorer::ScorerSettings;
@@ -41,6 +44,9 @@
 /// Actions of one event.
 pub(super) type Actions = Vec<Action>;
 
+/// Time between two looks at the slow tail.
+const TAIL_PERIOD: Millis = Millis::from_secs(1);
+
 /// Bits of an attempt number that count within an epoch.
 const ATTEMPT_BITS: u32 = 40;
 
@@ -54,6 +60,8 @@
     pub(super) epoch: Option<u64>,
     pub(super) deposed: bool,
     pub(super) newest: WeightVersion,
+    /// Newest version that the ledger has, or was told.
+    pub(super) recorded: WeightVersion,
     /// Newest version that the configuration has, or was told.
     pub(super) announced: WeightVersion,
     pub(super) pace: PublishPace,
@@ -74,6 +82,7 @@
     pub(super) lead: Lead,
     pub(super) attempts: BTreeMap<AttemptId, Attempt>,
     pub(super) next_attempt: u64,
+    pub(super) next_tail: Millis,
     pub(super) capacity: usize,
     /// Attempts that may wait for their first token; halved when one is refused.
     pub(super) window: usize,
@@ -127,6 +136,7 @@
             epoch: None,
             deposed: false,
             newest: WeightVersion::default(),
+            recorded: WeightVersion::default(),
             announced: WeightVersion::default(),
             pace: PublishPace::default(),
             pool: Pool::default(),
@@ -146,6 +156,7 @@
             lead: Lead::default(),
             attempts: BTreeMap::new(),
             next_attempt: 0,
+            next_tail: Millis::ZERO,
             capacity: 0,
             window: usize::MAX,
             unconfirmed: 0,
@@ -198,6 +209,7 @@
             }
             Event::Published { version } => {
                 self.announced = self.announced.max(version);
+                self.record_version(now, version, out);
                 self.on_published(now, version, out);
             }
             Event::Pull { ticket, request } => self.on_pull(now, ticket, request, out),
@@ -242,8 +254,31 @@
         for attempt in running {
             self.cancel(attempt, out);
         }
-        if let Some(epoch) = self.epoch {
-            self.propose(now, LedgerChange::End { epoch }, out);
+        self.close(now, out);
+    }
+
+    /// Ends the job in the ledger and lets go of its payloads.
+    pub(super) fn close(&mut self, now: Millis, out: &mut Actions) {
+        let Some(epoch) = self.epoch else {
+            return;
+        };
+        self.propose(now, LedgerChange::End { epoch }, out);
+        for feed in &self.feeds {
+            out.push(Action::Release {
+                blob: BlobId::Feed(feed.record.first),
+                holders: feed.record.holders.clone(),
+            });
+        }
+        if let Some(record) = &self.current {
+            out.push(Action::Release {
+                blob: BlobId::Batch(record.cursor, record.digest),
+                holders: record.holders.clone(),
+            });
+        }
+        out.push(Action::ReleaseGroups(u64::MAX));
+        if let Some(pull) = self.pull.take() {
+            let refusal = refused(&LedgerRefusal::Ended);
+            Self::reply(pull.ticket, Answer::Refused(refusal), out);
         }
     }
 
@@ -258,9 +293,18 @@
         self.drop_stale(out);
     }
 
+    /// Records a version in the ledger that operators published in the configuration only.
+    fn record_version(&mut self, now: Millis, version: WeightVersion, out: &mut Actions) {
+        if version > self.recorded && self.epoch.is_some() {
+            self.recorded = version;
+            self.propose(now, LedgerChange::Publish { version }, out);
+        }
+    }
+
     /// Learns of a version from the ledger. The daemon that recorded it may have died before the
     /// configuration took it, so it is announced by whoever learns of it first.
     pub(super) fn on_recorded(&mut self, now: Millis, version: WeightVersion, out: &mut Actions) {
+        self.recorded = self.recorded.max(version);
         if version > self.announced {
             self.announced = version;
             out.push(Action::PublishConfig(version));
@@ -271,7 +315,10 @@
     fn on_tick(&mut self, now: Millis, out: &mut Actions) {
         self.resend(now, out);
         self.expire_scores(now);
-        self.check_tail(now, out);
+        if now >= self.next_tail {
+            self.next_tail = now + TAIL_PERIOD;
+            self.check_tail(now, out);
+        }
         self.hand_back_idle(now, out);
         self.expire_pull(now, out);
     }
--- a/crates/dandelion-rollout/src/coordinator/proposals.rs
+++ b/crates/dandelion-rollout/src/coordinator/proposals.rs
@@ -115,8 +115,7 @@
         }
         self.adopt(now, *view, out);
         if self.job.ended {
-            let epoch = self.epoch.unwrap_or(0);
-            self.propose(now, LedgerChange::End { epoch }, out);
+            self.close(now, out);
         }
     }
 
--- a/crates/dandelion-rollout/tests/coordinator.rs
+++ b/crates/dandelion-rollout/tests/coordinator.rs
@@ -252,6 +252,37 @@
     );
 }
 
+#[test]
+fn operator_publish() {
+    let mut desk = Desk::open(job());
+    desk.send(Event::Published {
+        version: WeightVersion(3),
+    });
+    let ledger = desk.table.job(&job().id).unwrap();
+    assert_eq!(ledger.published(), WeightVersion(3));
+}
+
+#[test]
+fn lower_budget() {
+    let mut desk = Desk::open(job());
+    desk.feed(1);
+    let mut lower = job();
+    lower.token_budget = 210;
+    desk.send(Event::ConfigChanged(lower));
+    // The two attempts under way hold 200 tokens; no third one fits.
+    let committed = desk.table.job(&job().id).unwrap().tokens().committed;
+    assert_eq!((committed, desk.generates.len()), (200, 2));
+    for request in std::mem::take(&mut desk.generates) {
+        let failure = Failure {
+            ran: Ran::Unknown,
+            tokens: None,
+        };
+        let attempt = request.attempt;
+        desk.send(Event::Failed { attempt, failure });
+    }
+    assert!(desk.generates.is_empty());
+}
+
 #[test]
 fn lost_payload() {
     let mut desk = Desk::open(job());
