Hand finished samples over when a daemon resigns

Cause: a change of charge that is known beforehand, as a planned stop, cost every group that was not whole, and what its epoch had reserved.

--- a/crates/dandelion-rollout/src/coordinator/event.rs
+++ b/crates/dandelion-rollout/src/coordinator/event.rs
@@ -140,8 +140,11 @@
         /// Its bytes.
         payload: Option<Payload>,
     },
-    /// Whole groups that daemons kept from the time before this one took charge.
+    /// Groups that daemons kept from the time before this one took charge; some may lack
+    /// samples. May come more than once.
     Recovered(Vec<Arc<Group>>),
+    /// Another daemon is to take charge: the membership says so, or this one stops.
+    Resign,
     /// Time passed; expected every [`crate::coordinator::settings::TICK`].
     Tick,
 }
--- a/crates/dandelion-rollout/src/coordinator/feed.rs
+++ b/crates/dandelion-rollout/src/coordinator/feed.rs
@@ -223,7 +223,7 @@
         let taken = self.taken();
         for group in groups {
             if !taken.contains(group.group) {
-                self.pool.recover(group);
+                self.pool.recover(group, self.job.group_size);
             }
         }
         self.hold_until = Millis::ZERO;
--- a/crates/dandelion-rollout/src/coordinator/generation.rs
+++ b/crates/dandelion-rollout/src/coordinator/generation.rs
@@ -239,11 +239,11 @@
             self.scorer.push(id.0);
         }
         let whole = self.pool.fill(place, sample, !scored);
-        Self::keep_whole(whole, out);
+        Self::keep_group(whole, out);
     }
 
-    /// Keeps a whole group on a second daemon, so that a change of charge does not cost it.
-    pub(super) fn keep_whole(whole: Option<Arc<Group>>, out: &mut Actions) {
+    /// Keeps a group on a second daemon, so that a change of charge does not cost it.
+    pub(super) fn keep_group(whole: Option<Arc<Group>>, out: &mut Actions) {
         if let Some(group) = whole {
             out.push(Action::Replicate {
                 blob: BlobId::Group(group.group),
--- a/crates/dandelion-rollout/src/coordinator/machine.rs
+++ b/crates/dandelion-rollout/src/coordinator/machine.rs
@@ -231,6 +231,7 @@
             Event::Replicated { blob, holders } => self.on_replicated(now, blob, holders, out),
             Event::Fetched { blob, payload } => self.on_fetched(blob, payload, out),
             Event::Recovered(groups) => self.on_recovered(&groups, out),
+            Event::Resign => self.resign(now, out),
             Event::Tick => self.on_tick(now, out),
         }
     }
--- a/crates/dandelion-rollout/src/coordinator/pool.rs
+++ b/crates/dandelion-rollout/src/coordinator/pool.rs
@@ -45,6 +45,16 @@
         self.slots.iter().all(|slot| slot.whole)
     }
 
+    /// Returns its finished samples as a group.
+    fn finished(&self, group: u64) -> Group {
+        let whole = self.slots.iter().filter(|slot| slot.whole);
+        Group {
+            group,
+            prompt: self.prompt.to_string(),
+            samples: whole.filter_map(|slot| slot.sample.clone()).collect(),
+        }
+    }
+
     /// Returns the samples that are not generated yet.
     pub fn missing(&self) -> usize {
         let open = self.slots.iter().filter(|slot| slot.sample.is_none());
@@ -226,20 +236,40 @@
     fn check_ready(&mut self, group: u64) -> Option<Arc<Group>> {
         let state = self.groups.get(&group).filter(|state| state.is_whole())?;
         self.ready.insert(group);
-        let samples = state.slots.iter().filter_map(|slot| slot.sample.clone());
-        Some(Arc::new(Group {
-            group,
-            prompt: state.prompt.to_string(),
-            samples: samples.collect(),
-        }))
+        Some(Arc::new(state.finished(group)))
+    }
+
+    /// Returns the finished samples of the groups that are not whole.
+    pub fn partial_groups(&self) -> Vec<Arc<Group>> {
+        let open = self.groups.iter().filter(|(_, state)| !state.is_whole());
+        let groups = open.map(|(number, state)| Arc::new(state.finished(*number)));
+        groups.filter(|group| !group.samples.is_empty()).collect()
     }
 
-    /// Adds a whole group that another daemon generated, unless it is under way here.
-    pub fn recover(&mut self, group: &Group) {
-        if !self.groups.contains_key(&group.group) {
-            self.waiting.remove(group.group, group.group + 1);
-            self.give_back(std::slice::from_ref(group));
+    /// Adds a group that another daemon began, unless it is under way here; samples that it lacks
+    /// are queued.
+    pub fn recover(&mut self, group: &Group, size: u32) {
+        if self.groups.contains_key(&group.group) {
+            return;
+        }
+        self.waiting.remove(group.group, group.group + 1);
+        let mut state = GroupState {
+            prompt: group.prompt.as_str().into(),
+            slots: vec![Slot::default(); size.max(1) as usize],
+        };
+        for sample in &group.samples {
+            if let Some(slot) = state.slots.get_mut(sample.id.index as usize) {
+                slot.sample = Some(sample.clone());
+                slot.whole = true;
+            }
+        }
+        let missing = (0u32..).zip(&state.slots).filter(|(_, slot)| !slot.whole);
+        self.queue
+            .extend(missing.map(|(index, _)| (group.group, index)));
+        if state.is_whole() {
+            self.ready.insert(group.group);
         }
+        self.groups.insert(group.group, state);
     }
 
     /// Empties a place so that it is generated anew; returns the tokens that are lost.
--- a/crates/dandelion-rollout/src/coordinator/proposals.rs
+++ b/crates/dandelion-rollout/src/coordinator/proposals.rs
@@ -93,7 +93,7 @@
             LedgerChange::Lead { .. } => self.on_lead(now, result, out),
             LedgerChange::Feed { feed, .. } => self.on_feed_answer(now, &feed, result, out),
             LedgerChange::Publish { .. } => self.on_publish_answer(now, token, result, out),
-            LedgerChange::Renew { trainer, lease } => {
+            LedgerChange::Renew { trainer, lease, .. } => {
                 self.on_renew_answer(now, token, (&trainer, lease), result, out);
             }
             LedgerChange::Take { skipped, .. } => {
@@ -169,6 +169,16 @@
         }
     }
 
+    /// Hands the finished samples of unfinished groups to a second daemon and steps down.
+    pub(super) fn resign(&mut self, now: Millis, out: &mut Actions) {
+        // Tokens that no attempt under way can use are not written off, if this gets through.
+        self.hand_back(now, out);
+        for group in self.pool.partial_groups() {
+            Self::keep_group(Some(group), out);
+        }
+        self.step_down(out);
+    }
+
     fn step_down(&mut self, out: &mut Actions) {
         self.deposed = true;
         let running: Vec<_> = self.attempts.keys().copied().collect();
--- a/crates/dandelion-rollout/src/coordinator/pull.rs
+++ b/crates/dandelion-rollout/src/coordinator/pull.rs
@@ -110,7 +110,13 @@
         } else {
             self.settings.lease
         };
-        let token = self.propose(now, LedgerChange::Renew { trainer, lease }, out);
+        let epoch = self.epoch.unwrap_or(0);
+        let renew = LedgerChange::Renew {
+            epoch,
+            trainer,
+            lease,
+        };
+        let token = self.propose(now, renew, out);
         self.asking.insert(token, ticket);
     }
 
--- a/crates/dandelion-rollout/src/coordinator/scoring.rs
+++ b/crates/dandelion-rollout/src/coordinator/scoring.rs
@@ -49,7 +49,7 @@
                     && let Some(place) = self.scoring.remove(&id.0)
                 {
                     let whole = self.pool.score(place, score);
-                    Self::keep_whole(whole, out);
+                    Self::keep_group(whole, out);
                 }
             }
             Err(ran) => self.score_failed(now, id.0, ran),
--- a/crates/dandelion-rollout/src/ledger/command.rs
+++ b/crates/dandelion-rollout/src/ledger/command.rs
@@ -67,6 +67,8 @@
     },
     /// Renews the trainer's lease while it trains; a zero length hands it back.
     Renew {
+        /// Epoch of the daemon in charge.
+        epoch: u64,
         /// Trainer process.
         trainer: TrainerId,
         /// Length of its lease.
--- a/crates/dandelion-rollout/src/ledger/job.rs
+++ b/crates/dandelion-rollout/src/ledger/job.rs
@@ -212,9 +212,6 @@
     }
 
     pub(super) fn renew(&mut self, at: WallMillis, trainer: &TrainerId, lease: Millis) -> Outcome {
-        if self.ended {
-            return Err(LedgerRefusal::Ended);
-        }
         self.check_holder(at, trainer)?;
         let until = WallMillis(at.0 + lease.min(MAX_LEASE).0);
         self.lease = Some(Lease {
--- a/crates/dandelion-rollout/src/ledger/table.rs
+++ b/crates/dandelion-rollout/src/ledger/table.rs
@@ -82,7 +82,14 @@
             job.feed(feed)
         }
         LedgerChange::Publish { version } => Ok(job.publish(version)),
-        LedgerChange::Renew { trainer, lease } => job.renew(context.at, &trainer, lease),
+        LedgerChange::Renew {
+            epoch,
+            trainer,
+            lease,
+        } => {
+            job.check_epoch(epoch)?;
+            job.renew(context.at, &trainer, lease)
+        }
         LedgerChange::Take {
             epoch,
             number,
--- a/crates/dandelion-rollout/tests/bench/world.rs
+++ b/crates/dandelion-rollout/tests/bench/world.rs
@@ -307,6 +307,12 @@
         let leaderless = self.any_leader().is_none();
         if leaderless || self.roll(faults.takeover) {
             let index = self.rng.random_range(0..self.hosts.len());
+            // Half of the changes are planned or seen by the daemon before; the rest are not.
+            if self.roll(500) {
+                for old in 0..self.hosts.len() {
+                    self.send(old, Event::Resign);
+                }
+            }
             self.lead(index);
         }
         if self.roll(faults.publish) {
--- a/crates/dandelion-rollout/tests/coordinator.rs
+++ b/crates/dandelion-rollout/tests/coordinator.rs
@@ -1,6 +1,7 @@
 //! Single decisions of a coordinator, driven event by event.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use dandelion_kernel::ApplyContext;
 use dandelion_kernel::Machine;
@@ -13,6 +14,7 @@
 use dandelion_protocol::outcome::Ran;
 use dandelion_protocol::outcome::RefusalCode;
 use dandelion_protocol::rollout::FeedRequest;
+use dandelion_protocol::rollout::Group;
 use dandelion_protocol::rollout::PullRequest;
 use dandelion_protocol::rollout::TrainerId;
 use dandelion_protocol::rollout::VoidReason;
@@ -32,6 +34,7 @@
 use dandelion_rollout::coordinator::action::Generate;
 use dandelion_rollout::ledger::LedgerChange;
 use dandelion_rollout::ledger::LedgerCommand;
+use dandelion_rollout::payload::Payload;
 use dandelion_rollout::scorer::ScorerSettings;
 
 /// One coordinator, its ledger, and what it asked for; prompts and batches are stored at once.
@@ -44,6 +47,7 @@
     cancels: Vec<AttemptId>,
     scores: Vec<AttemptId>,
     answers: Vec<(Ticket, Answer)>,
+    kept: Vec<Arc<Group>>,
 }
 
 fn job() -> Job {
@@ -85,6 +89,7 @@
             cancels: Vec::new(),
             scores: Vec::new(),
             answers: Vec::new(),
+            kept: Vec::new(),
         };
         desk.take_actions(actions);
         desk.settle();
@@ -114,7 +119,10 @@
                 Action::Score(call) => self.scores.push(call.attempt),
                 Action::Propose { token, command } => self.proposals.push_back((token, command)),
                 Action::Reply { ticket, answer } => self.answers.push((ticket, answer)),
-                Action::Replicate { blob, .. } => {
+                Action::Replicate { blob, payload } => {
+                    if let Payload::Group(group) = payload {
+                        self.kept.push(group);
+                    }
                     let holders = vec![daemon("a"), daemon("b")];
                     self.send_only(Event::Replicated { blob, holders });
                 }
@@ -306,6 +314,33 @@
     assert!(view.done.is_empty() && view.current.is_none());
 }
 
+#[test]
+fn resigned_daemon() {
+    let mut desk = Desk::open(job());
+    desk.feed(1);
+    let first = desk.generates.remove(0);
+    desk.report(first.attempt, (0, 10), 0);
+    desk.send(Event::Done {
+        attempt: first.attempt,
+    });
+    desk.send(Event::Resign);
+    assert_eq!(desk.kept.len(), 1);
+    assert_eq!(desk.cancels, [desk.generates[0].attempt]);
+    desk.pull(9, 0, false);
+    assert!(
+        matches!(desk.last_answer(), Answer::Refused(refusal) if refusal.retry_after.is_some())
+    );
+    // The next daemon generates only the sample that is missing.
+    let mut next = Desk::open_at(desk.table.clone(), job(), "b");
+    next.send(Event::Recovered(desk.kept.clone()));
+    let missing: Vec<u32> = next
+        .generates
+        .iter()
+        .map(|request| request.sample.index)
+        .collect();
+    assert_eq!(missing, [1 - first.sample.index]);
+}
+
 #[test]
 fn second_trainer() {
     let mut desk = Desk::open(job());
