--- a/crates/dandelion-rollout/src/coordinator/pull.rs
+++ b/crates/dandelion-rollout/src/coordinator/pull.rs
@@ -45,6 +45,7 @@
 pub(super) struct PendingPull {
     pub ticket: Ticket,
     pub request: PullRequest,
+    pub since: Millis,
     pub deadline: Millis,
     pub stage: Stage,
 }
@@ -89,6 +90,7 @@
         self.pull = Some(PendingPull {
             ticket,
             request,
+            since: now,
             deadline,
             stage: Stage::Parked,
         });
@@ -108,7 +110,13 @@
         } else {
             self.settings.lease
         };
-        let token = self.propose(now, LedgerChange::Renew { trainer, lease }, out);
+        let epoch = self.epoch.unwrap_or(0);
+        let renew = LedgerChange::Renew {
+            epoch,
+            trainer,
+            lease,
+        };
+        let token = self.propose(now, renew, out);
         self.asking.insert(token, ticket);
     }
 
