--- a/crates/dandelion-control/src/storage/log_file.rs
+++ b/crates/dandelion-control/src/storage/log_file.rs
@@ -35,14 +35,25 @@
     pub entries: Vec<Entry>,
 }
 
+/// Content of a later frame, borrowed for writing.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct BatchRef<'a> {
+    /// Changed hard state.
+    #[serde(rename = "h", skip_serializing_if = "Option::is_none")]
+    pub hard: Option<HardState>,
+    /// Entries; each replaces what was there from its index on.
+    #[serde(rename = "e", skip_serializing_if = "<[Entry]>::is_empty")]
+    pub entries: &'a [Entry],
+}
+
 /// Content of a later frame.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize)]
 pub struct Batch {
     /// Changed hard state.
-    #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
+    #[serde(rename = "h", default)]
     pub hard: Option<HardState>,
     /// Entries; each replaces what was there from its index on.
-    #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(rename = "e", default)]
     pub entries: Vec<Entry>,
 }
 
@@ -68,8 +79,8 @@
 }
 
 /// Encodes one batch.
-pub fn write_batch(sequence: u64, batch: &Batch) -> Result<Vec<u8>, StorageError> {
-    let payload = codec::encode(batch).map_err(|e| unreadable(0, &e))?;
+pub fn write_batch(sequence: u64, batch: BatchRef<'_>) -> Result<Vec<u8>, StorageError> {
+    let payload = codec::encode(&batch).map_err(|e| unreadable(0, &e))?;
     Ok(frame::write_frame(sequence, &payload))
 }
 
--- a/crates/dandelion-control/src/storage/store.rs
+++ b/crates/dandelion-control/src/storage/store.rs
@@ -12,7 +12,7 @@
 use crate::storage::disk::FolderDisk;
 use crate::storage::error::StorageError;
 use crate::storage::log_file;
-use crate::storage::log_file::Batch;
+use crate::storage::log_file::BatchRef;
 use crate::storage::log_file::Head;
 use crate::storage::log_file::LOG_FILE;
 use crate::storage::log_file::LOG_TEMP;
@@ -191,11 +191,7 @@
 
     fn write(&mut self, hard: Option<HardState>, entries: &[Entry]) -> Result<(), StorageError> {
         self.refuse_failed()?;
-        let batch = Batch {
-            hard,
-            entries: entries.to_vec(),
-        };
-        let bytes = log_file::write_batch(self.next, &batch)?;
+        let bytes = log_file::write_batch(self.next, BatchRef { hard, entries })?;
         let disk = &mut self.disk;
         let done = disk
             .append(LOG_FILE, &bytes)
