--- a/crates/dandelion-rollout/src/coordinator/lead.rs
+++ b/crates/dandelion-rollout/src/coordinator/lead.rs
@@ -14,6 +14,10 @@
 /// Lead at the least: the step that is trained on and a quarter more.
 const LEAST: u64 = PARTS + PARTS / 4;
 
+/// Parts kept off the longest lead if the bound allows a lead at all, so that groups that are late
+/// by a little are not too old.
+const SPARE: u64 = 4;
+
 /// Wait of a trainer that is not held against the lead.
 const USUAL_WAIT: Millis = Millis(500);
 
@@ -27,14 +31,14 @@
 impl Lead {
     /// Returns the groups that may be trained on, under way or whole at once.
     pub fn groups(self, step: u64, bound: u64) -> u64 {
-        let most = (bound + 1) * PARTS;
+        let most = longest(bound);
         let parts = if self.parts == 0 { most } else { self.parts };
         step * parts.min(most) / PARTS
     }
 
     /// Learns how long the trainer waited for a batch.
     pub fn record(&mut self, waited: Millis, bound: u64) {
-        let most = (bound + 1) * PARTS;
+        let most = longest(bound);
         let parts = if self.parts == 0 { most } else { self.parts };
         let next = if waited > USUAL_WAIT {
             parts + GROW
@@ -44,3 +48,8 @@
         self.parts = next.clamp(LEAST.min(most), most);
     }
 }
+
+fn longest(bound: u64) -> u64 {
+    let spare = if bound > 0 { SPARE } else { 0 };
+    (bound + 1) * PARTS - spare
+}
--- a/crates/dandelion-rollout/tests/ledger.rs
+++ b/crates/dandelion-rollout/tests/ledger.rs
@@ -2,6 +2,7 @@
 
 use dandelion_kernel::ApplyContext;
 use dandelion_kernel::Table;
+use dandelion_kernel::TableSet;
 use dandelion_protocol::codec;
 use dandelion_protocol::ids::DaemonId;
 use dandelion_protocol::ids::Incarnation;
@@ -298,6 +299,16 @@
     assert_eq!(bench.table.job(&job()).unwrap().tokens().committed, 100);
 }
 
+#[test]
+fn registered_table() {
+    let control = TableSet::open_all();
+    assert_eq!(
+        control.table::<LedgerTable>(),
+        Some(&LedgerTable::default())
+    );
+    assert!(!control.is_spread(LedgerTable::NAME));
+}
+
 #[test]
 fn bounded_state() {
     let mut bench = Bench::fed(4096);
