Hand jobs over, publish until it shows, state whole answer lengths to engines

Ruled out: the token reader (the same bytes read in one piece gave the same text). Conclusion: resumed samples are whole; hand-over and publication are the coordinator's to repeat.

--- a/crates/dandelion-daemon/src/rollouts/driver.rs
+++ b/crates/dandelion-daemon/src/rollouts/driver.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::time::Duration;
 
 use async_std::task;
 use dandelion_control::tables::ConfigTable;
@@ -16,6 +17,7 @@
 use dandelion_protocol::ids::JobId;
 use dandelion_protocol::ids::ServiceId;
 use dandelion_protocol::ids::WeightVersion;
+use dandelion_protocol::time::Millis;
 use dandelion_rollout::coordinator::Action;
 use dandelion_rollout::coordinator::Answer;
 use dandelion_rollout::coordinator::AttemptId;
@@ -35,12 +37,19 @@
 use crate::rollouts::payloads;
 use crate::rollouts::score;
 
+/// Time for which a coordinator that has resigned is kept.
+const RESIGN_TIME: Millis = Millis::from_secs(2);
+
+/// Time between two attempts to publish a version in the configuration.
+const PUBLISH_PERIOD: Duration = Duration::from_millis(500);
+
 #[derive(Debug, Default)]
 struct State {
     coordinator: Option<Coordinator>,
     tickets: BTreeMap<Ticket, oneshot::Sender<Answer>>,
     attempts: BTreeMap<AttemptId, Trigger>,
     job: Option<Job>,
+    resigned: Option<Millis>,
 }
 
 /// One job under way on this daemon.
@@ -101,6 +110,16 @@
         self.carry_out(core, actions);
     }
 
+    /// Hands the job over; returns whether the time for that is over.
+    pub fn resign(&self, core: &Handle) -> bool {
+        let now = clock::boot_now();
+        let since = *self.lock().resigned.get_or_insert(now);
+        if since == now {
+            self.handle(core, Event::Resign);
+        }
+        now.since(since) >= RESIGN_TIME
+    }
+
     /// Feeds one event.
     pub fn handle(&self, core: &Handle, event: Event) {
         let mut actions = Vec::new();
@@ -249,9 +268,17 @@
     }
 }
 
+/// Publishes a version in the configuration until it shows there.
 async fn publish(core: Handle, job: JobId, version: WeightVersion) {
-    let command = ConfigCommand::PublishVersion(job, version);
-    if let Err(error) = core.propose_own::<ConfigTable>(&command).await {
-        log::warn!("version {version} is in the ledger but not in the configuration: {error}");
+    let is_open = || {
+        let view = core.control.view();
+        view.config.versions.get(&job).is_none_or(|v| *v < version)
+    };
+    while is_open() && core.rollouts.driver(&job).is_some() {
+        let command = ConfigCommand::PublishVersion(job.clone(), version);
+        if let Err(error) = core.propose_own::<ConfigTable>(&command).await {
+            log::debug!("version {version} is not in the configuration yet: {error}");
+        }
+        task::sleep(PUBLISH_PERIOD).await;
     }
 }
--- a/crates/dandelion-daemon/src/rollouts/generate.rs
+++ b/crates/dandelion-daemon/src/rollouts/generate.rs
@@ -34,6 +34,7 @@
 #[derive(Debug, Serialize)]
 struct GenerateBody<'a> {
     prompt: &'a str,
+    /// Tokens of the whole answer, those before `resume_from` included.
     max_tokens: u32,
     resume_from: u32,
     resume_text: &'a str,
@@ -174,7 +175,7 @@
     let resume = &order.resume;
     let body = GenerateBody {
         prompt: &order.prompt,
-        max_tokens: order.max_tokens,
+        max_tokens: resume.tokens() + order.max_tokens,
         resume_from: resume.tokens(),
         resume_text: &resume.text,
         sample: order.sample.index,
--- a/crates/dandelion-daemon/src/rollouts/jobs.rs
+++ b/crates/dandelion-daemon/src/rollouts/jobs.rs
@@ -77,6 +77,7 @@
 
     /// Takes over jobs and versions of the configuration.
     pub fn set_config(&self, core: &Handle, view: &View) {
+        self.release_ended(view);
         for (id, driver) in self.list() {
             match view.config.jobs.get(&id) {
                 Some(job) => driver.handle(core, Event::ConfigChanged(job.clone())),
@@ -88,6 +89,14 @@
         }
     }
 
+    /// Forgets the payloads of jobs that have ended.
+    fn release_ended(&self, view: &View) {
+        let mut payloads = self.payloads();
+        for job in view.config.jobs.values().filter(|j| j.ended) {
+            payloads.release_job(&job.id);
+        }
+    }
+
     fn list(&self) -> Vec<(JobId, Arc<Driver>)> {
         let drivers = self.drivers();
         drivers
@@ -96,27 +105,34 @@
             .collect()
     }
 
-    /// Opens drivers for the jobs placed here and drops those placed elsewhere.
+    /// Opens drivers for the jobs placed here and resigns from those placed elsewhere.
     fn place(&self, core: &Handle, view: &View) {
         let own = &core.identity.daemon;
         let is_own = |id: &JobId| view.coordinator(id) == Some(own);
-        self.drivers().retain(|id, _| is_own(id));
+        for (id, driver) in self.list() {
+            if !is_own(&id) && driver.resign(core) {
+                self.step_down(&id);
+            }
+        }
         if core.is_stopping() {
             return;
         }
         let jobs = view.config.jobs.values();
-        let placed: Vec<&Job> = jobs.filter(|j| !j.ended && is_own(&j.id)).collect();
-        for job in placed {
+        for job in jobs.filter(|j| !j.ended && is_own(&j.id)) {
             if self.driver(&job.id).is_none() {
-                let driver = Arc::new(Driver::open(job));
-                self.drivers().insert(job.id.clone(), Arc::clone(&driver));
-                driver.start(core, job.clone());
-                if let Some(version) = view.config.versions.get(&job.id) {
-                    driver.handle(core, Event::Published { version: *version });
-                }
+                self.open(core, view, job);
             }
         }
     }
+
+    fn open(&self, core: &Handle, view: &View, job: &Job) {
+        let driver = Arc::new(Driver::open(job));
+        self.drivers().insert(job.id.clone(), Arc::clone(&driver));
+        driver.start(core, job.clone());
+        if let Some(version) = view.config.versions.get(&job.id) {
+            driver.handle(core, Event::Published { version: *version });
+        }
+    }
 }
 
 /// Places and ticks jobs until the process ends.
