--- /dev/null
+++ b/crates/dandelion-net/src/http/client/request.rs
@@ -0,0 +1,52 @@
+//! Builds requests to upstreams.
+
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use dandelion_protocol::mesh::Header;
+use http_types::Body;
+use http_types::Method;
+use http_types::Request;
+use http_types::Url;
+use http_types::headers::HeaderName;
+use http_types::headers::HeaderValue;
+
+use crate::http::client::error::Cause;
+use crate::http::head::is_hop_header;
+use crate::http::head::is_plain;
+
+/// Makes a request from plain parts. Nothing is sent. Headers that would change the framing or the
+/// connection, or that hold control characters, are refused.
+pub fn request(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[Header],
+    body: Vec<u8>,
+) -> Result<Request, Cause> {
+    let invalid = |error: http_types::Error| Cause::Request(error.to_string());
+    let method = Method::from_str(method).map_err(invalid)?;
+    let url = Url::parse(&format!("http://{address}{path}"))
+        .map_err(|error| Cause::Request(error.to_string()))?;
+    let mut request = Request::new(method, url);
+    request.set_body(Body::from_bytes(body));
+    for header in headers {
+        check_header(&header.name, &header.value)?;
+        let name = HeaderName::from_str(&header.name).map_err(invalid)?;
+        let value = HeaderValue::from_str(&header.value).map_err(invalid)?;
+        request.insert_header(name, value);
+    }
+    Ok(request)
+}
+
+fn check_header(name: &str, value: &str) -> Result<(), Cause> {
+    if !is_plain(name, value) {
+        return Err(Cause::Request(format!("header `{name}` is malformed")));
+    }
+    if is_hop_header(name) {
+        return Err(Cause::Request(format!(
+            "header `{name}` can't be passed on"
+        )));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/dandelion-net/src/mesh/transport.rs
@@ -0,0 +1,186 @@
+//! One authenticated WebSocket connection.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_std::net::TcpStream;
+use dandelion_protocol::codec::decode;
+use dandelion_protocol::codec::encode;
+use dandelion_protocol::ids::DaemonId;
+use dandelion_protocol::mesh::Hello;
+use dandelion_protocol::mesh::MeshMessage;
+use futures::SinkExt;
+use futures::StreamExt;
+use futures::stream::SplitSink;
+use futures::stream::SplitStream;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::accept_async_with_config;
+use tokio_tungstenite::client_async_with_config;
+use tokio_tungstenite::tungstenite::Error as SocketError;
+use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_util::compat::Compat;
+use tokio_util::compat::FuturesAsyncReadCompatExt;
+
+use crate::mesh::config::MeshConfig;
+use crate::mesh::counters::Counters;
+use crate::mesh::counters::Family;
+use crate::mesh::error::MeshError;
+use crate::mesh::handshake::Handshake;
+use crate::socket;
+
+/// Longest message, in bytes.
+const MAX_MESSAGE: usize = 16 * 1024 * 1024;
+/// Bytes read from the socket at a time.
+const READ_BUFFER: usize = 16 * 1024;
+/// Bytes gathered before they are written to the socket.
+const WRITE_BUFFER: usize = 32 * 1024;
+
+/// A WebSocket over a TCP connection of `async-std`.
+pub type Socket = WebSocketStream<Compat<TcpStream>>;
+
+/// An authenticated connection.
+#[derive(Debug)]
+pub struct Connection {
+    pub sink: SplitSink<Socket, Message>,
+    pub source: SplitStream<Socket>,
+    pub peer: Hello,
+}
+
+/// Decodes one mesh message.
+pub fn decode_message(bytes: &[u8]) -> Result<MeshMessage, MeshError> {
+    Ok(decode(bytes)?)
+}
+
+/// Connects to `expected` at `address`.
+pub async fn dial(
+    address: SocketAddr,
+    expected: &DaemonId,
+    config: &MeshConfig,
+    counters: &Counters,
+) -> Result<Connection, MeshError> {
+    let opened = async_std::future::timeout(config.timing.handshake, async {
+        let stream = TcpStream::connect(address).await?;
+        socket::tune(&stream)?;
+        let url = format!("ws://{address}/mesh");
+        let opened = client_async_with_config(url, stream.compat(), Some(limits())).await;
+        let (socket, _response) = opened.map_err(from_socket)?;
+        let handshake = Handshake {
+            socket,
+            config,
+            counters,
+        };
+        handshake.greet(expected).await
+    });
+    opened.await.map_err(|_late| MeshError::Timeout)?
+}
+
+/// Authenticates a connection that came in.
+pub async fn accept(
+    stream: TcpStream,
+    config: &MeshConfig,
+    counters: &Counters,
+) -> Result<Connection, MeshError> {
+    let opened = async_std::future::timeout(config.timing.handshake, async {
+        socket::tune(&stream)?;
+        let opened = accept_async_with_config(stream.compat(), Some(limits())).await;
+        let handshake = Handshake {
+            socket: opened.map_err(from_socket)?,
+            config,
+            counters,
+        };
+        handshake.welcome().await
+    });
+    opened.await.map_err(|_late| MeshError::Timeout)?
+}
+
+fn limits() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(MAX_MESSAGE))
+        .max_frame_size(Some(MAX_MESSAGE))
+        .read_buffer_size(READ_BUFFER)
+        .write_buffer_size(WRITE_BUFFER)
+}
+
+/// Reads the next binary message.
+pub async fn next_payload<S>(source: &mut S) -> Result<tokio_util::bytes::Bytes, MeshError>
+where
+    S: futures::Stream<Item = Result<Message, SocketError>> + Unpin,
+{
+    loop {
+        match source.next().await {
+            Some(Ok(Message::Binary(bytes))) => return Ok(bytes),
+            Some(Ok(Message::Ping(_) | Message::Pong(_))) => (),
+            Some(Ok(Message::Close(_))) | None => return Err(MeshError::Closed),
+            Some(Ok(_)) => return Err(MeshError::Protocol("not a binary message".to_owned())),
+            Some(Err(error)) => return Err(from_socket(error)),
+        }
+    }
+}
+
+/// Sorts an error of the WebSocket library.
+pub fn from_socket(error: SocketError) -> MeshError {
+    match error {
+        SocketError::Io(error) => MeshError::Io(error),
+        SocketError::ConnectionClosed | SocketError::AlreadyClosed => MeshError::Closed,
+        other => MeshError::Protocol(other.to_string()),
+    }
+}
+
+impl Connection {
+    /// Takes over an authenticated socket.
+    pub fn new(socket: Socket, peer: Hello) -> Self {
+        let (sink, source) = socket.split();
+        Self { sink, source, peer }
+    }
+}
+
+/// The writing half, which counts what it sends.
+#[derive(Debug)]
+pub struct Outlet {
+    pub sink: SplitSink<Socket, Message>,
+    pub counters: Arc<Counters>,
+}
+
+impl Outlet {
+    /// Queues a message in the socket's buffer.
+    pub async fn feed(&mut self, message: &MeshMessage) -> Result<(), MeshError> {
+        let bytes = encode(message)?;
+        if bytes.len() > MAX_MESSAGE {
+            return Err(MeshError::TooLarge(bytes.len()));
+        }
+        self.counters.count_sent(Family::of(message), bytes.len());
+        let fed = self.sink.feed(Message::binary(bytes)).await;
+        fed.map_err(from_socket)
+    }
+
+    /// Writes everything that is queued.
+    pub async fn flush(&mut self) -> Result<(), MeshError> {
+        self.sink.flush().await.map_err(from_socket)
+    }
+
+    /// Says goodbye.
+    pub async fn close(&mut self) {
+        if let Err(error) = self.sink.close().await {
+            log::debug!("mesh connection was already gone: {error}");
+        }
+    }
+}
+
+/// The reading half, which counts what it receives.
+#[derive(Debug)]
+pub struct Inlet {
+    pub source: SplitStream<Socket>,
+    pub counters: Arc<Counters>,
+}
+
+impl Inlet {
+    /// Reads the next message.
+    pub async fn next(&mut self) -> Result<MeshMessage, MeshError> {
+        let bytes = next_payload(&mut self.source).await?;
+        let message = decode_message(&bytes)?;
+        self.counters
+            .count_received(Family::of(&message), bytes.len());
+        Ok(message)
+    }
+}
