Let an entry route suspects to their trials and an owner know its share

Cause: the daemon had no place to keep notes at the entry, and enforced teams' limits in full at every owner. Figures: noted_suspects and owner_share cover them; nothing measured. Conclusion: EntryView::hear_notes, suspect and share are ready to be wired.

--- a/crates/dandelion-route/src/entry.rs
+++ b/crates/dandelion-route/src/entry.rs
@@ -15,6 +15,8 @@
 use crate::digest::ServiceDigest;
 use crate::digest::ServiceTag;
 use crate::ownership::weight;
+use crate::poison::SuspectNote;
+use crate::poison::Suspects;
 use crate::poison::trial_owner;
 use crate::ticket::Fingerprint;
 use crate::ticket::PrefixHash;
@@ -101,6 +103,7 @@
 pub struct EntryView {
     zone: ZoneId,
     owners: BTreeMap<DaemonId, Owner>,
+    suspects: Suspects,
 }
 
 impl EntryView {
@@ -109,9 +112,43 @@
         Self {
             zone,
             owners: BTreeMap::new(),
+            suspects: Suspects::default(),
         }
     }
 
+    /// Takes in notes on suspects, the own daemon's included.
+    pub fn hear_notes(&mut self, now: Millis, notes: &[SuspectNote]) {
+        self.suspects.tick(now);
+        for note in notes {
+            self.suspects.hear(now, *note);
+        }
+    }
+
+    /// Returns the fingerprint if it is a suspect, for [`Wanted::suspect`].
+    pub fn suspect(&self, fingerprint: Fingerprint) -> Option<Fingerprint> {
+        let mark = self.suspects.mark(fingerprint);
+        mark.is_some().then_some(fingerprint)
+    }
+
+    /// Returns the part of a service's slots that `owner` has, in thousandths and at least one:
+    /// against the owners of the own zone and the greatest figure told of each other zone.
+    pub fn share(&self, now: Millis, service: &ServiceId, owner: &DaemonId) -> u32 {
+        let tag = ServiceTag::of(service);
+        let near = self.candidates(now, tag, |zone| *zone == self.zone);
+        let own = near.iter().find(|(id, _)| *id == owner);
+        let Some((_, own)) = own else {
+            return 1;
+        };
+        let mut far: BTreeMap<&ZoneId, u64> = BTreeMap::new();
+        for (id, load) in self.candidates(now, tag, |zone| *zone != self.zone) {
+            let most = far.entry(&self.owners[id].zone).or_default();
+            *most = load.slots.max(*most);
+        }
+        let near: u64 = near.iter().map(|(_, load)| load.slots).sum();
+        let all = near + far.values().sum::<u64>();
+        (own.slots * 1000).div_ceil(all) as u32
+    }
+
     /// Takes in a digest; an older one than known changes nothing.
     pub fn hear(&mut self, now: Millis, from: &DaemonId, zone: &ZoneId, digest: &OwnerDigest) {
         let position = (digest.boot, digest.sequence);
--- a/crates/dandelion-route/tests/entry.rs
+++ b/crates/dandelion-route/tests/entry.rs
@@ -14,6 +14,8 @@
 use dandelion_route::entry::Reason;
 use dandelion_route::entry::STALE_AFTER;
 use dandelion_route::entry::Wanted;
+use dandelion_route::poison::Mark;
+use dandelion_route::poison::SuspectNote;
 use dandelion_route::ticket::Fingerprint;
 use dandelion_route::ticket::PrefixHash;
 use rand::SeedableRng;
@@ -193,3 +195,23 @@
     );
     assert_eq!(counts, (20, 14, 15, 2));
 }
+
+#[test]
+fn noted_suspects() {
+    let mut view = view(&[("a", 0), ("a", 0)]);
+    let fingerprint = Fingerprint(5);
+    let note = |mark| SuspectNote { fingerprint, mark };
+    assert_eq!(view.suspect(fingerprint), None);
+    view.hear_notes(Millis(1), &[note(Mark::Suspect)]);
+    assert_eq!(view.suspect(fingerprint), Some(fingerprint));
+    view.hear_notes(Millis(2), &[note(Mark::Cleared)]);
+    assert_eq!(view.suspect(fingerprint), None);
+}
+
+#[test]
+fn owner_share() {
+    let view = view(&[("a", 0), ("a", 9), ("b", 0), ("b", 0)]);
+    let share = |n| view.share(Millis(1), &service(), &daemon(n));
+    assert_eq!([share(0), share(1)], [334, 334]);
+    assert_eq!(view.share(Millis(1), &service(), &daemon(9)), 1);
+}
