--- a/crates/dandelion-route/tests/dispatch.rs
+++ b/crates/dandelion-route/tests/dispatch.rs
@@ -20,6 +20,7 @@
 
 use support::fixtures::announce;
 use support::fixtures::arrival;
+use support::fixtures::ask;
 use support::fixtures::dispatched;
 use support::fixtures::feed;
 use support::fixtures::open_queue;
@@ -41,13 +42,11 @@
     let mut queue = open_queue(2, 2);
     let mut used = Vec::new();
     for ticket in 1..=4 {
-        let event = QueueEvent::Arrive(arrival(ticket, "t", Class::Interactive));
-        used.extend(dispatched(&feed(&mut queue, 1, event)));
+        used.extend(dispatched(&ask(&mut queue, 1, ticket)));
     }
     let on_first = used.iter().filter(|(_, up)| up == "up-0").count();
     assert_eq!((used.len(), on_first), (4, 2));
-    let event = QueueEvent::Arrive(arrival(5, "t", Class::Interactive));
-    assert!(dispatched(&feed(&mut queue, 2, event)).is_empty());
+    assert!(dispatched(&ask(&mut queue, 2, 5)).is_empty());
     let next = dispatched(&feed(&mut queue, 3, finish(used[0].0, Finish::Clean)));
     assert_eq!(next, vec![(5, used[0].1.clone())]);
 }
@@ -78,21 +77,13 @@
 #[test]
 fn interactive_first() {
     let mut queue = open_queue(1, 1);
-    feed(
-        &mut queue,
-        1,
-        QueueEvent::Arrive(arrival(1, "t", Class::Interactive)),
-    );
+    ask(&mut queue, 1, 1);
     feed(
         &mut queue,
         2,
         QueueEvent::Arrive(arrival(2, "t", Class::Rollout)),
     );
-    feed(
-        &mut queue,
-        3,
-        QueueEvent::Arrive(arrival(3, "t", Class::Interactive)),
-    );
+    ask(&mut queue, 3, 3);
     let next = dispatched(&feed(&mut queue, 4, finish(1, Finish::Clean)));
     assert_eq!(next[0].0, 3);
 }
@@ -100,11 +91,7 @@
 #[test]
 fn shed_early() {
     let mut queue = open_queue(1, 1);
-    feed(
-        &mut queue,
-        0,
-        QueueEvent::Arrive(arrival(1, "t", Class::Interactive)),
-    );
+    ask(&mut queue, 0, 1);
     feed(&mut queue, 1000, finish(1, Finish::Clean));
     let mut refused = 0;
     for ticket in 2..10 {
@@ -126,16 +113,8 @@
 #[test]
 fn expired_refused() {
     let mut queue = open_queue(1, 1);
-    feed(
-        &mut queue,
-        0,
-        QueueEvent::Arrive(arrival(1, "t", Class::Interactive)),
-    );
-    feed(
-        &mut queue,
-        0,
-        QueueEvent::Arrive(arrival(2, "t", Class::Interactive)),
-    );
+    ask(&mut queue, 0, 1);
+    ask(&mut queue, 0, 2);
     let actions = feed(&mut queue, 60_000, QueueEvent::Tick);
     assert!(
         matches!(&actions[..], [Action::Refuse { ticket: Ticket(2), refusal }] if refusal.ran == Ran::NotRun)
@@ -147,11 +126,7 @@
 fn too_late_to_start() {
     let mut queue = open_queue(1, 1);
     for ticket in 1..=2 {
-        feed(
-            &mut queue,
-            0,
-            QueueEvent::Arrive(arrival(ticket, "t", Class::Interactive)),
-        );
+        ask(&mut queue, 0, ticket);
     }
     let actions = feed(&mut queue, 60_001, finish(1, Finish::Clean));
     assert!(matches!(
@@ -175,8 +150,7 @@
     let late = Change::Reported(announce("up-0", 1, 9));
     feed(&mut queue, 1, QueueEvent::Upstream(late));
     for ticket in 1..4 {
-        let event = QueueEvent::Arrive(arrival(ticket, "t", Class::Interactive));
-        feed(&mut queue, 2, event);
+        ask(&mut queue, 2, ticket);
     }
     assert_eq!((queue.inflight(), queue.inflight_at(&id)), (1, 0));
 }
@@ -185,11 +159,7 @@
 fn last_upstream_leaves() {
     let mut queue = open_queue(1, 1);
     for ticket in 1..=3 {
-        feed(
-            &mut queue,
-            1,
-            QueueEvent::Arrive(arrival(ticket, "t", Class::Interactive)),
-        );
+        ask(&mut queue, 1, ticket);
     }
     let id = "up-0".parse().unwrap();
     let mut actions = feed(&mut queue, 2, QueueEvent::Upstream(Change::Leaving(id)));
@@ -249,8 +219,7 @@
     };
     queue.set_config(Millis(0), &config, 500);
     for ticket in 1..10 {
-        let event = QueueEvent::Arrive(arrival(ticket, "t", Class::Interactive));
-        feed(&mut queue, 1, event);
+        ask(&mut queue, 1, ticket);
     }
     assert_eq!(queue.inflight(), 2);
     let next = dispatched(&feed(&mut queue, 2, finish(1, Finish::Clean)));
--- a/crates/dandelion-route/tests/poison.rs
+++ b/crates/dandelion-route/tests/poison.rs
@@ -27,6 +27,7 @@
 
 use support::fixtures::announce;
 use support::fixtures::arrival;
+use support::fixtures::ask;
 use support::fixtures::feed;
 use support::fixtures::open_queue;
 
@@ -202,11 +203,7 @@
 fn notes_come_first() {
     let mut queue = open_queue(1, 4);
     for ticket in 1..=3 {
-        feed(
-            &mut queue,
-            1,
-            QueueEvent::Arrive(arrival(ticket, "t", Class::Interactive)),
-        );
+        ask(&mut queue, 1, ticket);
     }
     let upstream = "up-0".parse().unwrap();
     let boot = Incarnation(1);
@@ -243,11 +240,7 @@
 #[test]
 fn planned_stop() {
     let mut queue = open_queue(1, 4);
-    feed(
-        &mut queue,
-        1,
-        QueueEvent::Arrive(arrival(1, "t", Class::Interactive)),
-    );
+    ask(&mut queue, 1, 1);
     let upstream: dandelion_protocol::ids::UpstreamId = "up-0".parse().unwrap();
     feed(
         &mut queue,
--- a/crates/dandelion-route/tests/support/fixtures.rs
+++ b/crates/dandelion-route/tests/support/fixtures.rs
@@ -70,6 +70,12 @@
     actions
 }
 
+/// Lets an interactive request of team `t` arrive.
+pub fn ask(queue: &mut OwnerQueue, now: u64, ticket: u64) -> Vec<Action> {
+    let request = arrival(ticket, "t", Class::Interactive);
+    feed(queue, now, QueueEvent::Arrive(request))
+}
+
 pub fn dispatched(actions: &[Action]) -> Vec<(u64, String)> {
     let found = actions.iter().filter_map(|action| match action {
         Action::Dispatch {
