Find the leader again through a takeover, and prove it with processes

Cause: a proposal waited 3 s at a suspended leader, and a proposal that met no leader was handed back to the operator, whose next try came up to 1 s later. The lease and the tables that came with it took effect one after the other, so that a daemon could look leased at an older view for a moment.

--- a/crates/dandelion-daemon/src/control/feed.rs
+++ b/crates/dandelion-daemon/src/control/feed.rs
@@ -9,6 +9,7 @@
 use dandelion_net::clock;
 use dandelion_protocol::config::Member;
 
+use crate::control::handle::Renewed;
 use crate::control::view::View;
 use crate::core::Handle;
 
@@ -35,33 +36,30 @@
 
 fn handle(core: &Handle, event: FeedEvent) {
     let mut actions = Vec::new();
-    core.control
-        .feed()
-        .handle(clock::boot_now(), event, &mut actions);
+    let renewed = core.control.step(event, &mut actions);
+    if let Some(renewed) = &renewed {
+        apply(core, renewed);
+    }
     for action in actions {
-        match action {
-            FeedAction::Send { to, message } => {
-                if let Some(mesh) = core.mesh() {
-                    // A lost renewal is made good by the next one.
-                    let _lost = mesh.send(&to, message);
-                }
-            }
-            FeedAction::Applied { .. } => apply(core),
+        if let FeedAction::Send { to, message } = action
+            && let Some(mesh) = core.mesh()
+        {
+            // A lost renewal is made good by the next one.
+            let _lost = mesh.send(&to, message);
         }
     }
 }
 
 /// Makes a new revision take effect in every part of the daemon.
-fn apply(core: &Handle) {
-    let former = core.control.view();
-    let view = core.control.refresh();
+fn apply(core: &Handle, renewed: &Renewed) {
+    let Renewed { former, view } = renewed;
     if view.config_revision != former.config_revision {
         core.streams.cut_withdrawn(&view.config);
         core.owners.set_config(clock::boot_now(), &view.config);
-        core.rollouts.set_config(core, &view);
+        core.rollouts.set_config(core, view);
     }
     if view.members != former.members {
-        meet_members(core, &former, &view);
+        meet_members(core, former, view);
     }
 }
 
--- a/crates/dandelion-daemon/src/control/handle.rs
+++ b/crates/dandelion-daemon/src/control/handle.rs
@@ -8,6 +8,7 @@
 use async_channel::Receiver;
 use async_channel::Sender;
 use dandelion_control::FeedClient;
+use dandelion_control::feed::FeedAction;
 use dandelion_control::feed::FeedEvent;
 use dandelion_control::tables::ConfigTable;
 use dandelion_net::clock;
@@ -30,6 +31,13 @@
     queue: Receiver<FeedEvent>,
 }
 
+/// Views before and after a change.
+#[derive(Debug)]
+pub(super) struct Renewed {
+    pub former: Arc<View>,
+    pub view: Arc<View>,
+}
+
 impl Control {
     /// Wraps the feed client and, on a control daemon, the replica.
     pub fn open(feed: FeedClient, replica: Option<ReplicaHandle>) -> Self {
@@ -48,7 +56,7 @@
         self.view.load_full()
     }
 
-    /// Returns whether keyed routes may be served now.
+    /// Returns whether keyed routes may be served now. Ask this before loading the view.
     pub fn is_leased(&self) -> bool {
         self.feed().lease_valid(clock::boot_now())
     }
@@ -82,16 +90,23 @@
         self.queue.clone()
     }
 
-    pub(super) fn feed(&self) -> MutexGuard<'_, FeedClient> {
+    fn feed(&self) -> MutexGuard<'_, FeedClient> {
         self.feed.lock().expect("no holder of this lock panics")
     }
 
-    /// Takes over the tables that the feed holds; returns the new view.
-    pub(super) fn refresh(&self) -> Arc<View> {
-        let former = self.view.load();
-        let view = Arc::new(View::read(self.feed().tables(), &former));
+    /// Handles an event of the feed. A lease and the tables that came with it take effect as one:
+    /// whoever finds the lease in force and then loads the view gets one that the lease covers.
+    pub(super) fn step(&self, event: FeedEvent, actions: &mut Vec<FeedAction>) -> Option<Renewed> {
+        let mut feed = self.feed();
+        feed.handle(clock::boot_now(), event, actions);
+        let is_applied = |action: &FeedAction| matches!(action, FeedAction::Applied { .. });
+        if !actions.iter().any(is_applied) {
+            return None;
+        }
+        let former = self.view.load_full();
+        let view = Arc::new(View::read(feed.tables(), &former));
         self.view.store(Arc::clone(&view));
-        view
+        Some(Renewed { former, view })
     }
 
     /// Returns the revision that this daemon has applied.
--- a/crates/dandelion-daemon/src/control/propose.rs
+++ b/crates/dandelion-daemon/src/control/propose.rs
@@ -1,8 +1,11 @@
 //! Proposals to the control leader, from any daemon.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use async_std::task;
 use dandelion_kernel::Table;
+use dandelion_net::clock;
 use dandelion_net::mesh::CallError;
 use dandelion_protocol::codec;
 use dandelion_protocol::codec::CodecError;
@@ -15,17 +18,24 @@
 use dandelion_protocol::ids::Revision;
 use dandelion_protocol::mesh::CallBody;
 use dandelion_protocol::mesh::ReplyBody;
+use dandelion_protocol::time::Millis;
 use dandelion_protocol::time::WallMillis;
 use thiserror::Error;
 
 use crate::core::Handle;
 use crate::core::new_request_id;
 
-/// Longest wait for the answer to a proposal.
-const PROPOSE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest wait for the answer of one replica.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Daemons that are asked in turn when the leader is not known.
-const MAX_HOPS: usize = 4;
+/// Time for a proposal to find the leader and be answered; it covers a takeover.
+const PROPOSE_LIMIT: Millis = Millis(5000);
+
+/// Pause after every control daemon was asked in vain.
+const ROUND_PAUSE: Duration = Duration::from_millis(50);
+
+/// Time for which a replica that gave no answer is asked only after the others.
+const SUSPECT_TIME: Millis = Millis(1500);
 
 /// Identity of a change and of who makes it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -100,20 +110,28 @@
         })
     }
 
-    /// Proposes to the leader, wherever it is. A proposal that may have been appended is not
-    /// sent again here.
+    /// Proposes to the leader, wherever it is, and goes on through a takeover. Sending a proposal
+    /// again is safe: a request id takes effect once and keeps its first answer.
     pub async fn propose_raw(&self, proposal: Proposal) -> Result<Answer, ProposeError> {
-        let mut tried = Vec::new();
-        for _ in 0..MAX_HOPS {
-            let Some(target) = self.next_target(&tried) else {
-                break;
+        let until = clock::boot_now() + PROPOSE_LIMIT;
+        let mut search = LeaderSearch::default();
+        let mut failed = ProposeError::NoLeader;
+        while clock::boot_now() < until {
+            let Some(target) = search.next(&self.candidates()) else {
+                search.begin_round();
+                task::sleep(ROUND_PAUSE).await;
+                continue;
             };
             match self.propose_at(&target, proposal.clone()).await {
-                Err(ProposeError::NoLeader) => tried.push(target),
+                Err(ProposeError::NoLeader) => search.pass(target),
+                Err(ProposeError::Unknown) => {
+                    failed = ProposeError::Unknown;
+                    search.suspect(target);
+                }
                 done => return done,
             }
         }
-        Err(ProposeError::NoLeader)
+        Err(failed)
     }
 
     async fn propose_at(&self, to: &DaemonId, proposal: Proposal) -> Result<Answer, ProposeError> {
@@ -122,7 +140,7 @@
         }
         let mesh = self.mesh().ok_or(ProposeError::NoLeader)?;
         let call = CallBody::Propose(proposal);
-        match mesh.call(to, call, PROPOSE_TIMEOUT).await {
+        match mesh.call(to, call, ATTEMPT_TIMEOUT).await {
             Ok(ReplyBody::Proposed(result)) => result,
             Ok(_) | Err(CallError::NotSent) => Err(ProposeError::NoLeader),
             Err(CallError::Unknown) => Err(ProposeError::Unknown),
@@ -132,20 +150,49 @@
     /// Proposes at this daemon's own replica.
     pub async fn propose_here(&self, proposal: Proposal) -> Result<Answer, ProposeError> {
         match self.control.replica() {
-            Some(replica) => replica.propose(proposal, PROPOSE_TIMEOUT).await,
+            Some(replica) => replica.propose(proposal, ATTEMPT_TIMEOUT).await,
             None => Err(ProposeError::NoLeader),
         }
     }
 
-    /// Returns the leader if known and not tried, else the next control daemon.
-    fn next_target(&self, tried: &[DaemonId]) -> Option<DaemonId> {
+    /// Returns the leader if known, then the other control daemons.
+    fn candidates(&self) -> Vec<DaemonId> {
         let leader = self.control.leader();
         let own = self.control.replica().map(|_| self.identity.daemon.clone());
         let peers = self.settings.control.peers.iter().map(|p| p.id.clone());
-        leader
-            .into_iter()
-            .chain(own)
-            .chain(peers)
-            .find(|candidate| !tried.contains(candidate))
+        leader.into_iter().chain(own).chain(peers).collect()
+    }
+}
+
+/// Which control daemons were asked in this round, and which gave no answer lately.
+#[derive(Debug, Default)]
+struct LeaderSearch {
+    asked: Vec<DaemonId>,
+    suspects: BTreeMap<DaemonId, Millis>,
+}
+
+impl LeaderSearch {
+    /// Returns the first candidate that was not asked and gave no cause for suspicion.
+    fn next(&self, candidates: &[DaemonId]) -> Option<DaemonId> {
+        let now = clock::boot_now();
+        let fit = |id: &&DaemonId| {
+            let suspected = self.suspects.get(*id).is_some_and(|until| now < *until);
+            !suspected && !self.asked.contains(id)
+        };
+        candidates.iter().find(fit).cloned()
+    }
+
+    /// Notes a replica that knows itself not to lead, or could not be reached.
+    fn pass(&mut self, id: DaemonId) {
+        self.asked.push(id);
+    }
+
+    /// Notes a replica that gave no answer.
+    fn suspect(&mut self, id: DaemonId) {
+        self.suspects.insert(id, clock::boot_now() + SUSPECT_TIME);
+    }
+
+    fn begin_round(&mut self) {
+        self.asked.clear();
     }
 }
--- a/crates/dandelion-daemon/src/metrics.rs
+++ b/crates/dandelion-daemon/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use dandelion_net::mesh::Family;
 use dandelion_protocol::ids::TeamId;
+use dandelion_protocol::time::Millis;
 use dandelion_protocol::usage::Class;
 use dandelion_telemetry::Metrics;
 use dandelion_telemetry::metrics::MetricsError;
@@ -19,6 +20,7 @@
     leased: IntGauge,
     members: IntGauge,
     upstreams: IntGauge,
+    charge: IntGauge,
     mesh_bytes: IntCounterVec,
 }
 
@@ -31,6 +33,10 @@
             leased: metrics.gauge("leased", "Whether keyed routes are served.")?,
             members: metrics.gauge("members", "Daemons known.")?,
             upstreams: metrics.gauge("owned_upstreams", "Upstreams owned.")?,
+            charge: metrics.gauge(
+                "charge_term",
+                "Term under which this daemon is in charge; 0 if it is not.",
+            )?,
             mesh_bytes: metrics.counters(
                 "mesh_sent_bytes_total",
                 "Payload bytes sent to other daemons.",
@@ -47,11 +53,12 @@
 
     /// Writes every metric in the text form of Prometheus.
     pub fn render(&self, core: &Handle) -> String {
+        self.leased.set(i64::from(core.control.is_leased()));
         let view = core.control.view();
         self.revision.set(view.revision.0 as i64);
-        self.leased.set(i64::from(core.control.is_leased()));
         self.members.set(view.members.len() as i64);
         self.upstreams.set(core.owners.records().len() as i64);
+        self.charge.set(charge_term(core));
         self.count_mesh(core);
         match self.metrics.render() {
             Ok(text) => text,
@@ -71,3 +78,9 @@
         }
     }
 }
+
+fn charge_term(core: &Handle) -> i64 {
+    let replica = core.control.replica();
+    let term = replica.and_then(|r| r.in_charge(Millis::ZERO));
+    term.map_or(0, |term| term.0 as i64)
+}
--- a/crates/dandelion-daemon/src/operator/changes.rs
+++ b/crates/dandelion-daemon/src/operator/changes.rs
@@ -35,7 +35,7 @@
 const POLL: Duration = Duration::from_millis(20);
 
 /// Longest wait for the leader's word on the spread.
-const SPREAD_TIMEOUT: Duration = Duration::from_secs(1);
+const SPREAD_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Changes the configuration.
 pub async fn configure(
--- a/crates/dandelion-daemon/src/rollouts/trainer.rs
+++ b/crates/dandelion-daemon/src/rollouts/trainer.rs
@@ -57,10 +57,10 @@
 /// Checks that the key belongs to the job's team, and reads the body.
 async fn admit(core: &Handle, request: &mut Request, path: &str) -> Result<Vec<u8>, Refusal> {
     let (job, _) = split(path)?;
+    let leased = core.control.is_leased();
     let view = core.control.view();
     let config = view.config.jobs.get(&job).ok_or_else(no_job)?;
     let secret = serve::shown_secret(request).map(str::to_owned);
-    let leased = core.control.is_leased();
     let caller = serve::identify(&view, leased, clock::wall_now(), secret.as_deref())?;
     if caller.team.as_ref() != Some(&config.team) {
         return Err(no_job());
--- a/crates/dandelion-daemon/src/serve/entry.rs
+++ b/crates/dandelion-daemon/src/serve/entry.rs
@@ -105,11 +105,11 @@
     id: dandelion_protocol::ids::RequestId,
 ) -> Result<Response, Refusal> {
     let route = prepare::route(request)?;
+    let leased = core.control.is_leased();
     let view = core.control.view();
     let service = view.config.services.get(&route.service);
     let service = service.ok_or_else(prepare::no_route)?;
     let secret = auth::shown_secret(request).map(str::to_owned);
-    let leased = core.control.is_leased();
     let wall = clock::wall_now();
     let caller = auth::authenticate(&view, leased, wall, service, secret.as_deref())?;
     let guard = core.streams.enter(caller.key.clone(), core.next_number());
--- a/crates/dandelion-load/src/cluster/http.rs
+++ b/crates/dandelion-load/src/cluster/http.rs
@@ -86,6 +86,13 @@
         self.with("authorization", &format!("Bearer {secret}"))
     }
 
+    /// Sets the longest wait for a whole answer.
+    #[must_use]
+    pub fn within(mut self, limit: Duration) -> Self {
+        self.limit = limit;
+        self
+    }
+
     /// Gets a path.
     pub async fn get(&self, to: SocketAddr, path: &str) -> Result<Answer, SendError> {
         self.send(to, "GET", path, Vec::new()).await
--- a/crates/dandelion-load/src/cluster/mod.rs
+++ b/crates/dandelion-load/src/cluster/mod.rs
@@ -1,12 +1,18 @@
 //! Daemons as child processes of the load tool, and the clients that talk to them.
 
 mod daemons;
+mod disk;
+mod gauges;
 mod http;
 mod operator;
+mod process;
 
 pub use daemons::Cluster;
 pub use daemons::ClusterConfig;
 pub use daemons::DAEMON_ARGUMENT;
+pub use disk::DiskProbe;
+pub use gauges::Gauges;
 pub use http::Answer;
 pub use http::Caller;
 pub use operator::CellOperator;
+pub use process::ProcessCost;
--- a/crates/dandelion-load/src/registry.rs
+++ b/crates/dandelion-load/src/registry.rs
@@ -4,7 +4,10 @@
 use serde_json::Value;
 
 use crate::scenarios::path;
+use crate::scenarios::races;
 use crate::scenarios::spot;
+use crate::scenarios::takeover;
+use crate::scenarios::withdraw;
 
 /// A scenario: its name, what it shows and how it is run with a seed.
 #[derive(Debug, Clone, Copy)]
@@ -29,6 +32,21 @@
         about: "model: zones of cheap upstreams vanish, stock runs out, answers are lost",
         run: spot::run,
     },
+    Scenario {
+        name: "takeover",
+        about: "processes: the control leader is killed, then suspended, under operators' changes",
+        run: takeover::run,
+    },
+    Scenario {
+        name: "races",
+        about: "processes: operators race under one revision and resend, the leader is killed",
+        run: races::run,
+    },
+    Scenario {
+        name: "withdraw",
+        about: "processes: a key is withdrawn under open streams; daemons are cut off from control",
+        run: withdraw::run,
+    },
 ];
 
 /// Finds a scenario by name.
--- /dev/null
+++ b/crates/dandelion-load/src/scenarios/takeover.rs
@@ -0,0 +1,263 @@
+//! The control leader is killed, and apart from that suspended, while operators change things.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use anyhow::Context;
+use async_std::task;
+use async_std::task::JoinHandle;
+use dandelion_fakes::platform::Platform;
+use dandelion_fakes::platform::PlatformConfig;
+use dandelion_rpc::generated as rpc;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::cluster::Caller;
+use crate::cluster::CellOperator;
+use crate::cluster::Cluster;
+use crate::cluster::ClusterConfig;
+use crate::cluster::DiskProbe;
+use crate::cluster::Gauges;
+use crate::scenarios::charge::ChargeWatch;
+
+const CONTROL: usize = 3;
+const DAEMONS: usize = 5;
+const WRITERS: usize = 4;
+const ROUNDS: usize = 3;
+const PACE: Duration = Duration::from_millis(10);
+const SUSPENDED: Duration = Duration::from_millis(4500);
+const WATCHED: Duration = Duration::from_millis(4500);
+const POLL: Duration = Duration::from_millis(20);
+
+/// Every how many changes of a writer a team of its own name is made that must stay.
+const KEPT_EVERY: u32 = 10;
+
+/// Runs the scenario.
+pub fn run(seed: u64) -> anyhow::Result<Value> {
+    task::block_on(run_takeover(seed))
+}
+
+/// What the operators were told.
+#[derive(Debug, Default)]
+struct Log {
+    accepted: Vec<(Instant, u64)>,
+    kept: BTreeSet<String>,
+    last: BTreeMap<String, u32>,
+    unanswered: u64,
+    errors: BTreeSet<String>,
+}
+
+type SharedLog = Arc<Mutex<Log>>;
+
+async fn run_takeover(seed: u64) -> anyhow::Result<Value> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let platform = Platform::bind(PlatformConfig::default()).await?;
+    let config = ClusterConfig {
+        daemons: DAEMONS,
+        platform: Some(platform.local_addr()),
+        window_s: 1,
+        ..ClusterConfig::default()
+    };
+    let mut cluster = Cluster::spawn(config).await?;
+    let stop = Arc::new(AtomicBool::new(false));
+    let log = SharedLog::default();
+    let writers = spawn_writers(&cluster, &log, &stop);
+    let watch = ChargeWatch::spawn(cluster.addresses(), CONTROL);
+    let disk = DiskProbe::spawn()?;
+    let mut killed = Vec::new();
+    let mut paused = Vec::new();
+    for _ in 0..ROUNDS {
+        settle(&mut rng).await;
+        killed.push(kill_leader(&mut cluster, &log).await?);
+        settle(&mut rng).await;
+        paused.push(pause_leader(&cluster, &log).await?);
+    }
+    stop.store(true, Ordering::SeqCst);
+    for writer in writers {
+        writer.await;
+    }
+    let watched = watch.stop().await;
+    let sync = disk.stop()?.as_secs_f64();
+    let lost = lost_changes(&cluster, &log).await?;
+    let counts = platform.counts();
+    let log = log.lock().expect("no holder of this lock panics");
+    let revisions: BTreeSet<u64> = log.accepted.iter().map(|a| a.1).collect();
+    for error in &log.errors {
+        eprintln!("takeover: {error}");
+    }
+    let mut all = [killed.clone(), paused.clone()].concat();
+    all.sort_by(f64::total_cmp);
+    Ok(json!({
+        "scenario": "takeover",
+        "kind": "processes",
+        "daemons": DAEMONS,
+        "rounds": all.len(),
+        "takeover_s_p50": all[all.len() / 2],
+        "takeover_s_max": all[all.len() - 1],
+        "disk_sync_s_max": sync,
+        "killed_s": killed,
+        "paused_s": paused,
+        "accepted": log.accepted.len(),
+        "unanswered": log.unanswered,
+        "doubled_revisions": log.accepted.len() - revisions.len(),
+        "lost_changes": lost,
+        "reverted": watched.reverted,
+        "double_leaders": watched.doubled + counts.stale_orders + counts.conflicts,
+        "terms": watched.terms,
+        "usage_windows": counts.windows,
+        "usage_conflicts": counts.conflicts,
+    }))
+}
+
+async fn settle(rng: &mut StdRng) {
+    task::sleep(Duration::from_millis(rng.random_range(800..1600))).await;
+}
+
+fn spawn_writers(
+    cluster: &Cluster,
+    log: &SharedLog,
+    stop: &Arc<AtomicBool>,
+) -> Vec<JoinHandle<()>> {
+    // Operators reach daemons that are not harmed, as behind a balancer that checks them.
+    let through: Vec<SocketAddr> = (CONTROL..DAEMONS).map(|d| cluster.http(d)).collect();
+    let spawn = |writer: usize| {
+        let mut daemons = through.clone();
+        daemons.rotate_left(writer % through.len());
+        let operator = CellOperator::new(&daemons);
+        let (log, stop) = (Arc::clone(log), Arc::clone(stop));
+        task::spawn(async move {
+            let mut number = 0;
+            while !stop.load(Ordering::SeqCst) {
+                number += 1;
+                write(&operator, &log, writer, number).await;
+                task::sleep(PACE).await;
+            }
+        })
+    };
+    (0..WRITERS).map(spawn).collect()
+}
+
+async fn write(operator: &CellOperator, log: &SharedLog, writer: usize, number: u32) {
+    let kept = number.is_multiple_of(KEPT_EVERY);
+    let id = if kept {
+        format!("kept-{writer}-{number}")
+    } else {
+        format!("writer-{writer}")
+    };
+    let request = rpc::PutTeamRequest {
+        change: operator.change(),
+        team: Some(rpc::Team {
+            id: id.clone(),
+            weight: 1,
+            max_inflight: Some(number),
+            token_rate: None,
+        }),
+    };
+    let answer = operator.client().put_team(&request).await;
+    let mut log = log.lock().expect("no holder of this lock panics");
+    match answer {
+        Ok(answer) => {
+            log.accepted.push((Instant::now(), answer.revision));
+            if kept {
+                log.kept.insert(id);
+            } else {
+                log.last.insert(id, number);
+            }
+        }
+        Err(error) => {
+            log.unanswered += 1;
+            log.errors.insert(error.to_string());
+        }
+    }
+}
+
+async fn kill_leader(cluster: &mut Cluster, log: &SharedLog) -> anyhow::Result<f64> {
+    let leader = find_leader(cluster).await?;
+    let since = Instant::now();
+    cluster.kill(leader)?;
+    task::sleep(WATCHED).await;
+    let gap = longest_gap(log, since);
+    cluster.start(leader)?;
+    cluster.wait_ready().await?;
+    Ok(gap)
+}
+
+async fn pause_leader(cluster: &Cluster, log: &SharedLog) -> anyhow::Result<f64> {
+    let leader = find_leader(cluster).await?;
+    let since = Instant::now();
+    cluster.pause(leader)?;
+    task::sleep(SUSPENDED).await;
+    let gap = longest_gap(log, since);
+    cluster.resume(leader)?;
+    cluster.wait_ready().await?;
+    Ok(gap)
+}
+
+/// Returns the longest time without an accepted change from `since` until now, in seconds.
+fn longest_gap(log: &SharedLog, since: Instant) -> f64 {
+    let log = log.lock().expect("no holder of this lock panics");
+    let times = log.accepted.iter().map(|a| a.0).filter(|at| *at > since);
+    let mut last = since;
+    let mut longest = Duration::ZERO;
+    for at in times.chain([Instant::now()]) {
+        longest = longest.max(at - last);
+        last = at;
+    }
+    longest.as_secs_f64()
+}
+
+async fn find_leader(cluster: &Cluster) -> anyhow::Result<usize> {
+    let caller = Caller::new().within(Duration::from_secs(1));
+    let until = Instant::now() + Duration::from_secs(10);
+    while Instant::now() < until {
+        for index in 0..CONTROL {
+            let gauges = Gauges::read(&caller, cluster.http(index)).await;
+            if gauges.is_ok_and(|g| g.charge > 0) {
+                return Ok(index);
+            }
+        }
+        task::sleep(POLL).await;
+    }
+    None.context("no control daemon is in charge")
+}
+
+/// Counts accepted changes that a daemon does not hold at the end.
+async fn lost_changes(cluster: &Cluster, log: &SharedLog) -> anyhow::Result<u64> {
+    let (kept, last, newest) = {
+        let log = log.lock().expect("no holder of this lock panics");
+        let newest = log.accepted.iter().map(|a| a.1).max().unwrap_or(0);
+        (log.kept.clone(), log.last.clone(), newest)
+    };
+    let mut missing = 0;
+    for address in cluster.addresses() {
+        let operator = CellOperator::new(&[address]);
+        let held = read_teams(&operator, newest).await?;
+        missing += kept.iter().filter(|id| !held.contains_key(*id)).count() as u64;
+        let behind =
+            |(id, number): &(&String, &u32)| held.get(*id).is_none_or(|held| held < number);
+        missing += last.iter().filter(behind).count() as u64;
+    }
+    Ok(missing)
+}
+
+async fn read_teams(operator: &CellOperator, newest: u64) -> anyhow::Result<BTreeMap<String, u32>> {
+    let until = Instant::now() + Duration::from_secs(5);
+    loop {
+        let answer = operator.client().list_teams(&rpc::ListRequest {}).await?;
+        if answer.revision >= newest || Instant::now() > until {
+            let teams = answer.teams.into_iter();
+            return Ok(teams.map(|t| (t.id, t.max_inflight.unwrap_or(0))).collect());
+        }
+        task::sleep(POLL).await;
+    }
+}
