Test a group restored from an export

Cause: restoring had only its files tested. The restored voter leads, holds the state and gives the first answer to a resend.

--- a/crates/dandelion-control/tests/data_folder.rs
+++ b/crates/dandelion-control/tests/data_folder.rs
@@ -2,7 +2,10 @@
 
 mod support;
 
+use dandelion_control::ControlNode;
 use dandelion_control::FileStorage;
+use dandelion_control::node::NodeAction;
+use dandelion_control::node::NodeEvent;
 use dandelion_control::raft::Entry;
 use dandelion_control::raft::GroupId;
 use dandelion_control::raft::HardState;
@@ -16,7 +19,13 @@
 use dandelion_control::storage::StorageError;
 use dandelion_control::storage::restore;
 use dandelion_protocol::ids::Term;
+use dandelion_protocol::time::Millis;
+use dandelion_protocol::time::WallMillis;
 use support::disk::SimDisk;
+use support::group::Group;
+use support::group::Shape;
+use support::tally;
+use support::tally::Tally;
 
 const FRESH: ReplicaId = ReplicaId(7);
 
@@ -190,3 +199,47 @@
     let again = restore::restore_snapshot(folder.path(), &exported, &owner, GroupId(6));
     assert!(matches!(again, Err(StorageError::NotEmpty { .. })));
 }
+
+/// An exported state goes on under a single voter of a new group, answers included.
+#[test]
+fn restored_group() {
+    let mut group = Group::start(Shape::of(3), 3);
+    assert!(group.run_until(3000, Group::is_whole));
+    let leader = group.in_charge().unwrap();
+    group.propose(leader, 1);
+    assert!(group.run_until(2000, |group| group.checks.firsts.contains_key(&1)));
+    let exported = group.node(leader).unwrap().export().unwrap();
+    let folder = tempfile::tempdir().unwrap();
+    let settings = group.slots[0].settings.clone();
+    let owner = Join {
+        replica: FRESH,
+        daemon: settings.daemon.clone(),
+        zone: settings.zone.clone(),
+    };
+    restore::restore_snapshot(folder.path(), &exported, &owner, GroupId(5)).unwrap();
+    let storage = FileStorage::open(folder.path(), FRESH).unwrap();
+    let mut node = ControlNode::open(settings, storage, Millis(0), 1).unwrap();
+    let mut answers = Vec::new();
+    for now in (0..1000).step_by(10) {
+        let ticket = now + 1;
+        let propose = NodeEvent::Propose {
+            ticket,
+            proposal: tally::count(1),
+        };
+        let events = vec![NodeEvent::Tick, propose];
+        let mut actions = Vec::new();
+        let wall = WallMillis(now);
+        node.step(Millis(now), wall, events, &mut actions).unwrap();
+        answers.extend(actions.into_iter().filter_map(|action| match action {
+            NodeAction::Answer { result, .. } => result.ok(),
+            _ => None,
+        }));
+    }
+    assert!(!answers.is_empty(), "the single voter leads");
+    assert!(
+        answers
+            .iter()
+            .all(|answer| *answer == group.checks.firsts[&1])
+    );
+    assert_eq!(node.tables().table::<Tally>().unwrap().0[&1], 1);
+}
