Tell the zone of suspects at once, sum up zones for others, release lost claims

Cause, found by reading the daemon against the routing package: notes on suspects waited up to 50 ms while callers were answered; trials did not meet at one owner; each owner enforced a team's whole limits; every daemon sent five far digests a second; a claim whose answer was lost blocked its id for the retention. Conclusion: the daemon keeps the contracts that the decisions were proved under.

--- a/crates/dandelion-daemon/src/node.rs
+++ b/crates/dandelion-daemon/src/node.rs
@@ -60,8 +60,8 @@
         answer(&self.0, from.clone(), body).boxed()
     }
 
-    async fn on_serve(&self, _from: &DaemonId, request: ServeRequest, parts: &mut PartSender) {
-        serve::serve_owned(&self.0, request, parts).await;
+    async fn on_serve(&self, from: &DaemonId, request: ServeRequest, parts: &mut PartSender) {
+        serve::serve_for(&self.0, from, request, parts).await;
     }
 }
 
--- a/crates/dandelion-daemon/src/run.rs
+++ b/crates/dandelion-daemon/src/run.rs
@@ -131,6 +131,7 @@
             metrics,
         };
         let core = Handle::new(Core::open(parts, Client::new(ClientOptions::default())));
+        core.owners.attach(core.clone());
         bind_mesh(&core).await?;
         spawn_tasks(&core, outgoing);
         let server = Server::bind(listen, limits, Api::new(core.clone())).await;
--- a/crates/dandelion-daemon/src/serve/claim.rs
+++ b/crates/dandelion-daemon/src/serve/claim.rs
@@ -37,6 +37,9 @@
 /// Attempts to record the end of a granted attempt.
 const SETTLE_TRIES: u32 = 5;
 
+/// Attempts to give a claim back whose answer was lost.
+const RELEASE_TRIES: u32 = 60;
+
 /// Delay between two attempts to record an end.
 const SETTLE_DELAY: Duration = Duration::from_millis(300);
 
@@ -54,7 +57,11 @@
         Ok(ClaimReply::Granted) => run(core, request, claim, guard).await,
         Ok(ClaimReply::Answered(answer)) => Ok(replay(&answer)),
         Ok(reply) => Err(refuse(&reply)),
-        Err(_) => Err(no_quorum()),
+        Err(_) => {
+            // The claim may have been recorded; its attempt will never run.
+            task::spawn(release(core.clone(), claim));
+            Err(no_quorum())
+        }
     }
 }
 
@@ -132,6 +139,19 @@
     })
 }
 
+/// Gives a claim back whose answer was lost. It is made again by the same attempt first, so that
+/// the first one, if it is still under way, comes to nothing afterwards.
+async fn release(core: Handle, claim: Claim) {
+    for _ in 0..RELEASE_TRIES {
+        task::sleep(SETTLE_DELAY).await;
+        match step(&core, ClaimStep::Claim(claim.clone())).await {
+            Ok(ClaimReply::Granted) => return settle(&core, &claim, ClaimResult::NotRun).await,
+            Ok(_) => return,
+            Err(_) => (),
+        }
+    }
+}
+
 async fn settle(core: &Handle, claim: &Claim, result: ClaimResult) {
     let settlement = ClaimStep::Settle {
         key: claim.key.clone(),
--- a/crates/dandelion-daemon/src/serve/entry.rs
+++ b/crates/dandelion-daemon/src/serve/entry.rs
@@ -84,6 +84,7 @@
             }
         }
         Ok(ZoneMessage::Notes(notes)) => {
+            core.entry.owners().hear_notes(now, &notes);
             for (_, shard) in core.owners.shards() {
                 shard.handle(now, QueueEvent::Notes(notes.clone()));
             }
@@ -223,7 +224,7 @@
     request: &ServeRequest,
     guard: &StreamGuard,
 ) -> Result<AnswerHead, Refusal> {
-    let owner = pick(core, request)?;
+    let owner = pick(core, request, true)?;
     let mesh = core.mesh().ok_or_else(no_upstream)?;
     let place = OwnerPlace::take(core, &owner, &request.service);
     let stream = mesh.serve(&owner, request.clone()).map_err(lost_owner)?;
@@ -232,7 +233,7 @@
 
 /// Opens an answer stream of this daemon's own request, without waiting for its head.
 pub fn open(core: &Handle, request: &ServeRequest) -> Result<ServeStream, Refusal> {
-    let owner = pick(core, request)?;
+    let owner = pick(core, request, true)?;
     let mesh = core.mesh().ok_or_else(no_upstream)?;
     mesh.serve(&owner, request.clone()).map_err(lost_owner)
 }
@@ -267,18 +268,18 @@
     }
 }
 
-fn pick(core: &Handle, request: &ServeRequest) -> Result<DaemonId, Refusal> {
+/// Chooses an owner; `may_spill` allows another zone.
+pub fn pick(core: &Handle, request: &ServeRequest, may_spill: bool) -> Result<DaemonId, Refusal> {
+    let owners = core.entry.owners();
     let wanted = Wanted {
         service: &request.service,
         prefix: Some(PrefixHash::of(&request.body)),
-        suspect: None,
-        may_spill: true,
+        suspect: owners.suspect(prepare::fingerprint(request)),
+        may_spill,
     };
-    let choice = core
-        .entry
-        .owners()
-        .pick_owner(clock::boot_now(), &wanted, &mut rand::rng())
-        .ok_or_else(no_upstream)?;
+    let choice = owners.pick_owner(clock::boot_now(), &wanted, &mut rand::rng());
+    drop(owners);
+    let choice = choice.ok_or_else(no_upstream)?;
     let Choice { owner, reason } = choice;
     core.decided(
         request.id,
--- a/crates/dandelion-daemon/src/serve/exchange.rs
+++ b/crates/dandelion-daemon/src/serve/exchange.rs
@@ -112,7 +112,11 @@
     /// is gone.
     async fn run(&mut self, request: &ServeRequest, parts: &mut PartSender) -> Option<Refusal> {
         match self.verdicts.recv().await {
-            Ok(Verdict::Dispatch { upstream, boot }) => {
+            Ok(Verdict::Dispatch {
+                upstream,
+                boot,
+                alone,
+            }) => {
                 let now = clock::boot_now();
                 self.began = Some(now);
                 self.metrics.queued(now.since(self.arrived));
@@ -120,7 +124,7 @@
                     request.id,
                     Decision::Dispatched {
                         upstream: upstream.clone(),
-                        alone: false,
+                        alone,
                     },
                 );
                 self.attempt(request, &upstream, boot, parts).await
--- a/crates/dandelion-daemon/src/serve/owners.rs
+++ b/crates/dandelion-daemon/src/serve/owners.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::sync::RwLock;
 
 use dandelion_protocol::config::Config;
@@ -17,6 +18,7 @@
 use dandelion_route::registry::Record;
 use dandelion_route::registry::Registry;
 
+use crate::core::Handle;
 use crate::serve::shard::Shard;
 
 /// Full share of a service's slots, in thousandths.
@@ -25,11 +27,17 @@
 /// Owned upstreams and their queues.
 #[derive(Debug, Default)]
 pub struct Owners {
+    core: OnceLock<Handle>,
     registry: Mutex<Registry>,
     shards: RwLock<BTreeMap<ServiceId, Arc<Shard>>>,
 }
 
 impl Owners {
+    /// Attaches the shared state, of which this is a part; only the first call has an effect.
+    pub fn attach(&self, core: Handle) {
+        let _first = self.core.set(core);
+    }
+
     /// Returns the queue of a service, opening it if needed.
     pub fn shard(&self, service: &ServiceId) -> Arc<Shard> {
         let known = self.shards.read().expect("no holder of this lock panics");
@@ -40,7 +48,7 @@
         let mut shards = self.shards.write().expect("no holder of this lock panics");
         let shard = shards
             .entry(service.clone())
-            .or_insert_with(|| Arc::new(Shard::open(service)));
+            .or_insert_with(|| Arc::new(Shard::open(service, self.core.get().cloned())));
         Arc::clone(shard)
     }
 
@@ -67,11 +75,20 @@
     pub fn set_config(&self, now: Millis, config: &Config) {
         let changes = self.with_services(|registry| registry.set_drains(&config.drains));
         self.feed(now, changes);
-        for (_, shard) in self.shards() {
-            shard.set_config(now, config, FULL_SHARE);
+        for (service, shard) in self.shards() {
+            shard.set_config(now, config, self.share(now, &service));
         }
     }
 
+    /// Returns this owner's part of a service's slots, and so of the teams' limits on it.
+    fn share(&self, now: Millis, service: &ServiceId) -> u32 {
+        let own = |core: &Handle| {
+            let owners = core.entry.owners();
+            owners.share(now, service, &core.identity.daemon)
+        };
+        self.core.get().map_or(FULL_SHARE, own)
+    }
+
     /// Lets time pass for all upstreams and queues.
     pub fn tick(&self, now: Millis) {
         let changes = self.with_services(|registry| registry.tick(now));
--- a/crates/dandelion-daemon/src/serve/prepare.rs
+++ b/crates/dandelion-daemon/src/serve/prepare.rs
@@ -151,6 +151,17 @@
     headers
 }
 
+/// Returns the identity of a request's content.
+pub fn fingerprint(request: &ServeRequest) -> Fingerprint {
+    Fingerprint::of(
+        request.team.as_ref(),
+        &request.service,
+        &request.method,
+        &request.path,
+        &request.body,
+    )
+}
+
 /// Describes a request to the owner's queue.
 pub fn arrival(ticket: Ticket, now: Millis, request: &ServeRequest) -> Arrival {
     let work = Work {
@@ -163,13 +174,7 @@
         class: request.class,
         work,
         deadline: now + request.timeout,
-        fingerprint: Fingerprint::of(
-            request.team.as_ref(),
-            &request.service,
-            &request.method,
-            &request.path,
-            &request.body,
-        ),
+        fingerprint: fingerprint(request),
         prefix: Some(PrefixHash::of(&request.body)),
         resumable: request.class == Class::Rollout,
     }
--- a/crates/dandelion-daemon/src/serve/shard.rs
+++ b/crates/dandelion-daemon/src/serve/shard.rs
@@ -16,7 +16,6 @@
 use dandelion_protocol::outcome::Refusal;
 use dandelion_protocol::time::Millis;
 use dandelion_protocol::usage::Class;
-use dandelion_route::poison::SuspectNote;
 use dandelion_route::queue::Action;
 use dandelion_route::queue::Arrival;
 use dandelion_route::queue::Finish;
@@ -27,6 +26,9 @@
 use dandelion_route::ticket::Ticket;
 use dandelion_route::ticket::Work;
 
+use crate::core::Handle;
+use crate::zone;
+
 /// Verdicts that may wait for one request.
 const VERDICTS: usize = 4;
 
@@ -39,6 +41,8 @@
         upstream: UpstreamId,
         /// Life for which the dispatch holds.
         boot: Incarnation,
+        /// Whether it runs in isolation.
+        alone: bool,
     },
     /// Answer the caller with this refusal.
     Refuse(Refusal),
@@ -53,8 +57,6 @@
 /// What the queue wants the daemon to tell others.
 #[derive(Debug, Default)]
 pub struct Outbox {
-    /// Notes on suspects, for the daemons of the zone.
-    pub notes: Vec<SuspectNote>,
     /// Fingerprints to block everywhere.
     pub blocks: Vec<Fingerprint>,
     /// Upstreams that left the rotation for a while.
@@ -64,7 +66,7 @@
 impl Outbox {
     /// Returns whether there is nothing to tell.
     pub fn is_empty(&self) -> bool {
-        self.notes.is_empty() && self.blocks.is_empty() && self.ejected.is_empty()
+        self.blocks.is_empty() && self.ejected.is_empty()
     }
 }
 
@@ -73,6 +75,7 @@
     queue: OwnerQueue,
     waiters: BTreeMap<Ticket, Sender<Verdict>>,
     outbox: Outbox,
+    core: Option<Handle>,
 }
 
 /// Queue of one service under its own lock.
@@ -84,13 +87,14 @@
 }
 
 impl Shard {
-    /// Opens the empty queue of `service`.
-    pub fn open(service: &ServiceId) -> Self {
+    /// Opens the empty queue of `service`; notes on suspects go out through `core`.
+    pub fn open(service: &ServiceId, core: Option<Handle>) -> Self {
         let queue = OwnerQueue::open(QueueSettings::new(service.clone()));
         let state = State {
             queue,
             waiters: BTreeMap::new(),
             outbox: Outbox::default(),
+            core,
         };
         Self {
             state: Mutex::new(state),
@@ -193,9 +197,14 @@
                 ticket,
                 upstream,
                 boot,
-                ..
+                alone,
             } => {
-                self.tell(ticket, Verdict::Dispatch { upstream, boot });
+                let verdict = Verdict::Dispatch {
+                    upstream,
+                    boot,
+                    alone,
+                };
+                self.tell(ticket, verdict);
             }
             Action::Refuse { ticket, refusal } => {
                 self.tell(ticket, Verdict::Refuse(refusal));
@@ -208,7 +217,12 @@
                 self.waiters.remove(&ticket);
             }
             Action::Ejected { upstream, .. } => self.outbox.ejected.push(upstream),
-            Action::Note(note) => self.outbox.notes.push(note),
+            // Sent at once, so that no caller is answered before the zone knows.
+            Action::Note(note) => {
+                if let Some(core) = &self.core {
+                    zone::send_note(core, note);
+                }
+            }
             Action::Block(fingerprint) => self.outbox.blocks.push(fingerprint),
         }
     }
--- /dev/null
+++ b/crates/dandelion-daemon/src/serve/spill.rs
@@ -0,0 +1,74 @@
+//! Requests that another zone sent here because it has no upstream or is full.
+
+use dandelion_net::mesh::PartSender;
+use dandelion_net::mesh::ServeStream;
+use dandelion_protocol::ids::DaemonId;
+use dandelion_protocol::mesh::ServePart;
+use dandelion_protocol::mesh::ServeRequest;
+use dandelion_protocol::outcome::Ran;
+use dandelion_protocol::outcome::Refusal;
+use dandelion_protocol::outcome::RefusalCode;
+
+use crate::core::Handle;
+use crate::serve::entry;
+use crate::serve::exchange;
+
+/// Serves a request of another daemon: here if it is of the own zone, else at an owner of this
+/// zone, never in a third one.
+pub async fn serve_for(
+    core: &Handle,
+    from: &DaemonId,
+    request: ServeRequest,
+    parts: &mut PartSender,
+) {
+    let view = core.control.view();
+    let far = view
+        .member(from)
+        .is_some_and(|m| m.zone != core.identity.zone);
+    if !far {
+        return exchange::serve_owned(core, request, parts).await;
+    }
+    match entry::pick(core, &request, false) {
+        Ok(owner) if owner == core.identity.daemon => {
+            exchange::serve_owned(core, request, parts).await;
+        }
+        Ok(owner) => pass_on(core, &owner, request, parts).await,
+        Err(refusal) => {
+            // A receiver that is gone needs no refusal.
+            let _gone = parts.send(ServePart::Failed(refusal)).await;
+        }
+    }
+}
+
+async fn pass_on(core: &Handle, owner: &DaemonId, request: ServeRequest, parts: &mut PartSender) {
+    let opened = core.mesh().map(|mesh| mesh.serve(owner, request));
+    let last = match opened {
+        Some(Ok(stream)) => relay(stream, parts).await,
+        Some(Err(_)) | None => Some(lost(Ran::NotRun)),
+    };
+    if let Some(refusal) = last {
+        let _gone = parts.send(ServePart::Failed(refusal)).await;
+    }
+}
+
+/// Passes parts on to their end; returns the refusal to send if the stream was lost.
+async fn relay(mut stream: ServeStream, parts: &mut PartSender) -> Option<Refusal> {
+    loop {
+        let Ok(part) = stream.next().await else {
+            return Some(lost(Ran::Unknown));
+        };
+        let ends = matches!(part, ServePart::End { .. } | ServePart::Failed(_));
+        if parts.send(part).await.is_err() || ends {
+            return None;
+        }
+    }
+}
+
+fn lost(ran: Ran) -> Refusal {
+    Refusal::not_run(
+        RefusalCode::UpstreamFailed,
+        "the daemon that owns the upstream was lost",
+        "send the request again if it may run twice",
+    )
+    .with_ran(ran)
+}
--- a/crates/dandelion-daemon/src/zone.rs
+++ b/crates/dandelion-daemon/src/zone.rs
@@ -11,10 +11,14 @@
 use dandelion_protocol::ids::DaemonId;
 use dandelion_protocol::ids::ServiceId;
 use dandelion_protocol::mesh::MeshMessage;
+use dandelion_protocol::time::Millis;
 use dandelion_route::digest::DigestSchedule;
+use dandelion_route::digest::FAR_EVERY;
 use dandelion_route::digest::OwnerDigest;
 use dandelion_route::digest::ServiceDigest;
 use dandelion_route::digest::ZoneMessage;
+use dandelion_route::digest::far_senders;
+use dandelion_route::poison::SuspectNote;
 use dandelion_route::ticket::Fingerprint;
 use dandelion_telemetry::Event;
 use dandelion_telemetry::event;
@@ -25,26 +29,39 @@
 /// Time between two ticks of the queues.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Daemons up to which a cell counts as small.
+const SMALL_CELL: usize = 64;
+
+/// Time between two digests to other zones in a small cell.
+const SMALL_FAR_PERIOD: Millis = Millis::from_secs(1);
+
 /// Ticks between two digests.
 const DIGEST_TICKS: u64 = 10;
 
 /// Ticks the queues and sends digests until the process ends.
 pub async fn run_zone(core: Handle) {
     let mut near = DigestSchedule::default();
-    let mut far = DigestSchedule::default();
+    let mut far_sent = Millis::ZERO;
     let mut ticks = 0;
     loop {
         task::sleep(TICK).await;
         ticks += 1;
         core.owners.tick(clock::boot_now());
         tell(&core);
-        if ticks % DIGEST_TICKS == 0 {
-            send_digests(&core, ticks, &mut near, &mut far);
+        if ticks % DIGEST_TICKS != 0 {
+            continue;
+        }
+        send_near(&core, ticks, &mut near);
+        let now = clock::boot_now();
+        if now.since(far_sent) >= far_period(&core) {
+            far_sent = now;
+            send_far(&core, ticks);
         }
     }
 }
 
-fn send_digests(core: &Handle, sequence: u64, near: &mut DigestSchedule, far: &mut DigestSchedule) {
+/// Tells daemons of the own zone, this one first, what this owner has.
+fn send_near(core: &Handle, sequence: u64, schedule: &mut DigestSchedule) {
     let digest = digest(core, sequence);
     let own = &core.identity;
     let now = clock::boot_now();
@@ -57,10 +74,41 @@
     let view = core.control.view();
     let in_zone = |m: &&Member| m.zone == own.zone && m.id != own.daemon;
     let peers: Vec<&Member> = view.members.iter().filter(in_zone).collect();
-    let others: Vec<&Member> = view.members.iter().filter(|m| m.zone != own.zone).collect();
-    for (schedule, members) in [(near, peers), (far, others)] {
-        for index in schedule.due(now, members.len()) {
-            send(core, &members[index].id, bytes.clone());
+    for index in schedule.due(now, peers.len()) {
+        send(core, &peers[index].id, bytes.clone());
+    }
+}
+
+/// In a small cell, other zones are told more often.
+fn far_period(core: &Handle) -> Millis {
+    if core.control.view().members.len() <= SMALL_CELL {
+        SMALL_FAR_PERIOD
+    } else {
+        FAR_EVERY
+    }
+}
+
+/// Tells those daemons of other zones that this one is to tell what the own zone has in all.
+fn send_far(core: &Handle, sequence: u64) {
+    let own = &core.identity;
+    let now = clock::boot_now();
+    let digest = core
+        .entry
+        .owners()
+        .zone_digest(now, own.incarnation, sequence);
+    let Ok(bytes) = codec::encode(&ZoneMessage::Digest(digest)) else {
+        return;
+    };
+    let view = core.control.view();
+    let near = || {
+        view.members
+            .iter()
+            .filter(|m| m.zone == own.zone && !m.leaving)
+    };
+    for member in view.members.iter().filter(|m| m.zone != own.zone) {
+        let senders = far_senders(&member.id, near().map(|m| &m.id));
+        if senders.contains(&&own.daemon) {
+            send(core, &member.id, bytes.clone());
         }
     }
 }
@@ -103,17 +151,24 @@
     for fingerprint in outbox.blocks {
         task::spawn(block(core.clone(), fingerprint));
     }
-    if outbox.notes.is_empty() {
-        return;
-    }
-    event!(Event::PoisonSuspected, requests = outbox.notes.len());
-    let Ok(bytes) = codec::encode(&ZoneMessage::Notes(outbox.notes)) else {
+}
+
+/// Tells the daemons of the zone, this one included, of a suspect.
+pub fn send_note(core: &Handle, note: SuspectNote) {
+    let fingerprint = note.fingerprint.0;
+    event!(
+        Event::PoisonSuspected,
+        fingerprint = format!("{fingerprint:016x}")
+    );
+    let notes = vec![note];
+    core.entry.owners().hear_notes(clock::boot_now(), &notes);
+    let Ok(bytes) = codec::encode(&ZoneMessage::Notes(notes)) else {
         return;
     };
     let view = core.control.view();
     let own = &core.identity;
     let peers = view.members.iter().filter(|m| m.zone == own.zone);
-    for member in peers {
+    for member in peers.filter(|m| m.id != own.daemon) {
         send(core, &member.id, bytes.clone());
     }
 }
