--- a/crates/dandelion-control/tests/support/group.rs
+++ b/crates/dandelion-control/tests/support/group.rs
@@ -40,6 +40,7 @@
     pub fault: Option<Fault>,
     pub skip_sync: bool,
     pub compact_bytes: u64,
+    pub timing: Timing,
     /// Most by which clocks run fast or slow.
     pub drift_ppm: i64,
     /// Weather in place of a drawn one.
@@ -54,6 +55,7 @@
             fault: None,
             skip_sync: false,
             compact_bytes: 4096,
+            timing: quick_timing(),
             drift_ppm: 9_900,
             weather: None,
         }
@@ -99,7 +101,7 @@
             let zone = format!("zone-{}", number % 3).parse().unwrap();
             let mut settings = NodeSettings::new(name(number), zone, peers.clone());
             settings.voters = shape.control;
-            settings.timing = quick_timing();
+            settings.timing = shape.timing;
             settings.compact_bytes = shape.compact_bytes;
             settings.fault = shape.fault;
             let disk = (number < shape.control).then(|| SimDisk::new(seed + number as u64));
--- a/crates/dandelion-control/tests/takeover.rs
+++ b/crates/dandelion-control/tests/takeover.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use dandelion_control::Timing;
 use dandelion_control::node::NodeEvent;
 use dandelion_control::raft::ChangeError;
 use dandelion_control::raft::VoterChange;
@@ -294,3 +295,42 @@
         assert_eq!(lost, None, "step {step}");
     }
 }
+
+/// With the production periods, a killed or paused leader is replaced, and a change answered,
+/// within 3 s of simulated time.
+#[test]
+fn takeover_bound() {
+    let mut spans = Vec::new();
+    for seed in 0..200 {
+        let mut shape = Shape::of(3 + 2 * (seed as usize % 2));
+        shape.timing = Timing::default();
+        let mut group = Group::start(shape, seed);
+        assert!(group.run_until(8000, Group::is_whole));
+        group.run(seed * 7 % 500);
+        let Some(old) = group.in_charge() else {
+            continue;
+        };
+        if seed % 4 < 2 {
+            group.slots[old].kill(u64::MAX);
+        } else {
+            group.slots[old].paused = u64::MAX;
+        }
+        let begun = group.now;
+        while group.checks.firsts.is_empty() && group.now < begun + 10_000 {
+            let next = group.in_charge().filter(|number| *number != old);
+            if let Some(next) = next {
+                group.propose(next, 1);
+            }
+            group.step();
+        }
+        spans.push(group.now - begun);
+        assert_sound(&group);
+    }
+    spans.sort_unstable();
+    let (middle, last) = (spans[spans.len() / 2], spans[spans.len() - 1]);
+    println!(
+        "takeover of {}: median {middle} ms, longest {last} ms",
+        spans.len()
+    );
+    assert!(spans.len() >= 190 && last <= 3000, "{spans:?}");
+}
