Hand the leadership over on a planned stop

Cause: a leader that stops left its group without one until its lease had run out. It now gives the lease up and asks an up-to-date voter to call an election at once. Ruled out: waiting in the stopping daemon; lets all changes fail for as long. Conclusion: takeover without waiting on planned stops.

--- a/crates/dandelion-control/src/node/control.rs
+++ b/crates/dandelion-control/src/node/control.rs
@@ -144,6 +144,9 @@
             NodeEvent::Propose { ticket, proposal } => {
                 self.on_propose(wall, ticket, proposal, actions);
             }
+            NodeEvent::Resign => {
+                self.replica.resign(now);
+            }
             NodeEvent::ChangeVoters { ticket, change } => {
                 self.on_change(now, ticket, change, actions);
             }
--- a/crates/dandelion-control/src/node/event.rs
+++ b/crates/dandelion-control/src/node/event.rs
@@ -77,6 +77,10 @@
         /// The change.
         proposal: Proposal,
     },
+    /// This daemon is about to stop: it hands the leadership over if it can. Repeat it until
+    /// [`NodeAction::Follow`] comes. All outside acts must have ended before the first one: the
+    /// next leader does not wait for the lease of this one.
+    Resign,
     /// An operator changes the voters.
     ChangeVoters {
         /// Names the change in the answer.
--- a/crates/dandelion-control/src/raft/election.rs
+++ b/crates/dandelion-control/src/raft/election.rs
@@ -58,7 +58,7 @@
         self.leader = None;
         self.votes = BTreeMap::from([(self.id, true)]);
         if self.has_won() {
-            self.start_election(now);
+            self.start_election(now, false);
             return;
         }
         let last = self.log.last();
@@ -73,7 +73,7 @@
         Millis(spread / 2 + self.rng.random_range(0..=spread / 2))
     }
 
-    fn start_election(&mut self, now: Millis) {
+    fn start_election(&mut self, now: Millis, handover: bool) {
         self.role = Role::Candidate;
         self.leader = None;
         self.hard = HardState {
@@ -89,7 +89,7 @@
         }
         let last = self.log.last();
         for id in self.other_voters() {
-            self.send(id, Body::Vote { last });
+            self.send(id, Body::Vote { last, handover });
         }
     }
 
@@ -132,12 +132,21 @@
         }
         self.votes.insert(from, true);
         if self.has_won() {
-            self.start_election(now);
+            self.start_election(now, false);
         }
     }
 
-    pub(super) fn on_vote(&mut self, now: Millis, from: ReplicaId, term: Term, last: Position) {
-        if self.is_promised(now) {
+    pub(super) fn on_vote(
+        &mut self,
+        now: Millis,
+        from: ReplicaId,
+        term: Term,
+        last: Position,
+        handover: bool,
+    ) {
+        // A promise to a leader of an earlier term is void once that leader has given it up.
+        let released = handover && term > self.hard.term;
+        if self.is_promised(now) && !released {
             return;
         }
         if term > self.hard.term {
@@ -154,6 +163,30 @@
         self.send(from, Body::VoteReply { granted });
     }
 
+    /// Gives the leadership up in favour of a voter that holds everything. Returns whether it did;
+    /// it doesn't while entries are uncommitted or no other voter is up to date.
+    pub fn resign(&mut self, now: Millis) -> bool {
+        let last = self.log.last().index;
+        if self.leads().is_none() || self.commit < last {
+            return false;
+        }
+        let ready = |id: &ReplicaId| self.is_alive(now, *id) && self.lag(*id) == 0;
+        let Some(next) = self.other_voters().into_iter().find(ready) else {
+            return false;
+        };
+        self.send(next, Body::Handover);
+        let term = self.hard.term;
+        self.follow(now, term);
+        true
+    }
+
+    pub(super) fn on_handover(&mut self, now: Millis) {
+        let follows = self.role != Role::Leader && self.membership().is_voter(self.id);
+        if follows {
+            self.start_election(now, true);
+        }
+    }
+
     pub(super) fn on_vote_reply(&mut self, now: Millis, from: ReplicaId, granted: bool) {
         if self.role != Role::Candidate {
             return;
--- a/crates/dandelion-control/src/raft/message.rs
+++ b/crates/dandelion-control/src/raft/message.rs
@@ -92,7 +92,13 @@
         /// End of the candidate's log.
         #[serde(rename = "l")]
         last: Position,
+        /// Whether the leader of the term before has given its lease up.
+        #[serde(rename = "h", default, skip_serializing_if = "std::ops::Not::not")]
+        handover: bool,
     },
+    /// The leader has given its lease up and asks the receiver to lead.
+    #[serde(rename = "h")]
+    Handover,
     /// Answer to `Vote`.
     #[serde(rename = "w")]
     VoteReply {
--- a/crates/dandelion-control/src/raft/replica.rs
+++ b/crates/dandelion-control/src/raft/replica.rs
@@ -275,7 +275,9 @@
         let from = envelope.from;
         match envelope.body {
             Body::PreVote { last } => self.on_pre_vote(now, from, envelope.term, last),
-            Body::Vote { last } => self.on_vote(now, from, envelope.term, last),
+            Body::Vote { last, handover } => {
+                self.on_vote(now, from, envelope.term, last, handover);
+            }
             Body::PreVoteReply { granted } => {
                 self.on_pre_vote_reply(now, from, envelope.term, granted);
             }
@@ -339,6 +341,7 @@
             Body::ChunkReply { at, offset, sent } => {
                 self.on_chunk_reply(now, from, at, offset, sent);
             }
+            Body::Handover => self.on_handover(now),
             Body::PreVote { .. } | Body::PreVoteReply { .. } | Body::Vote { .. } => {}
         }
     }
--- a/crates/dandelion-control/tests/support/schedule.rs
+++ b/crates/dandelion-control/tests/support/schedule.rs
@@ -1,5 +1,6 @@
 //! Random schedules of faults, proposals and resends.
 
+use dandelion_control::node::NodeEvent;
 use rand::Rng;
 
 use crate::support::group::Group;
@@ -64,6 +65,7 @@
                 disk.light_fuse(operations);
             }
         }
+        23..26 => group.event(number, NodeEvent::Resign),
         22 if !*wiped => {
             *wiped = true;
             group.slots[number].kill(now + 50);
--- a/crates/dandelion-control/tests/takeover.rs
+++ b/crates/dandelion-control/tests/takeover.rs
@@ -334,3 +334,23 @@
     );
     assert!(spans.len() >= 190 && last <= 3000, "{spans:?}");
 }
+
+/// A leader that is about to stop hands over at once, long before its lease would have run out.
+#[test]
+fn planned_stop() {
+    for seed in 0..50 {
+        let mut group = whole(Shape::of(3), seed);
+        group.run(200);
+        let old = group.in_charge().unwrap();
+        let begun = group.now;
+        let next = |group: &Group| group.in_charge().is_some_and(|number| number != old);
+        while !next(&group) && group.now < begun + 1000 {
+            group.event(old, NodeEvent::Resign);
+            group.step();
+        }
+        let promise = Shape::of(3).timing.promise.0;
+        assert!(group.now - begun < promise, "{} ms", group.now - begun);
+        change(&mut group, 1);
+        assert_sound(&group);
+    }
+}
