--- a/crates/dandelion-control/tests/takeover.rs
+++ b/crates/dandelion-control/tests/takeover.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use dandelion_control::Timing;
 use dandelion_control::node::NodeEvent;
 use dandelion_control::raft::ChangeError;
 use dandelion_control::raft::VoterChange;
@@ -294,3 +295,62 @@
         assert_eq!(lost, None, "step {step}");
     }
 }
+
+/// With the production periods, a killed or paused leader is replaced, and a change answered,
+/// within 3 s of simulated time.
+#[test]
+fn takeover_bound() {
+    let mut spans = Vec::new();
+    for seed in 0..200 {
+        let mut shape = Shape::of(3 + 2 * (seed as usize % 2));
+        shape.timing = Timing::default();
+        let mut group = Group::start(shape, seed);
+        assert!(group.run_until(8000, Group::is_whole));
+        group.run(seed * 7 % 500);
+        let Some(old) = group.in_charge() else {
+            continue;
+        };
+        if seed % 4 < 2 {
+            group.slots[old].kill(u64::MAX);
+        } else {
+            group.slots[old].paused = u64::MAX;
+        }
+        let begun = group.now;
+        while group.checks.firsts.is_empty() && group.now < begun + 10_000 {
+            let next = group.in_charge().filter(|number| *number != old);
+            if let Some(next) = next {
+                group.propose(next, 1);
+            }
+            group.step();
+        }
+        spans.push(group.now - begun);
+        assert_sound(&group);
+    }
+    spans.sort_unstable();
+    let (middle, last) = (spans[spans.len() / 2], spans[spans.len() - 1]);
+    println!(
+        "takeover of {}: median {middle} ms, longest {last} ms",
+        spans.len()
+    );
+    assert!(spans.len() >= 190 && last <= 3000, "{spans:?}");
+}
+
+/// A leader that is about to stop hands over at once, long before its lease would have run out.
+#[test]
+fn planned_stop() {
+    for seed in 0..50 {
+        let mut group = whole(Shape::of(3), seed);
+        group.run(200);
+        let old = group.in_charge().unwrap();
+        let begun = group.now;
+        let next = |group: &Group| group.in_charge().is_some_and(|number| number != old);
+        while !next(&group) && group.now < begun + 1000 {
+            group.event(old, NodeEvent::Resign);
+            group.step();
+        }
+        let promise = Shape::of(3).timing.promise.0;
+        assert!(group.now - begun < promise, "{} ms", group.now - begun);
+        change(&mut group, 1);
+        assert_sound(&group);
+    }
+}
