Let a conflict answer cross the mesh; race, withdraw, spread and slope scenarios

Cause: Rejection was an internally tagged enum; serde reads such enums through a buffer that holds no 128-bit number, so an answer that names the winning request did not decode. Before: the races scenario did not end within 60 s (two runs); conflict_answer and reused_id fail with the tag put back. Ruled out: the proposal's own encoding; it is a plain structure. The test cell keeps its ports bound until a daemon takes them; 54 daemons met a port in use.

--- a/crates/dandelion-load/src/cluster/daemons.rs
+++ b/crates/dandelion-load/src/cluster/daemons.rs
@@ -70,6 +70,8 @@
     mesh: SocketAddr,
     folder: Option<PathBuf>,
     child: Option<Child>,
+    /// Keeps the addresses from others until the daemon is started.
+    reserved: Vec<TcpListener>,
 }
 
 /// Running daemon processes; they are killed when it is dropped.
@@ -94,13 +96,15 @@
         let mut processes = Vec::new();
         for index in 0..config.daemons {
             let data = (index < config.control).then(|| folder.path().join(format!("d{index}")));
+            let (http, mesh) = (reserve()?, reserve()?);
             processes.push(Process {
                 name: format!("d{index}"),
                 zone: format!("z{}", index % config.zones),
-                http: free_address()?,
-                mesh: free_address()?,
+                http: http.local_addr()?,
+                mesh: mesh.local_addr()?,
                 folder: data,
                 child: None,
+                reserved: vec![http, mesh],
             });
         }
         let mut cluster = Self {
@@ -125,6 +129,11 @@
         self.processes.is_empty()
     }
 
+    /// Returns the number of control daemons, which come first.
+    pub fn control(&self) -> usize {
+        self.config.control
+    }
+
     /// Returns a daemon's address for callers.
     pub fn http(&self, index: usize) -> SocketAddr {
         self.processes[index].http
@@ -171,6 +180,7 @@
             .create(true)
             .append(true)
             .open(self.folder.path().join(format!("d{index}.log")))?;
+        self.processes[index].reserved.clear();
         let child = Command::new(std::env::current_exe()?)
             .arg(DAEMON_ARGUMENT)
             .args(arguments)
@@ -310,7 +320,6 @@
     }
 }
 
-fn free_address() -> anyhow::Result<SocketAddr> {
-    let listener = TcpListener::bind(("127.0.0.1", 0))?;
-    Ok(listener.local_addr()?)
+fn reserve() -> std::io::Result<TcpListener> {
+    TcpListener::bind(("127.0.0.1", 0))
 }
--- a/crates/dandelion-load/src/cluster/mod.rs
+++ b/crates/dandelion-load/src/cluster/mod.rs
@@ -4,6 +4,7 @@
 mod disk;
 mod gauges;
 mod http;
+mod idle;
 mod operator;
 mod process;
 
@@ -14,5 +15,8 @@
 pub use gauges::Gauges;
 pub use http::Answer;
 pub use http::Caller;
+pub use idle::ControlRole;
+pub use idle::IdleCost;
+pub use idle::measure_idle;
 pub use operator::CellOperator;
 pub use process::ProcessCost;
--- a/crates/dandelion-load/src/lib.rs
+++ b/crates/dandelion-load/src/lib.rs
@@ -1,6 +1,7 @@
 //! Scenarios that load the system or its models and print what they measured.
 
 pub mod cluster;
+pub mod fit;
 pub mod options;
 pub mod registry;
 pub mod scenarios;
--- a/crates/dandelion-load/src/registry.rs
+++ b/crates/dandelion-load/src/registry.rs
@@ -5,7 +5,9 @@
 
 use crate::scenarios::path;
 use crate::scenarios::races;
+use crate::scenarios::slope;
 use crate::scenarios::spot;
+use crate::scenarios::spread;
 use crate::scenarios::takeover;
 use crate::scenarios::withdraw;
 
@@ -47,6 +49,16 @@
         about: "processes: a key is withdrawn under open streams; daemons are cut off from control",
         run: withdraw::run,
     },
+    Scenario {
+        name: "spread",
+        about: "processes: time until a change is in force at every daemon, at three sizes",
+        run: spread::run,
+    },
+    Scenario {
+        name: "slope",
+        about: "processes: what idle daemons spend on control at four sizes, with fitted slopes",
+        run: slope::run,
+    },
 ];
 
 /// Finds a scenario by name.
--- a/crates/dandelion-load/src/scenarios/mod.rs
+++ b/crates/dandelion-load/src/scenarios/mod.rs
@@ -3,6 +3,8 @@
 pub mod charge;
 pub mod path;
 pub mod races;
+pub mod slope;
 pub mod spot;
+pub mod spread;
 pub mod takeover;
 pub mod withdraw;
--- a/crates/dandelion-protocol/src/control.rs
+++ b/crates/dandelion-protocol/src/control.rs
@@ -30,8 +30,11 @@
 }
 
 /// Why a proposal took no effect. All variants are deterministic results of the log.
+///
+/// It has no inner tag: serde reads a tagged enum through a buffer that holds no 128-bit numbers,
+/// and so no request id.
 #[derive(Debug, Clone, Error, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case", tag = "kind")]
+#[serde(rename_all = "snake_case")]
 pub enum Rejection {
     /// The table moved on since the author read it.
     #[error(
