--- a/crates/dandelion-load/src/scenarios/mod.rs
+++ b/crates/dandelion-load/src/scenarios/mod.rs
@@ -4,6 +4,8 @@
 pub mod path;
 pub mod races;
 pub mod rollout;
+pub mod slope;
 pub mod spot;
+pub mod spread;
 pub mod takeover;
 pub mod withdraw;
