Add the overhead and once scenarios over daemon processes

Cause: nothing measured what a daemon adds, or provoked doubled runs through real processes. Ruled out: timing in the daemon itself, which leaves sockets and scheduling out.

--- a/crates/dandelion-fakes/src/plain.rs
+++ b/crates/dandelion-fakes/src/plain.rs
@@ -99,6 +99,12 @@
         lock(&self.state.runs).get(key).copied().unwrap_or(0)
     }
 
+    /// Returns the idempotency keys that ran.
+    pub fn keys(&self) -> Vec<String> {
+        let runs = lock(&self.state.runs);
+        runs.keys().filter(|key| !key.is_empty()).cloned().collect()
+    }
+
     /// Counts the keys that ran more than once.
     pub fn doubled(&self) -> usize {
         let runs = lock(&self.state.runs);
--- a/crates/dandelion-load/src/cluster/http.rs
+++ b/crates/dandelion-load/src/cluster/http.rs
@@ -15,6 +15,9 @@
 /// Longest answer read, in bytes.
 const MAX_ANSWER: usize = 64 * 1024 * 1024;
 
+/// Header that carries a request's identity.
+const REQUEST_ID: &str = "x-request-id";
+
 /// A whole answer.
 #[derive(Debug, Clone)]
 pub struct Answer {
@@ -22,6 +25,8 @@
     pub status: u16,
     /// Body.
     pub body: Vec<u8>,
+    /// Identity that the daemon gave the request, if it did.
+    pub request_id: Option<String>,
 }
 
 impl Answer {
@@ -30,6 +35,12 @@
         String::from_utf8_lossy(&self.body).into_owned()
     }
 
+    /// Returns whether a refusal says that the request did not run.
+    pub fn is_not_run(&self) -> bool {
+        let refusal: serde_json::Value = serde_json::from_slice(&self.body).unwrap_or_default();
+        self.status != 200 && refusal["ran"] == "not_run"
+    }
+
     /// Returns the tokens of an event stream, joined, and whether the stream marked its end.
     pub fn tokens(&self) -> (String, bool) {
         let mut text = String::new();
@@ -120,7 +131,16 @@
         };
         let mut exchange = self.client.send(to, request, &options).await?;
         let status = exchange.status();
+        let headers = exchange.headers().iter();
+        let request_id = headers
+            .filter(|h| h.name == REQUEST_ID)
+            .map(|h| h.value.clone())
+            .next();
         let body = exchange.read_all(MAX_ANSWER).await?;
-        Ok(Answer { status, body })
+        Ok(Answer {
+            status,
+            body,
+            request_id,
+        })
     }
 }
--- a/crates/dandelion-load/src/cluster/mod.rs
+++ b/crates/dandelion-load/src/cluster/mod.rs
@@ -3,6 +3,7 @@
 mod daemons;
 mod http;
 mod operator;
+pub mod setup;
 
 pub use daemons::Cluster;
 pub use daemons::ClusterConfig;
--- a/crates/dandelion-load/src/registry.rs
+++ b/crates/dandelion-load/src/registry.rs
@@ -3,6 +3,8 @@
 use anyhow::Context;
 use serde_json::Value;
 
+use crate::scenarios::once;
+use crate::scenarios::overhead;
 use crate::scenarios::path;
 use crate::scenarios::rollout;
 use crate::scenarios::spot;
@@ -20,6 +22,16 @@
 
 /// Every scenario.
 pub const SCENARIOS: &[Scenario] = &[
+    Scenario {
+        name: "once",
+        about: "processes: claimed requests resent at once through all daemons, daemons killed and paused, engines crashing",
+        run: once::run,
+    },
+    Scenario {
+        name: "overhead",
+        about: "processes: what one daemon and a mesh hop add to a call, and work for each core second",
+        run: overhead::run,
+    },
     Scenario {
         name: "path",
         about: "processes: a caller, an operator, a trainer and the usage report through daemons",
