--- a/crates/dandelion-load/src/cluster/mod.rs
+++ b/crates/dandelion-load/src/cluster/mod.rs
@@ -7,6 +7,7 @@
 mod idle;
 mod operator;
 mod process;
+pub mod setup;
 
 pub use daemons::Cluster;
 pub use daemons::ClusterConfig;
--- a/crates/dandelion-load/src/scenarios/mod.rs
+++ b/crates/dandelion-load/src/scenarios/mod.rs
@@ -1,6 +1,8 @@
 //! The scenarios, one a file.
 
 pub mod charge;
+pub mod once;
+pub mod overhead;
 pub mod path;
 pub mod races;
 pub mod rollout;
