--- a/crates/dandelion-daemon/src/control/replica.rs
+++ b/crates/dandelion-daemon/src/control/replica.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_channel::Receiver;
 use async_channel::Sender;
@@ -152,6 +153,16 @@
         answer.ok()?.ok()
     }
 
+    /// Hands the leadership over, if held, and waits until another daemon may lead.
+    pub async fn resign(&self, limit: Duration) {
+        let until = Instant::now() + limit;
+        while self.in_charge(Millis::ZERO).is_some() && Instant::now() < until {
+            // One that finds the queue full is repeated.
+            let _full = self.events.try_send(NodeEvent::Resign);
+            async_std::task::sleep(TICK).await;
+        }
+    }
+
     fn ticket(&self) -> u64 {
         self.shared.tickets.fetch_add(1, Ordering::Relaxed)
     }
--- a/crates/dandelion-daemon/src/core.rs
+++ b/crates/dandelion-daemon/src/core.rs
@@ -16,7 +16,9 @@
 use dandelion_protocol::ids::DaemonId;
 use dandelion_protocol::ids::Incarnation;
 use dandelion_protocol::ids::RequestId;
+use dandelion_protocol::ids::Term;
 use dandelion_protocol::ids::ZoneId;
+use dandelion_protocol::time::Millis;
 use dandelion_route::trace::Decision;
 use dandelion_route::trace::MAX_DECISIONS;
 use dandelion_route::trace::TraceRing;
@@ -153,6 +155,15 @@
         self.stopping.store(true, Ordering::SeqCst);
     }
 
+    /// Returns the term if this daemon is in charge until `margin` from now at the least, and is
+    /// not stopping. Checked directly before every act towards the outside.
+    pub fn charge(&self, margin: Millis) -> Option<Term> {
+        if self.is_stopping() {
+            return None;
+        }
+        self.control.replica()?.in_charge(margin)
+    }
+
     /// Returns whether the daemon is stopping.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::SeqCst)
--- a/crates/dandelion-daemon/src/duties/fleet.rs
+++ b/crates/dandelion-daemon/src/duties/fleet.rs
@@ -70,10 +70,7 @@
 
 impl Duty {
     async fn round(&mut self, core: &Handle) {
-        let term = core
-            .control
-            .replica()
-            .and_then(|r| r.in_charge(CHARGE_MARGIN));
+        let term = core.charge(CHARGE_MARGIN);
         let now = clock::boot_now();
         self.enter(term, now);
         let Some((term, since)) = self.charge else {
--- a/crates/dandelion-daemon/src/duties/platform.rs
+++ b/crates/dandelion-daemon/src/duties/platform.rs
@@ -42,7 +42,7 @@
         progress: SEND_LIMIT,
         idempotent: true,
     };
-    let charge = core.control.replica()?.in_charge(CHARGE_MARGIN);
+    let charge = core.charge(CHARGE_MARGIN);
     if charge != Some(term) {
         event!(Event::OrderWithheld, path = path, term = term);
         return None;
--- a/crates/dandelion-daemon/src/duties/usage.rs
+++ b/crates/dandelion-daemon/src/duties/usage.rs
@@ -39,10 +39,9 @@
         let Some(view) = usage_view(&core) else {
             continue;
         };
-        let replica = core.control.replica();
         let event = ReporterEvent::Tick {
             wall: clock::wall_now(),
-            charge: replica.and_then(|r| r.in_charge(CHARGE_MARGIN)),
+            charge: core.charge(CHARGE_MARGIN),
             view,
         };
         let mut actions = Vec::new();
--- a/crates/dandelion-daemon/src/duties/weights.rs
+++ b/crates/dandelion-daemon/src/duties/weights.rs
@@ -77,8 +77,7 @@
 
 impl Duty {
     fn round(&mut self, core: &Handle, queue: &Receiver<SwapEvent>) {
-        let replica = core.control.replica();
-        let term = replica.and_then(|r| r.in_charge(CHARGE_MARGIN));
+        let term = core.charge(CHARGE_MARGIN);
         if term != self.term {
             self.planner = SwapPlanner::open(SwapSettings::default());
             self.published.clear();
@@ -248,7 +247,7 @@
     order: &EngineOrder,
 ) -> Option<u16> {
     let owner = core.fleet.owner(upstream)?;
-    let charge = core.control.replica()?.in_charge(CHARGE_MARGIN);
+    let charge = core.charge(CHARGE_MARGIN);
     if charge != Some(order.term) {
         return None;
     }
--- a/crates/dandelion-daemon/src/membership.rs
+++ b/crates/dandelion-daemon/src/membership.rs
@@ -89,10 +89,7 @@
     let mut missed: BTreeMap<DaemonId, u32> = BTreeMap::new();
     loop {
         task::sleep(PROBE_PERIOD).await;
-        let leads = core
-            .control
-            .replica()
-            .and_then(|r| r.in_charge(Millis::ZERO));
+        let leads = core.charge(Millis::ZERO);
         if leads.is_none() {
             missed.clear();
             continue;
--- a/crates/dandelion-daemon/src/run.rs
+++ b/crates/dandelion-daemon/src/run.rs
@@ -60,6 +60,9 @@
 use crate::usage;
 use crate::zone;
 
+/// Longest time to hand the leadership over when stopping.
+const RESIGN_LIMIT: Duration = Duration::from_secs(2);
+
 /// Voters of a control group.
 const VOTERS: usize = 3;
 
@@ -163,6 +166,9 @@
         if let Err(error) = membership::join(&self.core, true).await {
             log::warn!("the other daemons do not know of the stop: {error}");
         }
+        if let Some(replica) = self.core.control.replica() {
+            replica.resign(RESIGN_LIMIT).await;
+        }
         let limits = self.core.settings.limits;
         task::sleep(Duration::from_millis(limits.balancer_grace.0)).await;
         self.server.begin_drain();
--- a/crates/dandelion-load/src/scenarios/path.rs
+++ b/crates/dandelion-load/src/scenarios/path.rs
@@ -152,6 +152,7 @@
 
 async fn wait_served(cluster: &Cluster, caller: &Caller) -> anyhow::Result<()> {
     let until = Instant::now() + WAIT;
+    wait_claims(cluster, caller, until).await?;
     for index in 0..cluster.len() {
         loop {
             let body = json!({ "prompt": "warm", "max_tokens": 1 });
@@ -176,6 +177,33 @@
     Ok(())
 }
 
+/// Waits until every daemon knows an upstream of the claimed service.
+async fn wait_claims(cluster: &Cluster, caller: &Caller, until: Instant) -> anyhow::Result<()> {
+    for index in 0..cluster.len() {
+        let id = format!("{}-warm-{index}", unix_seconds());
+        let caller = caller.clone().with("idempotency-key", &id);
+        loop {
+            let body = json!({ "warm": index });
+            let to = cluster.http(index);
+            let answer = caller.post(to, "/v1/bonds/issue", &body).await;
+            if answer.as_ref().is_ok_and(|a| a.status == 200) {
+                break;
+            }
+            if Instant::now() > until {
+                bail!("daemon {index} serves no claims: {answer:?}");
+            }
+            task::sleep(POLL).await;
+        }
+    }
+    Ok(())
+}
+
+fn unix_seconds() -> u64 {
+    std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .map_or(0, |d| d.as_secs())
+}
+
 fn expected(prompt: &str, tokens: u32) -> String {
     (0..tokens)
         .map(|index| engine::token(prompt, index))
@@ -209,9 +237,7 @@
     upstreams: &Upstreams,
     figures: &mut Figures,
 ) {
-    let seconds = std::time::SystemTime::now()
-        .duration_since(std::time::UNIX_EPOCH)
-        .map_or(0, |d| d.as_secs());
+    let seconds = unix_seconds();
     for claim in 0..CLAIMS {
         let id = format!("{seconds}-bond-{claim}");
         let caller = caller.clone().with("idempotency-key", &id);
