--- a/crates/dandelion-load/examples/load.rs
+++ b/crates/dandelion-load/examples/load.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 use clap::Parser;
+use dandelion_load::checks;
 use dandelion_load::cluster;
 use dandelion_load::options::Options;
 use dandelion_load::registry;
@@ -43,5 +44,8 @@
     }
     let figures = (scenario.run)(options.seed)?;
     println!("{}", serde_json::to_string(&figures)?);
+    if options.check {
+        checks::check(scenario.name, &figures)?;
+    }
     Ok(())
 }
--- a/crates/dandelion-load/src/options.rs
+++ b/crates/dandelion-load/src/options.rs
@@ -15,6 +15,9 @@
     /// Seed of all random choices.
     #[arg(long, default_value_t = 1)]
     pub seed: u64,
+    /// Fails if a count that a promise forbids is not zero.
+    #[arg(long)]
+    pub check: bool,
     /// Prints nothing but the JSON object.
     #[arg(long)]
     pub json: bool,
--- /dev/null
+++ b/crates/dandelion-load/tests/forbidden.rs
@@ -0,0 +1,34 @@
+//! The check of forbidden counts fails where it must.
+
+use dandelion_load::checks;
+use dandelion_load::registry;
+use serde_json::Value;
+use serde_json::json;
+
+#[test]
+fn zero_passes() {
+    let figures = json!({ "doubled": 0, "lost": 0 });
+    checks::check("races", &figures).unwrap();
+}
+
+#[test]
+fn one_fails() {
+    let figures = json!({ "doubled": 0, "lost": 1 });
+    let error = checks::check("races", &figures).unwrap_err();
+    assert_eq!(error.to_string(), "races: lost is 1, not 0");
+}
+
+#[test]
+fn missing_fails() {
+    let error = checks::check("races", &json!({ "doubled": 0 })).unwrap_err();
+    assert_eq!(error.to_string(), "races: lost is null, not 0");
+}
+
+#[test]
+fn model_passes() {
+    let scenario = registry::find("spot").unwrap();
+    let figures: Value = (scenario.run)(1).unwrap();
+    checks::check("spot", &figures).unwrap();
+    assert!(figures["cost_ratio"].as_f64().unwrap() <= 0.6);
+    assert!(figures["cheap_share"].as_f64().unwrap() >= 0.8);
+}
