Capacity page computed from measured slopes

The test cell binds each daemon at a loopback address of its own: ports met again as outgoing ports made two slope runs fail.

--- a/crates/dandelion-load/src/cluster/daemons.rs
+++ b/crates/dandelion-load/src/cluster/daemons.rs
@@ -1,5 +1,6 @@
 //! A cell of daemon processes on loopback.
 
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::PathBuf;
@@ -96,7 +97,7 @@
         let mut processes = Vec::new();
         for index in 0..config.daemons {
             let data = (index < config.control).then(|| folder.path().join(format!("d{index}")));
-            let (http, mesh) = (reserve()?, reserve()?);
+            let (http, mesh) = (reserve(index)?, reserve(index)?);
             processes.push(Process {
                 name: format!("d{index}"),
                 zone: format!("z{}", index % config.zones),
@@ -320,6 +321,10 @@
     }
 }
 
-fn reserve() -> std::io::Result<TcpListener> {
-    TcpListener::bind(("127.0.0.1", 0))
+/// Binds a free port on a loopback address of the daemon's own. Connections leave from 127.0.0.1,
+/// so that none of them takes the port between two lives of the daemon.
+fn reserve(index: usize) -> anyhow::Result<TcpListener> {
+    let [.., high, low] = u32::try_from(index + 256)?.to_be_bytes();
+    let address = Ipv4Addr::new(127, 0, high, low);
+    Ok(TcpListener::bind((address, 0))?)
 }
--- a/crates/dandelion-load/src/lib.rs
+++ b/crates/dandelion-load/src/lib.rs
@@ -1,5 +1,6 @@
 //! Scenarios that load the system or its models and print what they measured.
 
+pub mod capacity;
 pub mod cluster;
 pub mod fit;
 pub mod options;
--- a/crates/dandelion-load/src/scenarios/slope.rs
+++ b/crates/dandelion-load/src/scenarios/slope.rs
@@ -18,6 +18,9 @@
 
 const SIZES: [usize; 4] = [3, 9, 27, 54];
 const ZONES: usize = 3;
+
+/// Length of a usage window, in seconds, as installed by default.
+const WINDOW_S: u64 = 60;
 const SETTLED: Duration = Duration::from_secs(2);
 const WINDOW: Duration = Duration::from_secs(6);
 
@@ -61,6 +64,7 @@
         let config = ClusterConfig {
             daemons,
             zones: ZONES,
+            window_s: WINDOW_S,
             ..ClusterConfig::default()
         };
         let cluster = Cluster::spawn(config).await?;
--- a/crates/dandelion-load/src/scenarios/spread.rs
+++ b/crates/dandelion-load/src/scenarios/spread.rs
@@ -18,6 +18,9 @@
 
 const SIZES: [usize; 3] = [3, 9, 27];
 const ZONES: usize = 3;
+
+/// Length of a usage window, in seconds, as installed by default.
+const WINDOW_S: u64 = 60;
 const CHANGES: usize = 40;
 const WINDOW: Duration = Duration::from_secs(4);
 const POLL: Duration = Duration::from_millis(5);
@@ -37,6 +40,7 @@
         let config = ClusterConfig {
             daemons,
             zones: ZONES,
+            window_s: WINDOW_S,
             ..ClusterConfig::default()
         };
         let cluster = Cluster::spawn(config).await?;
