--- a/crates/dandelion-load/tests/forbidden.rs
+++ b/crates/dandelion-load/tests/forbidden.rs
@@ -7,20 +7,21 @@
 
 #[test]
 fn zero_passes() {
-    let figures = json!({ "doubled": 0, "lost": 0 });
+    let figures = json!({ "conflicts_unnamed": 0, "doubled": 0, "lost": 0, "none_won": 0 });
     checks::check("races", &figures).unwrap();
 }
 
 #[test]
 fn one_fails() {
-    let figures = json!({ "doubled": 0, "lost": 1 });
+    let figures = json!({ "conflicts_unnamed": 0, "doubled": 0, "lost": 1, "none_won": 0 });
     let error = checks::check("races", &figures).unwrap_err();
     assert_eq!(error.to_string(), "races: lost is 1, not 0");
 }
 
 #[test]
 fn missing_fails() {
-    let error = checks::check("races", &json!({ "doubled": 0 })).unwrap_err();
+    let error =
+        checks::check("races", &json!({ "conflicts_unnamed": 0, "doubled": 0 })).unwrap_err();
     assert_eq!(error.to_string(), "races: lost is null, not 0");
 }
 
