Space periodic messages out in large cells; take a link's memory as it is used

After: the queue is bounded by a count, reports and probes every 5 s above 64 daemons; measured next.

--- a/crates/dandelion-daemon/src/control/view.rs
+++ b/crates/dandelion-daemon/src/control/view.rs
@@ -15,6 +15,9 @@
 use dandelion_protocol::ids::ZoneId;
 use dandelion_route::ownership;
 
+/// Daemons up to which a cell counts as small.
+const SMALL_CELL: usize = 64;
+
 /// One revision of the spread tables, indexed.
 #[derive(Debug, Clone, Default)]
 pub struct View {
@@ -54,6 +57,11 @@
         }
     }
 
+    /// Returns whether periodic messages are spaced out because the cell has many daemons.
+    pub fn is_large(&self) -> bool {
+        self.members.len() > SMALL_CELL
+    }
+
     /// Returns a daemon by name.
     pub fn member(&self, id: &DaemonId) -> Option<&Member> {
         self.members.iter().find(|m| &m.id == id)
--- a/crates/dandelion-daemon/src/duties/inventory.rs
+++ b/crates/dandelion-daemon/src/duties/inventory.rs
@@ -14,16 +14,20 @@
 
 use crate::core::Handle;
 
-/// Time between two reports.
+/// Time between two reports in a small cell.
 const PERIOD: Duration = Duration::from_secs(1);
 
+/// Time between two reports in a large cell.
+const LARGE_PERIOD: Duration = Duration::from_secs(5);
+
 /// Longest wait for the leader.
 const TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Reports until the process ends.
 pub async fn run_inventory(core: Handle) {
     loop {
-        task::sleep(PERIOD).await;
+        let large = core.control.view().is_large();
+        task::sleep(if large { LARGE_PERIOD } else { PERIOD }).await;
         let (Some(leader), Some(mesh)) = (core.control.leader(), core.mesh()) else {
             continue;
         };
--- a/crates/dandelion-daemon/src/membership.rs
+++ b/crates/dandelion-daemon/src/membership.rs
@@ -22,9 +22,12 @@
 /// Time between two looks at the own membership.
 const JOIN_PERIOD: Duration = Duration::from_millis(500);
 
-/// Time between two rounds of probes by the leader.
+/// Time between two rounds of probes by the leader in a small cell.
 const PROBE_PERIOD: Duration = Duration::from_secs(1);
 
+/// Time between two rounds of probes in a large cell.
+const LARGE_PROBE_PERIOD: Duration = Duration::from_secs(5);
+
 /// Longest wait for the answer to a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -88,7 +91,13 @@
 pub async fn run_probes(core: Handle) {
     let mut missed: BTreeMap<DaemonId, u32> = BTreeMap::new();
     loop {
-        task::sleep(PROBE_PERIOD).await;
+        let large = core.control.view().is_large();
+        task::sleep(if large {
+            LARGE_PROBE_PERIOD
+        } else {
+            PROBE_PERIOD
+        })
+        .await;
         let leads = core.charge(Millis::ZERO);
         if leads.is_none() {
             missed.clear();
--- a/crates/dandelion-daemon/src/rollouts/mod.rs
+++ b/crates/dandelion-daemon/src/rollouts/mod.rs
@@ -11,6 +11,7 @@
 pub use jobs::Rollouts;
 pub use jobs::run_rollouts;
 pub use payloads::answer as answer_payload;
+pub use tokens::TokenReader;
 pub use trainer::JOBS_PREFIX;
 pub use trainer::forwarded;
 pub use trainer::serve_trainer;
--- a/crates/dandelion-daemon/src/zone.rs
+++ b/crates/dandelion-daemon/src/zone.rs
@@ -29,9 +29,6 @@
 /// Time between two ticks of the queues.
 const TICK: Duration = Duration::from_millis(50);
 
-/// Daemons up to which a cell counts as small.
-const SMALL_CELL: usize = 64;
-
 /// Time between two digests to other zones in a small cell.
 const SMALL_FAR_PERIOD: Millis = Millis::from_secs(1);
 
@@ -81,10 +78,10 @@
 
 /// In a small cell, other zones are told more often.
 fn far_period(core: &Handle) -> Millis {
-    if core.control.view().members.len() <= SMALL_CELL {
-        SMALL_FAR_PERIOD
-    } else {
+    if core.control.view().is_large() {
         FAR_EVERY
+    } else {
+        SMALL_FAR_PERIOD
     }
 }
 
--- /dev/null
+++ b/crates/dandelion-daemon/tests/open_streams.rs
@@ -0,0 +1,52 @@
+//! Cutting open requests when keys stop working.
+
+use dandelion_daemon::serve::OpenStreams;
+use dandelion_protocol::config::Config;
+use dandelion_protocol::config::Key;
+use dandelion_protocol::ids::KeyId;
+
+fn id(name: &str) -> KeyId {
+    name.parse().unwrap()
+}
+
+fn config_with(names: &[&str]) -> Config {
+    let mut config = Config::default();
+    for name in names {
+        let key = Key {
+            id: id(name),
+            team: "team".parse().unwrap(),
+            digest: Vec::new(),
+            scopes: Vec::new(),
+            expires: None,
+        };
+        config.keys.insert(id(name), key);
+    }
+    config
+}
+
+#[test]
+fn withdrawn_cut() {
+    let streams = OpenStreams::default();
+    let kept = streams.enter(Some(id("kept")), 1);
+    let gone = streams.enter(Some(id("gone")), 2);
+    assert_eq!(streams.cut_withdrawn(&config_with(&["kept"])), 1);
+    assert!(gone.signal().is_raised());
+    assert!(!kept.signal().is_raised());
+}
+
+#[test]
+fn lease_lost() {
+    let streams = OpenStreams::default();
+    let keyed = streams.enter(Some(id("key")), 1);
+    let open = streams.enter(None, 2);
+    assert_eq!(streams.cut_all(), 1);
+    assert!(keyed.signal().is_raised());
+    assert!(!open.signal().is_raised());
+}
+
+#[test]
+fn ended_forgotten() {
+    let streams = OpenStreams::default();
+    drop(streams.enter(Some(id("key")), 1));
+    assert_eq!(streams.cut_all(), 0);
+}
--- /dev/null
+++ b/crates/dandelion-daemon/tests/token_reader.rs
@@ -0,0 +1,75 @@
+//! Reading an engine's event stream, however it is cut into pieces.
+
+use dandelion_daemon::rollouts::TokenReader;
+use dandelion_protocol::ids::WeightVersion;
+use dandelion_rollout::attribution::SegmentReport;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+
+fn stream(versions: &[u8]) -> Vec<u8> {
+    let events = versions.iter().enumerate().map(|(index, version)| {
+        format!("data: {{\"token\":\"t{index} \",\"index\":{index},\"version\":{version}}}\n\n")
+    });
+    let done = format!("data: {{\"done\":true,\"tokens\":{}}}\n\n", versions.len());
+    events.chain([done]).collect::<String>().into_bytes()
+}
+
+fn read_in_pieces(bytes: &[u8], cuts: &[u8]) -> (Vec<SegmentReport>, bool) {
+    let mut reader = TokenReader::default();
+    let mut reports = Vec::new();
+    let mut rest = bytes;
+    for cut in cuts {
+        let (piece, after) = rest.split_at(usize::from(*cut).min(rest.len()));
+        reports.extend(reader.read(piece));
+        rest = after;
+    }
+    reports.extend(reader.read(rest));
+    (reports, reader.is_done())
+}
+
+fn texts(count: usize) -> String {
+    let each: Vec<String> = (0..count).map(|index| format!("t{index} ")).collect();
+    each.concat()
+}
+
+#[test]
+fn any_pieces() {
+    #[expect(clippy::needless_pass_by_value, reason = "quickcheck passes values")]
+    fn holds(versions: Vec<u8>, cuts: Vec<u8>) -> bool {
+        let (reports, done) = read_in_pieces(&stream(&versions), &cuts);
+        let text: String = reports.iter().map(|r| r.text.clone()).collect();
+        let expected = texts(versions.len());
+        let each = |r: &SegmentReport| {
+            (r.start..r.end).all(|i| {
+                let version = WeightVersion(u64::from(versions[i as usize]));
+                r.first == Some(version) && r.last == Some(version)
+            })
+        };
+        done && text == expected && reports.iter().all(each)
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, 7))
+        .tests(500)
+        .quickcheck(holds as fn(Vec<u8>, Vec<u8>) -> bool);
+}
+
+#[test]
+fn cut_stream() {
+    let whole = stream(&[1, 1, 2]);
+    let (reports, done) = read_in_pieces(&whole[..whole.len() - 4], &[]);
+    assert!(!done);
+    assert_eq!(reports.len(), 2);
+}
+
+#[test]
+fn garbage_ignored() {
+    #[expect(clippy::needless_pass_by_value, reason = "quickcheck passes values")]
+    fn holds(bytes: Vec<u8>) -> bool {
+        let (reports, _) = read_in_pieces(&bytes, &[3, 5]);
+        reports.iter().all(|r| r.start <= r.end)
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(300, 8))
+        .tests(500)
+        .quickcheck(holds as fn(Vec<u8>) -> bool);
+}
--- a/crates/dandelion-net/src/mesh/link.rs
+++ b/crates/dandelion-net/src/mesh/link.rs
@@ -60,7 +60,8 @@
     where
         H: Send + Sync + 'static,
     {
-        let (queue, queued) = async_channel::bounded(QUEUE_LIMIT);
+        // Bounded by `push`: a bounded channel would take the memory of a full one from the start.
+        let (queue, queued) = async_channel::unbounded();
         let (control, controls) = async_channel::unbounded();
         let (stop, stopped) = Signal::new();
         let link = Arc::new(Self {
@@ -102,7 +103,8 @@
 
     /// Queues a message; false if the queue is full.
     pub fn push(&self, message: MeshMessage, ticket: Option<Arc<Ticket>>) -> bool {
-        self.queue.try_send(Outbound { message, ticket }).is_ok()
+        let room = self.queue.len() < QUEUE_LIMIT;
+        room && self.queue.try_send(Outbound { message, ticket }).is_ok()
     }
 
     /// Grants the peer more bytes of a stream.
