Add scenarios charge and issuer; copy usage without waiting for a leader

Cause: copying and submitting shared one loop, so that a proposal waiting for a takeover held up copies for seconds; a holder that did not answer was asked again and again; a holder's new life was taken to have the copies of its former one; one rejected window held up all later ones. Conclusion: copies go to another holder at once when one does not answer.

--- a/crates/dandelion-daemon/src/run.rs
+++ b/crates/dandelion-daemon/src/run.rs
@@ -309,7 +309,8 @@
     task::spawn(membership::run_join(core.clone()));
     task::spawn(zone::run_zone(core.clone()));
     task::spawn(duties::run_inventory(core.clone()));
-    task::spawn(usage::run_usage(core.clone()));
+    task::spawn(usage::run_copies(core.clone()));
+    task::spawn(usage::run_submissions(core.clone()));
     task::spawn(rollouts::run_rollouts(core.clone()));
 }
 
--- a/crates/dandelion-daemon/src/usage.rs
+++ b/crates/dandelion-daemon/src/usage.rs
@@ -1,5 +1,6 @@
 //! Usage counters of this daemon, their copies in another zone, and their submission.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -13,6 +14,7 @@
 use dandelion_net::clock;
 use dandelion_protocol::config::Member;
 use dandelion_protocol::ids::DaemonId;
+use dandelion_protocol::ids::Incarnation;
 use dandelion_protocol::ids::TeamId;
 use dandelion_protocol::mesh::CallBody;
 use dandelion_protocol::mesh::ReplyBody;
@@ -24,14 +26,24 @@
 use dandelion_protocol::usage::WindowId;
 use dandelion_route::ownership;
 
+use crate::control::Failed;
 use crate::core::Handle;
 use crate::core::Identity;
 
-/// Time between two copies of the counters, and so the most usage that a lost VM can cost.
-const COPY_PERIOD: Duration = Duration::from_millis(500);
+/// Time between two copies of the counters, and so, with one sending, the usage that a lost VM can cost.
+const COPY_PERIOD: Duration = Duration::from_millis(400);
 
 /// Longest wait for the copy holder.
-const COPY_TIMEOUT: Duration = Duration::from_millis(400);
+const COPY_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Time for which a daemon that took no copy is passed over as holder.
+const SUSPECT_TIME: Millis = Millis::from_secs(5);
+
+/// Holders asked in one round.
+const HOLDERS: usize = 3;
+
+/// A life of a daemon that keeps copies; a new life has none.
+type Holder = (DaemonId, Incarnation);
 
 type Sequence = (WindowId, u64);
 
@@ -40,6 +52,8 @@
     counters: UsageCounters,
     copies: CopyStore,
     copied: BTreeSet<Sequence>,
+    holder: Option<Holder>,
+    suspects: BTreeMap<DaemonId, Millis>,
     submitted: BTreeSet<Sequence>,
     orphans: Vec<CounterReport>,
 }
@@ -65,6 +79,8 @@
             counters,
             copies: CopyStore::default(),
             copied: BTreeSet::new(),
+            holder: None,
+            suspects: BTreeMap::new(),
             submitted: BTreeSet::new(),
             orphans: Vec::new(),
         };
@@ -113,9 +129,13 @@
         state.copies.trim(current);
     }
 
-    /// Returns the reports that have changed since they were last copied.
-    fn uncopied(&self) -> Vec<CounterReport> {
-        let state = self.lock();
+    /// Returns the reports that have changed since they were last copied to `holder`.
+    fn uncopied(&self, holder: &Holder) -> Vec<CounterReport> {
+        let mut state = self.lock();
+        if state.holder.as_ref() != Some(holder) {
+            state.holder = Some(holder.clone());
+            state.copied.clear();
+        }
         let new = |r: &CounterReport| !state.copied.contains(&(r.window, r.sequence));
         let all = state.counters.reports();
         all.into_iter()
@@ -133,6 +153,18 @@
         due
     }
 
+    fn suspect(&self, holder: &DaemonId, now: Millis) {
+        let mut state = self.lock();
+        state.suspects.insert(holder.clone(), now + SUSPECT_TIME);
+    }
+
+    /// Returns the daemons that took no copy lately.
+    fn suspects(&self, now: Millis) -> BTreeSet<DaemonId> {
+        let mut state = self.lock();
+        state.suspects.retain(|_, until| now < *until);
+        state.suspects.keys().cloned().collect()
+    }
+
     fn mark_copied(&self, reports: &[CounterReport]) {
         let mut state = self.lock();
         state.copied = reports
@@ -162,12 +194,19 @@
     }
 }
 
-/// Copies and submits the counters until the process ends.
-pub async fn run_usage(core: Handle) {
+/// Copies the counters until the process ends; it waits for no leader.
+pub async fn run_copies(core: Handle) {
     loop {
         task::sleep(COPY_PERIOD).await;
         core.usage.advance();
         copy(&core).await;
+    }
+}
+
+/// Submits the counters until the process ends; a proposal may wait for a takeover.
+pub async fn run_submissions(core: Handle) {
+    loop {
+        task::sleep(COPY_PERIOD).await;
         submit(&core).await;
     }
 }
@@ -178,36 +217,57 @@
     submit(core).await;
 }
 
+/// Copies to the holder, and to others if it does not answer.
 async fn copy(core: &Handle) {
-    let reports = core.usage.uncopied();
-    let Some(holder) = copy_holder(core) else {
-        return;
-    };
+    for _ in 0..HOLDERS {
+        let Some(holder) = copy_holder(core) else {
+            return;
+        };
+        if copy_to(core, &holder).await {
+            return;
+        }
+        core.usage.suspect(&holder.0, clock::boot_now());
+    }
+}
+
+/// Returns whether the holder has all counters.
+async fn copy_to(core: &Handle, holder: &Holder) -> bool {
+    let reports = core.usage.uncopied(holder);
     if reports.is_empty() {
-        return;
+        return true;
     }
-    let Some(mesh) = core.mesh() else { return };
+    let Some(mesh) = core.mesh() else {
+        return false;
+    };
     let call = CallBody::CopyUsage(reports.clone());
-    match mesh.call(&holder, call, COPY_TIMEOUT).await {
-        Ok(ReplyBody::Copied) => core.usage.mark_copied(&reports),
-        other => log::debug!("usage was not copied to {holder}: {other:?}"),
+    match mesh.call(&holder.0, call, COPY_TIMEOUT).await {
+        Ok(ReplyBody::Copied) => {
+            core.usage.mark_copied(&reports);
+            true
+        }
+        other => {
+            log::debug!("usage was not copied to {}: {other:?}", holder.0);
+            false
+        }
     }
 }
 
 /// Chooses the holder: by rendezvous hash among the daemons of other zones, else of the own.
-fn copy_holder(core: &Handle) -> Option<DaemonId> {
+fn copy_holder(core: &Handle) -> Option<Holder> {
     let view = core.control.view();
     let own = &core.identity;
+    let suspects = core.usage.suspects(clock::boot_now());
     let others = || {
         view.members
             .iter()
-            .filter(|m| m.id != own.daemon && !m.leaving)
+            .filter(|m| m.id != own.daemon && !m.leaving && !suspects.contains(&m.id))
     };
     let away = others().filter(|m| m.zone != own.zone);
     let key = own.daemon.as_str().as_bytes();
     let holder = ownership::rendezvous(key, away.map(|m| &m.id));
-    let holder = holder.or_else(|| ownership::rendezvous(key, others().map(|m| &m.id)));
-    holder.cloned()
+    let holder = holder.or_else(|| ownership::rendezvous(key, others().map(|m| &m.id)))?;
+    let member = view.member(holder)?;
+    Some((member.id.clone(), member.incarnation))
 }
 
 async fn submit(core: &Handle) {
@@ -215,6 +275,11 @@
         let command = UsageCommand::Submit(report.clone());
         match core.propose_own::<UsageTable>(&command).await {
             Ok(_) => core.usage.mark_submitted(&report),
+            Err(Failed::Rejected(rejection)) => {
+                // A later try is rejected as well, and must not hold up the other windows.
+                log::warn!("usage of window {} is lost: {rejection}", report.window.0);
+                core.usage.mark_submitted(&report);
+            }
             Err(error) => {
                 log::debug!(
                     "usage of window {} is not submitted: {error}",
--- a/crates/dandelion-fakes/src/platform/records.rs
+++ b/crates/dandelion-fakes/src/platform/records.rs
@@ -33,6 +33,8 @@
     pub body: String,
     /// Value of `x-issuer`.
     pub issuer: String,
+    /// Value of `x-fencing`.
+    pub term: Term,
     /// When it came, on the boot-time clock.
     pub at: Millis,
 }
--- a/crates/dandelion-fakes/src/platform/server.rs
+++ b/crates/dandelion-fakes/src/platform/server.rs
@@ -19,6 +19,7 @@
 use dandelion_net::http::server::streamed;
 use dandelion_protocol::fleet::Order;
 use dandelion_protocol::fleet::OrderBody;
+use dandelion_protocol::ids::Term;
 use dandelion_protocol::ids::ZoneId;
 use dandelion_protocol::upstream::PriceKind;
 use http_types::Request;
@@ -39,6 +40,9 @@
 /// Header that names the process that issues an order or a report.
 const ISSUER: &str = "x-issuer";
 
+/// Header with the fencing number of a report.
+const FENCING: &str = "x-fencing";
+
 /// How a fake platform behaves.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct PlatformConfig {
@@ -137,12 +141,13 @@
     async fn handle(&self, mut request: Request, _peer: SocketAddr) -> Response {
         let body = body_of(&mut request).await;
         let issuer = header(&request, ISSUER);
+        let term = Term(header(&request, FENCING).parse().unwrap_or(0));
         let path = request.url().path().to_owned();
         if path == "/counters" {
             return json(200, &lock(&self.0.records).counts);
         }
         let answer = match path.strip_prefix("/usage/") {
-            Some(window) => self.report(window, &body, issuer),
+            Some(window) => self.report(window, &body, issuer, term),
             None if path == "/orders" => self.order(&body, issuer),
             None => fault(404, "no such path"),
         };
@@ -175,11 +180,12 @@
         }
     }
 
-    fn report(&self, window: &str, body: &[u8], issuer: String) -> Response {
+    fn report(&self, window: &str, body: &[u8], issuer: String, term: Term) -> Response {
         let record = UsageRecord {
             window: window.to_owned(),
             body: String::from_utf8_lossy(body).into_owned(),
             issuer,
+            term,
             at: boot_now(),
         };
         if lock(&self.0.records).report(record) {
--- a/crates/dandelion-load/src/registry.rs
+++ b/crates/dandelion-load/src/registry.rs
@@ -3,6 +3,8 @@
 use anyhow::Context;
 use serde_json::Value;
 
+use crate::scenarios::billing;
+use crate::scenarios::issuer;
 use crate::scenarios::path;
 use crate::scenarios::races;
 use crate::scenarios::rollout;
@@ -33,6 +35,16 @@
         about: "processes: trainers, versions published in mid-stream, an engine killed, resends",
         run: rollout::run,
     },
+    Scenario {
+        name: "charge",
+        about: "processes: leader killed and suspended over window closes, a plain daemon killed",
+        run: billing::run,
+    },
+    Scenario {
+        name: "issuer",
+        about: "processes: orders with and without fencing, leaders suspended and killed",
+        run: issuer::run,
+    },
     Scenario {
         name: "spot",
         about: "model: zones of cheap upstreams vanish, stock runs out, answers are lost",
