--- a/crates/dandelion-load/src/scenarios/mod.rs
+++ b/crates/dandelion-load/src/scenarios/mod.rs
@@ -1,9 +1,13 @@
 //! The scenarios, one a file.
 
+pub mod bill;
+pub mod billing;
 pub mod charge;
 pub mod once;
 pub mod overhead;
+pub mod issuer;
 pub mod path;
+pub mod platform_hand;
 pub mod races;
 pub mod rollout;
 pub mod slope;
