Resume broken streams, spread notes before callers resend, and drain, silent and poison scenarios

Cause: an engine that died in mid-stream broke the caller's answer; an entry went on choosing a killed owner until its digest was 45 s old; notes on suspects left 50 ms after the callers were answered, to existing queues of the zone only, and entries ignored them; the HTTP client called a request not sent whose kept connection had closed after it was written, when the fresh connection failed. Now entries follow token streams and resume them, forget lost owners, answer the callers of a crash after the daemons of the zone have the notes, and the client keeps the unknown outcome. Ruled out: following streams at the owner, which dies with its daemon.

--- a/crates/dandelion-daemon/src/node.rs
+++ b/crates/dandelion-daemon/src/node.rs
@@ -18,6 +18,7 @@
 use crate::operator;
 use crate::rollouts;
 use crate::serve;
+use crate::zone;
 
 /// The daemon as its peers see it.
 #[derive(Debug, Clone)]
@@ -85,6 +86,13 @@
             core.usage.keep(reports);
             ReplyBody::Copied
         }
+        CallBody::Notes { bytes, relay } => {
+            serve::hear(core, &from, &bytes);
+            if relay {
+                zone::relay_notes(core, &bytes).await;
+            }
+            ReplyBody::Announced
+        }
         CallBody::Probe => ReplyBody::Alive,
         CallBody::InForce(revision) => ReplyBody::InForce(operator::spread_here(core, revision)),
         CallBody::Payload(bytes) => rollouts::answer_payload(core, &bytes),
--- a/crates/dandelion-daemon/src/serve/answer.rs
+++ b/crates/dandelion-daemon/src/serve/answer.rs
@@ -1,18 +1,29 @@
 //! From answer parts to the caller's HTTP answer.
 
+use std::time::Duration;
+
+use async_std::task;
 use dandelion_net::Signal;
+use dandelion_net::clock;
 use dandelion_net::http::body;
 use dandelion_net::http::body::Broken;
 use dandelion_net::http::server;
+use dandelion_net::mesh::CallError;
 use dandelion_net::mesh::ServeStream;
 use dandelion_protocol::mesh::Header;
 use dandelion_protocol::mesh::ServePart;
+use dandelion_protocol::mesh::ServeRequest;
+use dandelion_protocol::outcome::Refusal;
+use dandelion_protocol::time::Millis;
 use futures::FutureExt;
 use futures::select_biased;
 use http_types::Response;
 use http_types::headers::HeaderName;
 
+use crate::core::Handle;
+use crate::serve::entry;
 use crate::serve::entry::OwnerPlace;
+use crate::serve::resume::Follower;
 use crate::serve::streams::StreamGuard;
 
 /// Header that carries the identity of a request in both directions.
@@ -21,6 +32,25 @@
 const CONTENT_TYPE: &str = "content-type";
 const DEFAULT_TYPE: &str = "application/octet-stream";
 
+/// Attempts to go on with one broken stream.
+const MAX_RESUMES: u32 = 4;
+
+/// Time before an attempt that follows a refused one.
+const RESUME_DELAY: Duration = Duration::from_millis(50);
+
+/// A generation that another engine can finish, and what is needed to ask for it.
+#[derive(Debug)]
+pub struct Resumable {
+    /// Shared state.
+    pub core: Handle,
+    /// Request as sent last.
+    pub request: ServeRequest,
+    /// When the request's time is over, on the boot-time clock.
+    pub deadline: Millis,
+    /// What was passed on so far.
+    pub follower: Follower,
+}
+
 /// An answer on its way to a caller, cut when the caller's key stops working.
 #[derive(Debug)]
 pub struct CallerStream {
@@ -28,17 +58,28 @@
     cut: Signal,
     guard: StreamGuard,
     place: OwnerPlace,
+    resumable: Option<Box<Resumable>>,
+    resumes: u32,
+    ended: bool,
 }
 
 impl CallerStream {
     /// Wraps the parts that follow a head.
-    pub fn new(stream: ServeStream, guard: StreamGuard, place: OwnerPlace) -> Self {
+    pub fn new(
+        stream: ServeStream,
+        guard: StreamGuard,
+        place: OwnerPlace,
+        resumable: Option<Box<Resumable>>,
+    ) -> Self {
         let cut = guard.signal();
         Self {
             stream,
             cut,
             guard,
             place,
+            resumable,
+            resumes: 0,
+            ended: false,
         }
     }
 
@@ -57,19 +98,77 @@
     }
 
     async fn next(&mut self) -> Result<Option<Vec<u8>>, Broken> {
-        let part = {
-            let next = self.stream.next().fuse();
-            let cut = self.cut.raised().fuse();
-            futures::pin_mut!(next, cut);
-            select_biased! {
-                () = cut => return Err(Broken),
-                part = next => part,
+        while !self.ended {
+            let bytes = match self.part().await? {
+                Ok(ServePart::Chunk(bytes)) => self.follow(bytes)?,
+                Ok(ServePart::End { .. }) => self.end()?,
+                Ok(ServePart::Head { .. }) => return Err(Broken),
+                Ok(ServePart::Failed(refusal)) => self.go_on(refusal).await?,
+                Err(error) => self.go_on(entry::lost_owner(error)).await?,
+            };
+            if !bytes.is_empty() {
+                return Ok(Some(bytes));
+            }
+        }
+        Ok(None)
+    }
+
+    async fn part(&mut self) -> Result<Result<ServePart, CallError>, Broken> {
+        let next = self.stream.next().fuse();
+        let cut = self.cut.raised().fuse();
+        futures::pin_mut!(next, cut);
+        select_biased! {
+            () = cut => Err(Broken),
+            part = next => Ok(part),
+        }
+    }
+
+    fn follow(&mut self, bytes: Vec<u8>) -> Result<Vec<u8>, Broken> {
+        match &mut self.resumable {
+            Some(resumable) => resumable.follower.read(bytes).map_err(|_gap| Broken),
+            None => Ok(bytes),
+        }
+    }
+
+    /// Ends the answer, unless the engine stopped without marking the end of its tokens.
+    fn end(&mut self) -> Result<Vec<u8>, Broken> {
+        self.ended = true;
+        match &mut self.resumable {
+            Some(resumable) if !resumable.follower.is_whole() => Err(Broken),
+            Some(resumable) => Ok(resumable.follower.take_rest()),
+            None => Ok(Vec::new()),
+        }
+    }
+
+    /// Has another engine go on where the stream broke.
+    async fn go_on(&mut self, mut refusal: Refusal) -> Result<Vec<u8>, Broken> {
+        let resumable = self.resumable.as_mut().ok_or(Broken)?;
+        loop {
+            let Resumable {
+                core,
+                request,
+                deadline,
+                follower,
+            } = &mut **resumable;
+            let left = deadline.since(clock::boot_now());
+            self.resumes += 1;
+            let able = self.resumes <= MAX_RESUMES && follower.can_resume(refusal.ran);
+            let granted = able && entry::grant_retry(core, request, &refusal, left);
+            if !granted {
+                return Err(Broken);
+            }
+            follower.resume(request);
+            request.timeout = left;
+            match Box::pin(entry::attempt(core, request, &self.guard)).await {
+                Ok(head) if head.status == 200 => {
+                    self.stream = head.stream;
+                    self.place = head.place;
+                    return Ok(Vec::new());
+                }
+                Ok(_) => return Err(Broken),
+                Err(next) => refusal = next,
             }
-        };
-        match part {
-            Ok(ServePart::Chunk(bytes)) => Ok(Some(bytes)),
-            Ok(ServePart::End { .. }) => Ok(None),
-            Ok(ServePart::Head { .. } | ServePart::Failed(_)) | Err(_) => Err(Broken),
+            task::sleep(RESUME_DELAY).await;
         }
     }
 }
--- a/crates/dandelion-daemon/src/serve/entry.rs
+++ b/crates/dandelion-daemon/src/serve/entry.rs
@@ -25,6 +25,8 @@
 use dandelion_route::entry::EntryView;
 use dandelion_route::entry::Wanted;
 use dandelion_route::outcome::AttemptOutcome;
+use dandelion_route::poison::SuspectNote;
+use dandelion_route::poison::Suspects;
 use dandelion_route::queue::QueueEvent;
 use dandelion_route::retry;
 use dandelion_route::retry::RetryBudget;
@@ -39,9 +41,11 @@
 use crate::core::new_request_id;
 use crate::serve::answer::CallerStream;
 use crate::serve::answer::REQUEST_ID_HEADER;
+use crate::serve::answer::Resumable;
 use crate::serve::auth;
 use crate::serve::claim;
 use crate::serve::prepare;
+use crate::serve::resume::Follower;
 use crate::serve::streams::StreamGuard;
 
 /// Time after which a caller may try again when no upstream is known.
@@ -52,6 +56,7 @@
 pub struct Entry {
     owners: Mutex<EntryView>,
     budget: Mutex<RetryBudget>,
+    suspects: Mutex<Suspects>,
 }
 
 impl Entry {
@@ -60,6 +65,7 @@
         Self {
             owners: Mutex::new(EntryView::open(zone.clone())),
             budget: Mutex::default(),
+            suspects: Mutex::default(),
         }
     }
 
@@ -68,6 +74,10 @@
         self.owners.lock().expect("no holder of this lock panics")
     }
 
+    fn suspects(&self) -> MutexGuard<'_, Suspects> {
+        self.suspects.lock().expect("no holder of this lock panics")
+    }
+
     fn budget(&self) -> MutexGuard<'_, RetryBudget> {
         self.budget.lock().expect("no holder of this lock panics")
     }
@@ -83,15 +93,26 @@
                 core.entry.owners().hear(now, from, &member.zone, &digest);
             }
         }
-        Ok(ZoneMessage::Notes(notes)) => {
-            for (_, shard) in core.owners.shards() {
-                shard.handle(now, QueueEvent::Notes(notes.clone()));
-            }
-        }
+        Ok(ZoneMessage::Notes(notes)) => hear_notes(core, &notes),
         Err(error) => log::debug!("daemon {from} sent no digest: {error}"),
     }
 }
 
+/// Takes in notes on suspects, for the choice of owners and for the own queues.
+pub fn hear_notes(core: &Handle, notes: &[SuspectNote]) {
+    let now = clock::boot_now();
+    {
+        let mut suspects = core.entry.suspects();
+        for note in notes {
+            suspects.hear(now, *note);
+        }
+        suspects.tick(now);
+    }
+    for (_, shard) in core.owners.shards() {
+        shard.handle(now, QueueEvent::Notes(notes.to_vec()));
+    }
+}
+
 /// Answers a caller's request.
 pub async fn serve_caller(core: &Handle, mut request: Request) -> Response {
     let id = new_request_id();
@@ -152,18 +173,14 @@
             Ok(head) => {
                 let metrics = core.metrics.team(request.team.as_ref(), request.class);
                 metrics.first_token(clock::boot_now().since(began));
-                return Ok(head.into_response(guard));
+                let resumable = resumable(core, service, request, deadline);
+                return Ok(head.into_response(guard, resumable));
             }
             Err(refusal) => refusal,
         };
-        let outcome = outcome_of(refusal.ran);
-        core.decided(request.id, Decision::Ended { outcome });
-        known = known.then(outcome);
+        known = known.then(outcome_of(refusal.ran));
         let left = deadline.since(clock::boot_now());
-        let granted = is_worth_retrying(&refusal)
-            && retry::may_retry(outcome, service.idempotent, &mut core.entry.budget(), left);
-        core.decided(request.id, Decision::Retry { granted });
-        if !granted {
+        if !grant_retry(core, &request, &refusal, left) {
             core.metrics
                 .team(request.team.as_ref(), request.class)
                 .refuse();
@@ -172,6 +189,31 @@
     }
 }
 
+/// Records the end of an attempt and decides whether another one may follow.
+pub fn grant_retry(core: &Handle, request: &ServeRequest, refusal: &Refusal, left: Millis) -> bool {
+    let outcome = outcome_of(refusal.ran);
+    core.decided(request.id, Decision::Ended { outcome });
+    let granted = is_worth_retrying(refusal)
+        && retry::may_retry(outcome, request.idempotent, &mut core.entry.budget(), left);
+    core.decided(request.id, Decision::Retry { granted });
+    granted
+}
+
+fn resumable(
+    core: &Handle,
+    service: &Service,
+    request: ServeRequest,
+    deadline: Millis,
+) -> Option<Box<Resumable>> {
+    let follower = Follower::open(service.kind, &request)?;
+    Some(Box::new(Resumable {
+        core: core.clone(),
+        request,
+        deadline,
+        follower,
+    }))
+}
+
 /// A whole head of an answer, with the stream that follows it.
 #[derive(Debug)]
 pub struct AnswerHead {
@@ -186,8 +228,8 @@
 }
 
 impl AnswerHead {
-    fn into_response(self, guard: StreamGuard) -> Response {
-        let stream = CallerStream::new(self.stream, guard, self.place);
+    fn into_response(self, guard: StreamGuard, resumable: Option<Box<Resumable>>) -> Response {
+        let stream = CallerStream::new(self.stream, guard, self.place, resumable);
         stream.into_response(self.status, &self.headers)
     }
 }
@@ -226,8 +268,15 @@
     let owner = pick(core, request)?;
     let mesh = core.mesh().ok_or_else(no_upstream)?;
     let place = OwnerPlace::take(core, &owner, &request.service);
-    let stream = mesh.serve(&owner, request.clone()).map_err(lost_owner)?;
-    first_part(stream, guard, place).await
+    let lost = |error| {
+        // Its next digest makes it known again.
+        core.entry.owners().forget(&owner);
+        lost_owner(error)
+    };
+    let stream = mesh.serve(&owner, request.clone()).map_err(lost)?;
+    first_part(stream, guard, place)
+        .await
+        .unwrap_or_else(|error| Err(lost(error)))
 }
 
 /// Opens an answer stream of this daemon's own request, without waiting for its head.
@@ -241,37 +290,39 @@
     mut stream: ServeStream,
     guard: &StreamGuard,
     place: OwnerPlace,
-) -> Result<AnswerHead, Refusal> {
+) -> Result<Result<AnswerHead, Refusal>, CallError> {
     let cut = guard.signal();
     let part = {
         let next = stream.next().fuse();
         let cut = cut.raised().fuse();
         futures::pin_mut!(next, cut);
         select_biased! {
-            () = cut => return Err(withdrawn()),
+            () = cut => return Ok(Err(withdrawn())),
             part = next => part,
         }
     };
     match part {
         Ok(ServePart::Head {
             status, headers, ..
-        }) => Ok(AnswerHead {
+        }) => Ok(Ok(AnswerHead {
             status,
             headers,
             stream,
             place,
-        }),
-        Ok(ServePart::Failed(refusal)) => Err(refusal),
-        Ok(ServePart::Chunk(_) | ServePart::End { .. }) => Err(lost_owner(CallError::Unknown)),
-        Err(error) => Err(lost_owner(error)),
+        })),
+        Ok(ServePart::Failed(refusal)) => Ok(Err(refusal)),
+        Ok(ServePart::Chunk(_) | ServePart::End { .. }) => Err(CallError::Unknown),
+        Err(error) => Err(error),
     }
 }
 
 fn pick(core: &Handle, request: &ServeRequest) -> Result<DaemonId, Refusal> {
+    let fingerprint = prepare::fingerprint(request);
+    let is_suspect = core.entry.suspects().mark(fingerprint).is_some();
     let wanted = Wanted {
         service: &request.service,
         prefix: Some(PrefixHash::of(&request.body)),
-        suspect: None,
+        suspect: is_suspect.then_some(fingerprint),
         may_spill: true,
     };
     let choice = core
@@ -324,7 +375,8 @@
     refusal.with_ran(Ran::Unknown)
 }
 
-fn lost_owner(error: CallError) -> Refusal {
+/// Refusal of a request whose owner was lost.
+pub fn lost_owner(error: CallError) -> Refusal {
     let ran = match error {
         CallError::NotSent => Ran::NotRun,
         CallError::Unknown => Ran::Unknown,
--- a/crates/dandelion-daemon/src/serve/exchange.rs
+++ b/crates/dandelion-daemon/src/serve/exchange.rs
@@ -38,6 +38,7 @@
 use crate::serve::prepare;
 use crate::serve::shard::Shard;
 use crate::serve::shard::Verdict;
+use crate::zone;
 
 /// Longest time in which an upstream's answer may stand still.
 const PROGRESS_LIMIT: Duration = Duration::from_secs(4);
@@ -156,7 +157,13 @@
         };
         match stop {
             None | Some(Stop::CallerGone) => None,
-            Some(Stop::Interrupted(verdict)) => Some(self.interrupted(&verdict)),
+            Some(Stop::Interrupted(verdict)) => {
+                let refusal = self.interrupted(&verdict);
+                if verdict == Verdict::Lost {
+                    zone::tell_now(self.core, &self.shard).await;
+                }
+                Some(refusal)
+            }
             Some(Stop::Failed(error)) => {
                 self.judge(&error, upstream, boot, address).await;
                 Some(failed(&error))
@@ -240,6 +247,7 @@
                             boot,
                         },
                     );
+                    zone::tell_now(self.core, &self.shard).await;
                 }
                 Finish::Failed
             }
--- a/crates/dandelion-daemon/src/serve/prepare.rs
+++ b/crates/dandelion-daemon/src/serve/prepare.rs
@@ -24,6 +24,10 @@
 /// Header in which a caller shortens the service's time limit, in milliseconds.
 const TIMEOUT_HEADER: &str = "x-timeout-ms";
 
+/// Header between daemons that names the content a resumed request began with. No caller can set
+/// it, and no upstream sees it.
+const ORIGIN_HEADER: &str = "x-origin-fingerprint";
+
 /// Predicted tokens of a request whose answer length is not known.
 const PREDICTED_TOKENS: u64 = 256;
 
@@ -142,7 +146,7 @@
     let others = request
         .headers
         .iter()
-        .filter(|h| h.name != REQUEST_ID_HEADER);
+        .filter(|h| h.name != REQUEST_ID_HEADER && h.name != ORIGIN_HEADER);
     let mut headers: Vec<Header> = others.cloned().collect();
     headers.push(Header {
         name: REQUEST_ID_HEADER.to_owned(),
@@ -151,6 +155,33 @@
     headers
 }
 
+/// Returns what identifies the content of a request over its resends and resumptions.
+pub fn fingerprint(request: &ServeRequest) -> Fingerprint {
+    let origin = request.headers.iter().find(|h| h.name == ORIGIN_HEADER);
+    let origin = origin.and_then(|h| u64::from_str_radix(&h.value, 16).ok());
+    origin.map_or_else(|| of_content(request), Fingerprint)
+}
+
+fn of_content(request: &ServeRequest) -> Fingerprint {
+    Fingerprint::of(
+        request.team.as_ref(),
+        &request.service,
+        &request.method,
+        &request.path,
+        &request.body,
+    )
+}
+
+/// Notes the content that a request began with, before its body is changed.
+pub fn keep_origin(request: &mut ServeRequest) {
+    let origin = fingerprint(request);
+    request.headers.retain(|h| h.name != ORIGIN_HEADER);
+    request.headers.push(Header {
+        name: ORIGIN_HEADER.to_owned(),
+        value: format!("{:016x}", origin.0),
+    });
+}
+
 /// Describes a request to the owner's queue.
 pub fn arrival(ticket: Ticket, now: Millis, request: &ServeRequest) -> Arrival {
     let work = Work {
@@ -163,13 +194,7 @@
         class: request.class,
         work,
         deadline: now + request.timeout,
-        fingerprint: Fingerprint::of(
-            request.team.as_ref(),
-            &request.service,
-            &request.method,
-            &request.path,
-            &request.body,
-        ),
+        fingerprint: fingerprint(request),
         prefix: Some(PrefixHash::of(&request.body)),
         resumable: request.class == Class::Rollout,
     }
--- a/crates/dandelion-daemon/src/serve/shard.rs
+++ b/crates/dandelion-daemon/src/serve/shard.rs
@@ -8,6 +8,8 @@
 
 use async_channel::Receiver;
 use async_channel::Sender;
+use async_std::sync::Mutex as AsyncMutex;
+use async_std::sync::MutexGuard as AsyncMutexGuard;
 use dandelion_kernel::Machine;
 use dandelion_protocol::config::Config;
 use dandelion_protocol::ids::Incarnation;
@@ -81,6 +83,7 @@
     state: Mutex<State>,
     interactive: AtomicU32,
     rollout: AtomicU32,
+    spreading: AsyncMutex<()>,
 }
 
 impl Shard {
@@ -96,6 +99,7 @@
             state: Mutex::new(state),
             interactive: AtomicU32::new(0),
             rollout: AtomicU32::new(0),
+            spreading: AsyncMutex::new(()),
         }
     }
 
@@ -164,6 +168,16 @@
         self.lock().queue.set_config(now, config, share);
     }
 
+    /// Waits until no notes of this queue are on their way; they are until the guard is dropped.
+    pub async fn spread(&self) -> AsyncMutexGuard<'_, ()> {
+        self.spreading.lock().await
+    }
+
+    /// Returns whether there is something to tell others.
+    pub fn has_news(&self) -> bool {
+        !self.lock().outbox.is_empty()
+    }
+
     /// Takes what others are to be told.
     pub fn take_outbox(&self) -> Outbox {
         std::mem::take(&mut self.lock().outbox)
--- a/crates/dandelion-daemon/src/zone.rs
+++ b/crates/dandelion-daemon/src/zone.rs
@@ -1,5 +1,6 @@
 //! What an owner tells other daemons: digests of its load, notes on suspects, blocks.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use async_std::task;
@@ -10,6 +11,8 @@
 use dandelion_protocol::config::Member;
 use dandelion_protocol::ids::DaemonId;
 use dandelion_protocol::ids::ServiceId;
+use dandelion_protocol::ids::ZoneId;
+use dandelion_protocol::mesh::CallBody;
 use dandelion_protocol::mesh::MeshMessage;
 use dandelion_route::digest::DigestSchedule;
 use dandelion_route::digest::OwnerDigest;
@@ -18,13 +21,19 @@
 use dandelion_route::ticket::Fingerprint;
 use dandelion_telemetry::Event;
 use dandelion_telemetry::event;
+use futures::future::join_all;
 
 use crate::core::Handle;
+use crate::serve;
 use crate::serve::Outbox;
+use crate::serve::Shard;
 
 /// Time between two ticks of the queues.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Longest wait for a daemon to take notes.
+const NOTES_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Ticks between two digests.
 const DIGEST_TICKS: u64 = 10;
 
@@ -89,14 +98,21 @@
 /// Passes on what the queues want others to know.
 fn tell(core: &Handle) {
     for (_, shard) in core.owners.shards() {
-        let outbox = shard.take_outbox();
-        if !outbox.is_empty() {
-            pass_on(core, outbox);
+        if shard.has_news() {
+            let core = core.clone();
+            task::spawn(async move { tell_now(&core, &shard).await });
         }
     }
 }
 
-fn pass_on(core: &Handle, outbox: Outbox) {
+/// Passes on what one queue wants others to know, and waits until the daemons of the zone and one
+/// of each other zone have it or are late. A crash's callers are answered after this.
+pub async fn tell_now(core: &Handle, shard: &Shard) {
+    let _spreading = shard.spread().await;
+    pass_on(core, shard.take_outbox()).await;
+}
+
+async fn pass_on(core: &Handle, outbox: Outbox) {
     for upstream in outbox.ejected {
         event!(Event::UpstreamEjected, upstream = upstream);
     }
@@ -107,14 +123,37 @@
         return;
     }
     event!(Event::PoisonSuspected, requests = outbox.notes.len());
+    serve::hear_notes(core, &outbox.notes);
     let Ok(bytes) = codec::encode(&ZoneMessage::Notes(outbox.notes)) else {
         return;
     };
+    let own = &core.identity.zone;
+    let view = core.control.view();
+    let mut relays: BTreeMap<&ZoneId, &DaemonId> = BTreeMap::new();
+    for member in view.members.iter().filter(|m| m.zone != *own && !m.leaving) {
+        relays.entry(&member.zone).or_insert(&member.id);
+    }
+    let far = relays.values().map(|id| send_notes(core, id, &bytes, true));
+    futures::join!(relay_notes(core, &bytes), join_all(far));
+}
+
+/// Passes notes on to the other daemons of the own zone and waits until they have them.
+pub async fn relay_notes(core: &Handle, bytes: &[u8]) {
     let view = core.control.view();
     let own = &core.identity;
-    let peers = view.members.iter().filter(|m| m.zone == own.zone);
-    for member in peers {
-        send(core, &member.id, bytes.clone());
+    let peers = view.members.iter();
+    let peers = peers.filter(|m| m.zone == own.zone && m.id != own.daemon);
+    join_all(peers.map(|m| send_notes(core, &m.id, bytes, false))).await;
+}
+
+async fn send_notes(core: &Handle, to: &DaemonId, bytes: &[u8], relay: bool) {
+    let Some(mesh) = core.mesh() else {
+        return;
+    };
+    let bytes = bytes.to_vec();
+    let call = CallBody::Notes { bytes, relay };
+    if let Err(error) = mesh.call(to, call, NOTES_TIMEOUT).await {
+        log::debug!("daemon {to} did not take the notes: {error}");
     }
 }
 
--- a/crates/dandelion-load/src/cluster/http.rs
+++ b/crates/dandelion-load/src/cluster/http.rs
@@ -41,6 +41,12 @@
         self.status != 200 && refusal["ran"] == "not_run"
     }
 
+    /// Returns the code of a refusal, or an empty text.
+    pub fn code(&self) -> String {
+        let refusal: serde_json::Value = serde_json::from_slice(&self.body).unwrap_or_default();
+        refusal["code"].as_str().unwrap_or_default().to_owned()
+    }
+
     /// Returns the tokens of an event stream, joined, and whether the stream marked its end.
     pub fn tokens(&self) -> (String, bool) {
         let mut text = String::new();
--- a/crates/dandelion-load/src/registry.rs
+++ b/crates/dandelion-load/src/registry.rs
@@ -3,10 +3,13 @@
 use anyhow::Context;
 use serde_json::Value;
 
+use crate::scenarios::drain;
 use crate::scenarios::once;
 use crate::scenarios::overhead;
 use crate::scenarios::path;
+use crate::scenarios::poison;
 use crate::scenarios::rollout;
+use crate::scenarios::silent;
 use crate::scenarios::spot;
 
 /// A scenario: its name, what it shows and how it is run with a seed.
@@ -32,6 +35,21 @@
         about: "processes: what one daemon and a mesh hop add to a call, and work for each core second",
         run: overhead::run,
     },
+    Scenario {
+        name: "drain",
+        about: "processes: upstreams leave by announcement and by order, daemons stop under streams",
+        run: drain::run,
+    },
+    Scenario {
+        name: "silent",
+        about: "processes: connections to an engine go silent in mid-stream and while idle",
+        run: silent::run,
+    },
+    Scenario {
+        name: "poison",
+        about: "processes: a prompt that crashes engines, sent again and again through all daemons",
+        run: poison::run,
+    },
     Scenario {
         name: "path",
         about: "processes: a caller, an operator, a trainer and the usage report through daemons",
--- a/crates/dandelion-load/src/scenarios/once.rs
+++ b/crates/dandelion-load/src/scenarios/once.rs
@@ -58,6 +58,7 @@
     streams_whole: u64,
     streams_broken: u64,
     streams_refused: u64,
+    unreachable: u64,
 }
 
 impl Figures {
@@ -71,6 +72,7 @@
         self.streams_whole += other.streams_whole;
         self.streams_broken += other.streams_broken;
         self.streams_refused += other.streams_refused;
+        self.unreachable += other.unreachable;
         self
     }
 }
@@ -124,6 +126,7 @@
         "streams_whole": sum.streams_whole,
         "streams_broken": sum.streams_broken,
         "streams_refused": sum.streams_refused,
+        "daemon_unreachable": sum.unreachable,
         "daemons_killed": faults.killed,
         "leaders_paused": faults.paused,
         "engines_crashed": faults.crashed,
@@ -184,14 +187,14 @@
     let mut rng = StdRng::seed_from_u64(seed);
     let mut faults = Faults::default();
     let until = Instant::now() + RUN_TIME;
-    let mut round = 1;
+    let mut round: u64 = 1;
     while Instant::now() < until {
         task::sleep(ROUND).await;
         round += 1;
         let crashed = rng.random_range(0..engines.len());
         engines[crashed].crash();
         faults.crashed += 1;
-        let leader = if round % 2 == 0 {
+        let leader = if round.is_multiple_of(2) {
             leader(cluster).await
         } else {
             None
@@ -298,9 +301,16 @@
 }
 
 fn judge_stream(prompt: &str, answer: &Result<Answer, SendError>, figures: &mut Figures) {
-    let Ok(answer) = answer else {
-        figures.streams_broken += 1;
-        return;
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(SendError::NotSent(_)) => {
+            figures.unreachable += 1;
+            return;
+        }
+        Err(SendError::Unknown(_)) => {
+            figures.streams_broken += 1;
+            return;
+        }
     };
     if answer.status != 200 {
         figures.streams_refused += 1;
--- /dev/null
+++ b/crates/dandelion-load/src/scenarios/silent.rs
@@ -0,0 +1,126 @@
+//! Connections to upstreams that go silent for good while new ones work.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use async_std::task;
+use dandelion_fakes::engine::Engine;
+use dandelion_fakes::engine::EngineConfig;
+use dandelion_fakes::relay::Relay;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::cluster::Caller;
+use crate::cluster::Cluster;
+use crate::cluster::ClusterConfig;
+use crate::cluster::setup;
+
+const DAEMONS: usize = 2;
+const ROUNDS: usize = 4;
+const TOKENS: u32 = 200;
+const TOKEN_TIME: Duration = Duration::from_millis(5);
+/// Time after which a stream is well under way.
+const UNDER_WAY: Duration = Duration::from_millis(300);
+const RETRY_GAP: Duration = Duration::from_millis(100);
+const LIMIT: Duration = Duration::from_secs(10);
+const IDLE: Duration = Duration::from_millis(500);
+
+/// Runs the scenario.
+pub fn run(seed: u64) -> anyhow::Result<Value> {
+    task::block_on(run_silent(seed))
+}
+
+async fn run_silent(seed: u64) -> anyhow::Result<Value> {
+    let cluster = Cluster::spawn(ClusterConfig {
+        daemons: DAEMONS,
+        zones: 1,
+        control: 1,
+        ..ClusterConfig::default()
+    })
+    .await?;
+    let operator = cluster.operator();
+    operator.put_team("builders").await?;
+    let secret = operator.grant_key("site-1", "builders").await?;
+    operator.put_service("draft", "engine", false, true).await?;
+    let caller = Caller::new().with_key(&secret);
+    let (_engine, relay) = start_engine(&cluster).await?;
+    setup::wait_owner(&cluster, "engine-0").await?;
+    let mut times = Vec::new();
+    for round in 0..ROUNDS {
+        // Odd rounds mute a stream under way, even ones an idle kept connection.
+        times.push(recover(&cluster, &caller, &relay, seed, round).await);
+        task::sleep(IDLE).await;
+    }
+    let ejected = (0..DAEMONS).map(|i| ejections(&cluster.log(i)));
+    Ok(json!({
+        "scenario": "silent",
+        "kind": "processes",
+        "recovered_s_max": times.iter().max().map_or(0.0, Duration::as_secs_f64),
+        "recovered_s": times.iter().map(Duration::as_secs_f64).collect::<Vec<_>>(),
+        "ejected_wrongly": ejected.sum::<usize>(),
+        "rounds": ROUNDS,
+    }))
+}
+
+/// Starts an engine that announces a relay's address in place of its own.
+async fn start_engine(cluster: &Cluster) -> anyhow::Result<(Engine, Relay)> {
+    let listen = std::net::TcpListener::bind(("127.0.0.1", 0))?.local_addr()?;
+    let relay = Relay::bind(listen).await?;
+    let mut identity = setup::identity("engine-0", "z0", "draft", &cluster.addresses());
+    identity.address = Some(relay.local_addr());
+    let mut config = EngineConfig::new(identity);
+    config.listen = listen;
+    config.token_time = TOKEN_TIME;
+    Ok((Engine::bind(config).await?, relay))
+}
+
+/// Mutes the open connections and returns after what time a whole answer came through.
+async fn recover(
+    cluster: &Cluster,
+    caller: &Caller,
+    relay: &Relay,
+    seed: u64,
+    round: usize,
+) -> Duration {
+    let to = cluster.http(round / 2 % cluster.len());
+    let prompt = format!("round {seed} {round}");
+    // A first request leaves a kept connection behind.
+    ask(caller, to, &format!("{prompt} first"), 1).await;
+    if round.is_multiple_of(2) {
+        relay.mute_old();
+        let began = Instant::now();
+        while began.elapsed() < LIMIT && !ask(caller, to, &prompt, 1).await {
+            task::sleep(RETRY_GAP).await;
+        }
+        return began.elapsed();
+    }
+    let stream = {
+        let (caller, prompt) = (caller.clone(), prompt.clone());
+        task::spawn(async move { ask(&caller, to, &prompt, TOKENS).await })
+    };
+    task::sleep(UNDER_WAY).await;
+    relay.mute_old();
+    let began = Instant::now();
+    // What the whole stream takes beside the recovery.
+    let rest = (TOKEN_TIME * TOKENS).saturating_sub(UNDER_WAY);
+    if !stream.await {
+        return LIMIT;
+    }
+    began.elapsed().saturating_sub(rest)
+}
+
+async fn ask(caller: &Caller, to: std::net::SocketAddr, prompt: &str, tokens: u32) -> bool {
+    let body = json!({ "prompt": prompt, "max_tokens": tokens });
+    let answer = caller.post(to, "/v1/draft/generate", &body).await;
+    let whole = (setup::expected(prompt, tokens), true);
+    let ok = answer.as_ref().is_ok_and(|a| a.tokens() == whole);
+    if !ok {
+        eprintln!("not whole: {:?}", answer.map(|a| (a.status, a.body.len())));
+    }
+    ok
+}
+
+/// Counts the events of an upstream that left the rotation.
+fn ejections(log: &str) -> usize {
+    log.lines().filter(|line| line.contains("ejected")).count()
+}
--- a/crates/dandelion-net/src/http/client/send.rs
+++ b/crates/dandelion-net/src/http/client/send.rs
@@ -96,13 +96,19 @@
         options: &SendOptions,
     ) -> Result<Exchange, SendError> {
         let encoded = encode(request).await.map_err(SendError::NotSent)?;
+        let mut former = None;
         if let Some(stream) = self.pool.take(address) {
             match self.attempt(address, stream, &encoded, options).await {
-                Err(error) if may_resend(&error, options) => (),
+                Err(error) if may_resend(&error, options) => former = Some(error),
                 done => return done,
             }
         }
-        let stream = self.connect(address, options).await?;
+        let stream = match (self.connect(address, options).await, former) {
+            (Ok(stream), _) => stream,
+            // The kept connection may have carried the request before it closed.
+            (Err(_), Some(SendError::Unknown(cause))) => return Err(SendError::Unknown(cause)),
+            (Err(error), _) => return Err(error),
+        };
         self.attempt(address, stream, &encoded, options).await
     }
 
--- a/crates/dandelion-protocol/src/mesh.rs
+++ b/crates/dandelion-protocol/src/mesh.rs
@@ -122,6 +122,14 @@
     Propose(Proposal),
     /// Forwards an announcement to the owner.
     Announce(Announcement),
+    /// Spreads notes on suspects, encoded as a zone message; `relay` asks to pass them on in the zone.
+    Notes {
+        /// Notes.
+        #[serde(with = "serde_bytes")]
+        bytes: Vec<u8>,
+        /// Whether the receiver passes them on to its own zone.
+        relay: bool,
+    },
     /// Asks whether the daemon is alive.
     Probe,
     /// Reports owned upstreams and demand to the control leader.
