--- a/crates/dandelion-daemon/src/serve/owners.rs
+++ b/crates/dandelion-daemon/src/serve/owners.rs
@@ -48,7 +48,7 @@
         let mut shards = self.shards.write().expect("no holder of this lock panics");
         let shard = shards
             .entry(service.clone())
-            .or_insert_with(|| Arc::new(Shard::open(service, self.core.get().cloned())));
+            .or_insert_with(|| Arc::new(Shard::open(service)));
         Arc::clone(shard)
     }
 
--- a/crates/dandelion-daemon/src/serve/shard.rs
+++ b/crates/dandelion-daemon/src/serve/shard.rs
@@ -8,6 +8,8 @@
 
 use async_channel::Receiver;
 use async_channel::Sender;
+use async_std::sync::Mutex as AsyncMutex;
+use async_std::sync::MutexGuard as AsyncMutexGuard;
 use dandelion_kernel::Machine;
 use dandelion_protocol::config::Config;
 use dandelion_protocol::ids::Incarnation;
@@ -16,6 +18,7 @@
 use dandelion_protocol::outcome::Refusal;
 use dandelion_protocol::time::Millis;
 use dandelion_protocol::usage::Class;
+use dandelion_route::poison::SuspectNote;
 use dandelion_route::queue::Action;
 use dandelion_route::queue::Arrival;
 use dandelion_route::queue::Finish;
@@ -26,9 +29,6 @@
 use dandelion_route::ticket::Ticket;
 use dandelion_route::ticket::Work;
 
-use crate::core::Handle;
-use crate::zone;
-
 /// Verdicts that may wait for one request.
 const VERDICTS: usize = 4;
 
@@ -57,6 +57,8 @@
 /// What the queue wants the daemon to tell others.
 #[derive(Debug, Default)]
 pub struct Outbox {
+    /// Notes on suspects, for the daemons of the zone.
+    pub notes: Vec<SuspectNote>,
     /// Fingerprints to block everywhere.
     pub blocks: Vec<Fingerprint>,
     /// Upstreams that left the rotation for a while.
@@ -66,7 +68,7 @@
 impl Outbox {
     /// Returns whether there is nothing to tell.
     pub fn is_empty(&self) -> bool {
-        self.blocks.is_empty() && self.ejected.is_empty()
+        self.notes.is_empty() && self.blocks.is_empty() && self.ejected.is_empty()
     }
 }
 
@@ -75,7 +77,6 @@
     queue: OwnerQueue,
     waiters: BTreeMap<Ticket, Sender<Verdict>>,
     outbox: Outbox,
-    core: Option<Handle>,
 }
 
 /// Queue of one service under its own lock.
@@ -84,22 +85,23 @@
     state: Mutex<State>,
     interactive: AtomicU32,
     rollout: AtomicU32,
+    spreading: AsyncMutex<()>,
 }
 
 impl Shard {
-    /// Opens the empty queue of `service`; notes on suspects go out through `core`.
-    pub fn open(service: &ServiceId, core: Option<Handle>) -> Self {
+    /// Opens the empty queue of `service`.
+    pub fn open(service: &ServiceId) -> Self {
         let queue = OwnerQueue::open(QueueSettings::new(service.clone()));
         let state = State {
             queue,
             waiters: BTreeMap::new(),
             outbox: Outbox::default(),
-            core,
         };
         Self {
             state: Mutex::new(state),
             interactive: AtomicU32::new(0),
             rollout: AtomicU32::new(0),
+            spreading: AsyncMutex::new(()),
         }
     }
 
@@ -168,6 +170,16 @@
         self.lock().queue.set_config(now, config, share);
     }
 
+    /// Waits until no notes of this queue are on their way; they are until the guard is dropped.
+    pub async fn spread(&self) -> AsyncMutexGuard<'_, ()> {
+        self.spreading.lock().await
+    }
+
+    /// Returns whether there is something to tell others.
+    pub fn has_news(&self) -> bool {
+        !self.lock().outbox.is_empty()
+    }
+
     /// Takes what others are to be told.
     pub fn take_outbox(&self) -> Outbox {
         std::mem::take(&mut self.lock().outbox)
@@ -217,12 +229,7 @@
                 self.waiters.remove(&ticket);
             }
             Action::Ejected { upstream, .. } => self.outbox.ejected.push(upstream),
-            // Sent at once, so that no caller is answered before the zone knows.
-            Action::Note(note) => {
-                if let Some(core) = &self.core {
-                    zone::send_note(core, note);
-                }
-            }
+            Action::Note(note) => self.outbox.notes.push(note),
             Action::Block(fingerprint) => self.outbox.blocks.push(fingerprint),
         }
     }
--- a/crates/dandelion-load/src/registry.rs
+++ b/crates/dandelion-load/src/registry.rs
@@ -3,13 +3,17 @@
 use anyhow::Context;
 use serde_json::Value;
 
-use crate::scenarios::once;
-use crate::scenarios::overhead;
 use crate::scenarios::billing;
+use crate::scenarios::drain;
 use crate::scenarios::issuer;
+use crate::scenarios::once;
+use crate::scenarios::overhead;
 use crate::scenarios::path;
+use crate::scenarios::poison;
 use crate::scenarios::races;
 use crate::scenarios::rollout;
+use crate::scenarios::rollout;
+use crate::scenarios::silent;
 use crate::scenarios::slope;
 use crate::scenarios::spot;
 use crate::scenarios::spread;
@@ -39,6 +43,21 @@
         about: "processes: what one daemon and a mesh hop add to a call, and work for each core second",
         run: overhead::run,
     },
+    Scenario {
+        name: "drain",
+        about: "processes: upstreams leave by announcement and by order, daemons stop under streams",
+        run: drain::run,
+    },
+    Scenario {
+        name: "silent",
+        about: "processes: connections to an engine go silent in mid-stream and while idle",
+        run: silent::run,
+    },
+    Scenario {
+        name: "poison",
+        about: "processes: a prompt that crashes engines, sent again and again through all daemons",
+        run: poison::run,
+    },
     Scenario {
         name: "path",
         about: "processes: a caller, an operator, a trainer and the usage report through daemons",
