--- /dev/null
+++ b/crates/dandelion-daemon/tests/resume.rs
@@ -0,0 +1,75 @@
+//! A generation that another engine goes on with.
+
+use dandelion_daemon::serve::Follower;
+use dandelion_daemon::serve::Gap;
+use dandelion_protocol::ids::RequestId;
+use dandelion_protocol::mesh::ServeRequest;
+use dandelion_protocol::outcome::Ran;
+use dandelion_protocol::time::Millis;
+use dandelion_protocol::upstream::UpstreamKind;
+use dandelion_protocol::usage::Class;
+use serde_json::Value;
+
+fn request(body: &str) -> ServeRequest {
+    ServeRequest {
+        id: RequestId(1),
+        team: None,
+        service: "draft".parse().expect("a valid name"),
+        class: Class::Interactive,
+        method: "POST".to_owned(),
+        path: "/generate".to_owned(),
+        headers: Vec::new(),
+        body: body.as_bytes().to_vec(),
+        timeout: Millis::from_secs(1),
+        idempotent: true,
+    }
+}
+
+fn follower() -> Follower {
+    let request = request(r#"{"prompt":"p","max_tokens":4}"#);
+    Follower::open(UpstreamKind::Engine, &request).expect("a request for tokens")
+}
+
+const FIRST: &[u8] =
+    b"data: {\"token\":\"a \",\"index\":0}\n\ndata: {\"token\":\"b \",\"index\":1}\n\nda";
+
+#[test]
+fn goes_on() {
+    let mut follower = follower();
+    let passed = follower.read(FIRST.to_vec()).expect("no gap");
+    assert_eq!(passed.len(), FIRST.len() - 2);
+    assert!(follower.can_resume(Ran::Unknown));
+    assert!(!follower.is_whole());
+    let mut next = request("");
+    follower.resume(&mut next);
+    let ask: Value = serde_json::from_slice(&next.body).expect("JSON");
+    assert_eq!(ask["resume_from"], 2);
+    assert_eq!(ask["resume_text"], "a b ");
+    let rest = b"data: {\"token\":\"c\",\"index\":2}\n\ndata: {\"done\":true}\n\n";
+    assert_eq!(follower.read(rest.to_vec()), Ok(rest.to_vec()));
+    assert!(follower.is_whole());
+    assert!(!follower.can_resume(Ran::Unknown));
+}
+
+#[test]
+fn refuses_gaps() {
+    for index in [0, 1, 3] {
+        let mut follower = follower();
+        follower.read(FIRST.to_vec()).expect("no gap");
+        let mut next = request("");
+        follower.resume(&mut next);
+        let token = format!("data: {{\"token\":\"x\",\"index\":{index}}}\n\n");
+        assert_eq!(follower.read(token.into_bytes()), Err(Gap));
+    }
+}
+
+#[test]
+fn leaves_others() {
+    let plain = Follower::open(
+        UpstreamKind::Plain,
+        &request(r#"{"prompt":"p","max_tokens":4}"#),
+    );
+    assert!(plain.is_none());
+    let other = Follower::open(UpstreamKind::Engine, &request("{}"));
+    assert!(other.is_none());
+}
