Keep the retry budget for attempts that reached an owner

Cause: a request for which no upstream was known retried itself until the budget was empty, so that a stream that went silent soon after could not be resumed; the poison scenario stopped its engines under the last innocent requests and counted them as refused. Ruled out: a larger budget, which only takes longer to empty.

--- a/crates/dandelion-daemon/src/serve/entry.rs
+++ b/crates/dandelion-daemon/src/serve/entry.rs
@@ -341,12 +341,14 @@
     Ok(owner)
 }
 
-/// Overload is answered at once with a time to come back; only failures are tried elsewhere.
+/// Overload, or no upstream at all, is answered at once with a time to come back; only failures
+/// are tried elsewhere.
 fn is_worth_retrying(refusal: &Refusal) -> bool {
-    matches!(
-        refusal.code,
-        RefusalCode::UpstreamFailed | RefusalCode::NoUpstream | RefusalCode::ShuttingDown
-    )
+    refusal.retry_after.is_none()
+        && matches!(
+            refusal.code,
+            RefusalCode::UpstreamFailed | RefusalCode::NoUpstream | RefusalCode::ShuttingDown
+        )
 }
 
 fn outcome_of(ran: Ran) -> AttemptOutcome {
--- a/crates/dandelion-load/src/scenarios/poison.rs
+++ b/crates/dandelion-load/src/scenarios/poison.rs
@@ -45,6 +45,7 @@
     caller: Caller,
     daemons: Vec<std::net::SocketAddr>,
     stop: AtomicBool,
+    ended: AtomicBool,
     lost: AtomicU64,
 }
 
@@ -64,6 +65,7 @@
         caller: Caller::new().with_key(&secret),
         daemons: cluster.addresses(),
         stop: AtomicBool::new(false),
+        ended: AtomicBool::new(false),
         lost: AtomicU64::new(0),
     });
     let mut keepers = Vec::new();
@@ -84,6 +86,7 @@
     }
     scene.stop.store(true, Ordering::SeqCst);
     let counts = join_all(innocents).await;
+    scene.ended.store(true, Ordering::SeqCst);
     for keeper in keepers {
         keeper.await?;
     }
@@ -106,7 +109,7 @@
 ) -> anyhow::Result<()> {
     let mut listen = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
     let mut boot = 1;
-    while !scene.stop.load(Ordering::SeqCst) {
+    while !scene.ended.load(Ordering::SeqCst) {
         let zone = ZONES[index % ZONES.len()];
         let mut identity = setup::identity(&format!("engine-{index}"), zone, "draft", &daemons);
         identity.boot = Incarnation(boot);
@@ -117,7 +120,7 @@
         // Each later life has the address of the first.
         listen = engine.local_addr();
         boot += 1;
-        while !engine.is_crashed() && !scene.stop.load(Ordering::SeqCst) {
+        while !engine.is_crashed() && !scene.ended.load(Ordering::SeqCst) {
             task::sleep(POLL).await;
         }
         if engine.is_crashed() {
