--- a/crates/dandelion-daemon/src/serve/entry.rs
+++ b/crates/dandelion-daemon/src/serve/entry.rs
@@ -342,12 +342,14 @@
     Ok(owner)
 }
 
-/// Overload is answered at once with a time to come back; only failures are tried elsewhere.
+/// Overload, or no upstream at all, is answered at once with a time to come back; only failures
+/// are tried elsewhere.
 fn is_worth_retrying(refusal: &Refusal) -> bool {
-    matches!(
-        refusal.code,
-        RefusalCode::UpstreamFailed | RefusalCode::NoUpstream | RefusalCode::ShuttingDown
-    )
+    refusal.retry_after.is_none()
+        && matches!(
+            refusal.code,
+            RefusalCode::UpstreamFailed | RefusalCode::NoUpstream | RefusalCode::ShuttingDown
+        )
 }
 
 fn outcome_of(ran: Ran) -> AttemptOutcome {
