--- a/crates/dandelion-load/src/registry.rs
+++ b/crates/dandelion-load/src/registry.rs
@@ -12,7 +12,6 @@
 use crate::scenarios::poison;
 use crate::scenarios::races;
 use crate::scenarios::rollout;
-use crate::scenarios::rollout;
 use crate::scenarios::silent;
 use crate::scenarios::slope;
 use crate::scenarios::spot;
--- a/crates/dandelion-load/src/scenarios/mod.rs
+++ b/crates/dandelion-load/src/scenarios/mod.rs
@@ -12,7 +12,6 @@
 pub mod poison;
 pub mod races;
 pub mod rollout;
-pub mod rollout;
 pub mod silent;
 pub mod slope;
 pub mod spot;
