--- a/crates/dandelion-net/src/http/client/send.rs
+++ b/crates/dandelion-net/src/http/client/send.rs
@@ -154,6 +154,10 @@
         encoded: &Encoded,
         options: &SendOptions,
     ) -> Result<Exchange, SendError> {
+        // The process may have been suspended since the last look at the clock.
+        if Instant::now() >= options.deadline {
+            return Err(SendError::NotSent(Cause::Deadline));
+        }
         let mut progress = Progress::start(options.progress, options.deadline);
         write(&mut stream, &encoded.bytes, &mut progress).await?;
         let origin = Origin {
