Read lease and leader without waiting for a sync

Cause: every look at the lease or leader took the lock that a step holds over its sync; the worker takes it again at once, so readers on the executor's threads could wait for long on a slow disk. Ruled out: a second thread for reads. Before: in_charge and leader locked the node. After: both read what the last step published; a resignation is published before its messages leave. Conclusion: readers no longer wait for the disk; the takeover failure is looked for next.

--- a/crates/dandelion-control/src/node/control.rs
+++ b/crates/dandelion-control/src/node/control.rs
@@ -21,6 +21,7 @@
 use crate::node::joining::Joining;
 use crate::node::ledger::Ledger;
 use crate::node::spread_log::SpreadLog;
+use crate::node::status::Charge;
 use crate::raft::Envelope;
 use crate::raft::Payload;
 use crate::raft::RaftMessage;
@@ -273,9 +274,17 @@
     /// Returns the term if this daemon leads and no other can before `now + margin`. Check it
     /// directly before every outside act, with a margin in which the act surely ends.
     pub fn in_charge(&self, now: Millis, margin: Millis) -> Option<Term> {
-        let end = self.replica.lease_end(now)?;
-        let held = now + margin < end && self.failure.is_none();
-        self.replica.leads().filter(|_| held)
+        self.charge(now)
+            .filter(|c| c.covers(now, margin))
+            .map(|c| c.term)
+    }
+
+    /// Returns until when this daemon is in charge, if it leads. It holds without this node being
+    /// asked again: no other daemon can lead before that, unless this one resigns.
+    pub fn charge(&self, now: Millis) -> Option<Charge> {
+        let until = self.replica.lease_end(now)?;
+        let term = self.replica.leads().filter(|_| self.failure.is_none())?;
+        Some(Charge { term, until })
     }
 
     /// Returns the daemon that leads the control group, as far as known.
--- a/crates/dandelion-control/src/node/status.rs
+++ b/crates/dandelion-control/src/node/status.rs
@@ -13,6 +13,22 @@
 use crate::raft::Role;
 use crate::storage::Storage;
 
+/// A leader's lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Charge {
+    /// Term, also the fencing number.
+    pub term: Term,
+    /// End of the lease on this daemon's boot-time clock.
+    pub until: Millis,
+}
+
+impl Charge {
+    /// Returns whether the lease lasts longer than `margin` from `now`.
+    pub fn covers(&self, now: Millis, margin: Millis) -> bool {
+        now + margin < self.until
+    }
+}
+
 /// How far a revision has reached.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InForce {
--- a/crates/dandelion-daemon/src/control/replica.rs
+++ b/crates/dandelion-daemon/src/control/replica.rs
@@ -10,11 +10,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use arc_swap::ArcSwap;
 use async_channel::Receiver;
 use async_channel::Sender;
 use async_std::future::timeout;
 use dandelion_control::ControlNode;
 use dandelion_control::FileStorage;
+use dandelion_control::node::Charge;
 use dandelion_control::node::InForce;
 use dandelion_control::node::NodeAction;
 use dandelion_control::node::NodeEvent;
@@ -64,9 +66,17 @@
     changes: BTreeMap<u64, oneshot::Sender<Changed>>,
 }
 
+/// What others read without waiting for a step and its sync.
+#[derive(Debug, Default)]
+struct Published {
+    leader: Option<DaemonId>,
+    charge: Option<Charge>,
+}
+
 #[derive(Debug)]
 struct Shared {
     node: Mutex<Node>,
+    published: ArcSwap<Published>,
     waiting: Mutex<Waiting>,
     tickets: AtomicU64,
 }
@@ -85,6 +95,7 @@
         let (outgoing, messages) = async_channel::unbounded();
         let shared = Arc::new(Shared {
             node: Mutex::new(node),
+            published: ArcSwap::default(),
             waiting: Mutex::default(),
             tickets: AtomicU64::new(1),
         });
@@ -169,13 +180,16 @@
 
     /// Returns the term if this daemon is in charge until `margin` from now at the least.
     pub fn in_charge(&self, margin: Millis) -> Option<Term> {
-        let node = self.node();
-        node.in_charge(clock::boot_now(), margin)
+        let published = self.shared.published.load();
+        let charge = published
+            .charge
+            .filter(|c| c.covers(clock::boot_now(), margin));
+        charge.map(|c| c.term)
     }
 
     /// Returns the leader, as far as known.
     pub fn leader(&self) -> Option<DaemonId> {
-        self.node().leader().cloned()
+        self.shared.published.load().leader.clone()
     }
 
     /// Describes the replica.
@@ -247,7 +261,14 @@
                 .node
                 .lock()
                 .expect("no holder of this lock panics");
-            node.step(clock::boot_now(), clock::wall_now(), events, &mut actions)
+            let now = clock::boot_now();
+            let stepped = node.step(now, clock::wall_now(), events, &mut actions);
+            // Before any message leaves, so that a resignation is known here first.
+            self.shared.published.store(Arc::new(Published {
+                leader: node.leader().cloned(),
+                charge: node.charge(now),
+            }));
+            stepped
         };
         if let Err(error) = stepped {
             event!(Event::StorageFailed, error = error);
