--- a/crates/dandelion-daemon/src/run.rs
+++ b/crates/dandelion-daemon/src/run.rs
@@ -214,15 +214,7 @@
     let mut rng = rand::rng();
     let storage = FileStorage::open(folder, ReplicaId(rng.random()))
         .with_context(|| format!("--data-folder {}", folder.display()))?;
-    let mut peers: Vec<DaemonId> = settings
-        .control
-        .bootstrap
-        .iter()
-        .map(|p| p.id.clone())
-        .collect();
-    if !peers.contains(&settings.name) {
-        peers.push(settings.name.clone());
-    }
+    let peers = group_peers(settings);
     let node = NodeSettings {
         voters: VOTERS,
         timing: timing(settings),
@@ -233,6 +225,18 @@
     Ok((Some(replica), Some(outgoing)))
 }
 
+/// Returns the daemons of the control group, as the settings name them. A daemon that is not told
+/// to begin a cell is not among them: it introduces itself to the group and starts none.
+fn group_peers(settings: &Checked) -> Vec<DaemonId> {
+    let control = &settings.control;
+    let named = if control.bootstrap.is_empty() {
+        &control.peers
+    } else {
+        &control.bootstrap
+    };
+    named.iter().map(|p| p.id.clone()).collect()
+}
+
 fn timing(settings: &Checked) -> Timing {
     Timing {
         feed_period: settings.control.feed_period,
