Keep a daemon's lease while changes pour in

Cause: each pushed change made a daemon renew at once, and only the last 8 sendings were remembered; a daemon with a backlog (a leader resumed from suspension) got grants only for forgotten sendings and never a lease while operators kept changing things. Pushes also kept the tick from running. Conclusion: a lease no longer depends on the rate of changes.

--- a/crates/dandelion-control/src/feed/client.rs
+++ b/crates/dandelion-control/src/feed/client.rs
@@ -25,7 +25,7 @@
 use crate::timing::Timing;
 
 /// Renewals whose sending time is remembered.
-const MAX_SENT: usize = 8;
+const MAX_SENT: usize = 64;
 
 /// Renewals without a grant after which another feeder is tried.
 const MAX_MISSED: u32 = 2;
@@ -101,6 +101,8 @@
     sent: VecDeque<Sent>,
     nonce: u64,
     missed: u32,
+    ack_due: bool,
+    acked: Millis,
     next: Millis,
     until: Millis,
 }
@@ -120,6 +122,8 @@
             sent: VecDeque::new(),
             nonce,
             missed: 0,
+            ack_due: false,
+            acked: Millis::ZERO,
             next: Millis::ZERO,
             until: Millis::ZERO,
         }
@@ -180,6 +184,7 @@
                     return;
                 };
                 self.receive(now, &from, message, actions);
+                self.tick(now, actions);
             }
         }
     }
@@ -193,7 +198,7 @@
     ) {
         match message {
             FeedMessage::Grant(grant) => self.on_grant(now, grant, actions),
-            FeedMessage::Push(push) => self.on_push(now, &push, actions),
+            FeedMessage::Push(push) => self.on_push(&push, actions),
             FeedMessage::Refuse(refuse) => self.on_refuse(now, from, refuse),
             FeedMessage::Renew(_) | FeedMessage::Report(_) | FeedMessage::Licence(_) => {}
         }
@@ -204,6 +209,13 @@
             if self.missed >= MAX_MISSED {
                 self.switch(now);
             }
+            self.missed += 1;
+            self.next = now + self.settings.timing.feed_period;
+            self.renew(now, actions);
+        }
+        if self.ack_due && now >= self.acked + self.settings.timing.report_gap {
+            self.ack_due = false;
+            self.acked = now;
             self.renew(now, actions);
         }
     }
@@ -235,8 +247,6 @@
             return;
         };
         self.nonce += 1;
-        self.missed += 1;
-        self.next = now + self.settings.timing.feed_period;
         self.sent.push_back(Sent {
             nonce: self.nonce,
             at: now,
@@ -276,16 +286,16 @@
         self.until = self.until.max(sent.at + grant.lease);
     }
 
-    fn on_push(&mut self, now: Millis, push: &Push, actions: &mut Vec<FeedAction>) {
+    /// Takes changes in. They are acknowledged by a renewal, at most one each report gap: more would
+    /// push the sendings out of memory that the grants under way are for.
+    fn on_push(&mut self, push: &Push, actions: &mut Vec<FeedAction>) {
         let fresh = self.group == GroupId::default();
         if fresh || push.group != self.group {
             return;
         }
         let before = self.revision();
         let applied = self.update(&push.update, actions);
-        if !applied || self.revision() > before {
-            self.renew(now, actions);
-        }
+        self.ack_due |= !applied || self.revision() > before;
     }
 
     fn on_refuse(&mut self, now: Millis, from: &DaemonId, refuse: Refuse) {
--- a/crates/dandelion-control/tests/mutations.rs
+++ b/crates/dandelion-control/tests/mutations.rs
@@ -16,7 +16,7 @@
 use support::schedule::run_schedule;
 
 /// Schedules within which a mutation must be noticed.
-const SEEDS: u64 = 1000;
+const SEEDS: u64 = 2500;
 
 /// Requires that some schedule ends in a failure that says `wanted`.
 fn assert_noticed(shape: Shape, wanted: &str) {
