--- a/crates/dandelion-daemon/src/rollouts/trainer.rs
+++ b/crates/dandelion-daemon/src/rollouts/trainer.rs
@@ -17,6 +17,8 @@
 use dandelion_protocol::time::Millis;
 use dandelion_rollout::coordinator::Answer;
 use dandelion_rollout::coordinator::Event;
+use futures::FutureExt;
+use futures::select_biased;
 use http_types::Request;
 use http_types::Response;
 use serde::Serialize;
@@ -25,6 +27,7 @@
 
 use crate::core::Handle;
 use crate::serve;
+use crate::serve::StreamGuard;
 
 /// Start of the trainers' paths.
 pub const JOBS_PREFIX: &str = "/v1/jobs/";
@@ -44,7 +47,7 @@
 pub async fn serve_trainer(core: &Handle, mut request: Request) -> Response {
     let path = request.url().path().to_owned();
     let reply = match admit(core, &mut request, &path).await {
-        Ok(body) => answer(core, &path, body).await,
+        Ok((body, guard)) => answer_until_cut(core, &path, body, &guard).await,
         Err(refusal) => refused(&refusal),
     };
     let status = http_types::StatusCode::try_from(reply.status);
@@ -55,24 +58,49 @@
 }
 
 /// Checks that the key belongs to the job's team, and reads the body.
-async fn admit(core: &Handle, request: &mut Request, path: &str) -> Result<Vec<u8>, Refusal> {
+async fn admit(
+    core: &Handle,
+    request: &mut Request,
+    path: &str,
+) -> Result<(Vec<u8>, StreamGuard), Refusal> {
     let (job, _) = split(path)?;
     let leased = core.control.is_leased();
     let view = core.control.view();
     let config = view.config.jobs.get(&job).ok_or_else(no_job)?;
     let secret = serve::shown_secret(request).map(str::to_owned);
-    let caller = serve::identify(&view, leased, clock::wall_now(), secret.as_deref())?;
+    let caller = serve::identify(
+        &view,
+        leased,
+        clock::wall_now(),
+        &config.service,
+        secret.as_deref(),
+    )?;
     if caller.team.as_ref() != Some(&config.team) {
         return Err(no_job());
     }
+    let guard = core.streams.enter(caller.key.clone(), core.next_number());
     let body = request.body_bytes().await;
-    body.map_err(|error| {
+    let body = body.map_err(|error| {
         Refusal::not_run(
             RefusalCode::BadRequest,
             &format!("the body could not be read: {error}"),
             "send it again",
         )
-    })
+    })?;
+    serve::recheck(&core.control.view(), &caller)?;
+    Ok((body, guard))
+}
+
+/// Answers unless the trainer's key stops working meanwhile.
+async fn answer_until_cut(core: &Handle, path: &str, body: Vec<u8>, guard: &StreamGuard) -> Reply {
+    let cut = guard.signal();
+    let answer = answer(core, path, body).fuse();
+    let cut = cut.raised().fuse();
+    futures::pin_mut!(answer, cut);
+    select_biased! {
+        () = cut => refused(&serve::withdrawn()),
+        reply = answer => reply,
+    }
 }
 
 async fn answer(core: &Handle, path: &str, body: Vec<u8>) -> Reply {
--- a/crates/dandelion-daemon/src/serve/auth.rs
+++ b/crates/dandelion-daemon/src/serve/auth.rs
@@ -5,6 +5,7 @@
 use dandelion_protocol::config::Key;
 use dandelion_protocol::config::Service;
 use dandelion_protocol::ids::KeyId;
+use dandelion_protocol::ids::ServiceId;
 use dandelion_protocol::ids::TeamId;
 use dandelion_protocol::outcome::Refusal;
 use dandelion_protocol::outcome::RefusalCode;
@@ -57,20 +58,20 @@
         }
         return Err(unauthorized("no key was sent"));
     };
-    let (caller, key) = find(view, leased, wall, secret)?;
-    keys::check_scope(key, &service.id).map_err(forbidden)?;
-    Ok(caller)
+    identify(view, leased, wall, &service.id, Some(secret))
 }
 
-/// Identifies a caller by its key alone.
+/// Identifies a caller by a key that opens `service`, whether or not the service is open.
 pub fn identify(
     view: &View,
     leased: bool,
     wall: WallMillis,
+    service: &ServiceId,
     secret: Option<&str>,
 ) -> Result<Caller, Refusal> {
     let secret = secret.ok_or_else(|| unauthorized("no key was sent"))?;
-    let (caller, _) = find(view, leased, wall, secret)?;
+    let (caller, key) = find(view, leased, wall, secret)?;
+    keys::check_scope(key, service).map_err(forbidden)?;
     Ok(caller)
 }
 
--- a/crates/dandelion-daemon/src/serve/entry.rs
+++ b/crates/dandelion-daemon/src/serve/entry.rs
@@ -369,7 +369,8 @@
     refusal.with_retry_after(NO_UPSTREAM_RETRY)
 }
 
-fn withdrawn() -> Refusal {
+/// Refusal of a request whose key stopped working while it waited.
+pub fn withdrawn() -> Refusal {
     let refusal = Refusal::not_run(
         RefusalCode::Unauthorized,
         "the key was withdrawn, or this daemon lost its lease, while the request waited",
--- a/crates/dandelion-daemon/src/serve/streams.rs
+++ b/crates/dandelion-daemon/src/serve/streams.rs
@@ -8,6 +8,7 @@
 use dandelion_net::Trigger;
 use dandelion_protocol::config::Config;
 use dandelion_protocol::ids::KeyId;
+use dandelion_protocol::time::WallMillis;
 
 type Triggers = BTreeMap<u64, Trigger>;
 
@@ -59,6 +60,15 @@
         self.cut_where(|key| !config.keys.contains_key(key))
     }
 
+    /// Cuts the requests of keys that have expired; returns how many.
+    pub fn cut_expired(&self, config: &Config, now: WallMillis) -> usize {
+        let expired = |key: &KeyId| {
+            let expires = config.keys.get(key).and_then(|k| k.expires);
+            expires.is_some_and(|at| at <= now)
+        };
+        self.cut_where(expired)
+    }
+
     /// Cuts every keyed request, because the lease ran out; returns how many.
     pub fn cut_all(&self) -> usize {
         self.cut_where(|_| true)
--- a/crates/dandelion-daemon/src/zone.rs
+++ b/crates/dandelion-daemon/src/zone.rs
@@ -55,6 +55,8 @@
         if ticks % DIGEST_TICKS != 0 {
             continue;
         }
+        let config = &core.control.view().config;
+        core.streams.cut_expired(config, clock::wall_now());
         send_near(&core, ticks, &mut near);
         let now = clock::boot_now();
         if now.since(far_sent) >= far_period(&core) {
--- a/crates/dandelion-daemon/tests/open_streams.rs
+++ b/crates/dandelion-daemon/tests/open_streams.rs
@@ -4,6 +4,7 @@
 use dandelion_protocol::config::Config;
 use dandelion_protocol::config::Key;
 use dandelion_protocol::ids::KeyId;
+use dandelion_protocol::time::WallMillis;
 
 fn id(name: &str) -> KeyId {
     name.parse().unwrap()
@@ -50,3 +51,16 @@
     drop(streams.enter(Some(id("key")), 1));
     assert_eq!(streams.cut_all(), 0);
 }
+
+#[test]
+fn expired_cut() {
+    let streams = OpenStreams::default();
+    let mut config = config_with(&["old", "new"]);
+    config.keys.get_mut(&id("old")).unwrap().expires = Some(WallMillis(100));
+    let old = streams.enter(Some(id("old")), 1);
+    let new = streams.enter(Some(id("new")), 2);
+    assert_eq!(streams.cut_expired(&config, WallMillis(99)), 0);
+    assert_eq!(streams.cut_expired(&config, WallMillis(100)), 1);
+    assert!(old.signal().is_raised());
+    assert!(!new.signal().is_raised());
+}
