--- /dev/null
+++ b/crates/dandelion-batch/src/scheduler/engine.rs
@@ -0,0 +1,126 @@
+//! What the scheduler believes of one engine.
+
+use std::collections::BTreeMap;
+
+use dandelion_protocol::lives::UpstreamLife;
+use dandelion_protocol::time::Millis;
+
+/// First time for which an engine that failed is passed over.
+const FIRST_PAUSE: Millis = Millis(200);
+
+/// Longest time for which an engine that failed is passed over.
+const LONGEST_PAUSE: Millis = Millis(2_000);
+
+/// Time for which an engine that refused an item as full is passed over.
+const FULL_PAUSE: Millis = Millis(60);
+
+/// Weight of the newest run in the mean speed.
+const SPEED_WEIGHT: f64 = 0.3;
+
+/// A version that an engine loads.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Loading {
+    /// Model.
+    pub model: String,
+    /// Version.
+    pub version: u64,
+    /// Time at which it should be there.
+    pub until: Millis,
+}
+
+/// One engine.
+#[derive(Debug, Clone)]
+pub struct Engine {
+    /// Its life.
+    pub life: UpstreamLife,
+    /// Tokens that it holds in memory.
+    pub memory: u64,
+    /// Versions by model, as far as known.
+    pub versions: BTreeMap<String, u64>,
+    /// Runs under way.
+    pub runs: u32,
+    /// Tokens predicted for the runs under way.
+    pub tokens: u64,
+    /// Version being loaded.
+    pub loading: Option<Loading>,
+    /// Time before which no order is sent.
+    pub order_after: Millis,
+    /// Time between two events of a run, in milliseconds.
+    pub pace: Option<f64>,
+    paused: Millis,
+    failures: u32,
+}
+
+impl Engine {
+    /// Starts with nothing known but its life.
+    pub fn open(life: UpstreamLife, memory: u64) -> Self {
+        Self {
+            life,
+            memory,
+            versions: BTreeMap::new(),
+            runs: 0,
+            tokens: 0,
+            loading: None,
+            order_after: Millis::ZERO,
+            pace: None,
+            paused: Millis::ZERO,
+            failures: 0,
+        }
+    }
+
+    /// Returns whether it can take another run.
+    pub fn is_free(&self, now: Millis) -> bool {
+        self.life.ready && self.runs < self.life.slots && now >= self.paused && !self.is_loading(now)
+    }
+
+    /// Returns whether it loads weights.
+    pub fn is_loading(&self, now: Millis) -> bool {
+        self.loading.as_ref().is_some_and(|l| now < l.until)
+    }
+
+    /// Returns the version of a model that it should have now; the first one unless it said so.
+    pub fn version(&self, model: &str) -> u64 {
+        self.versions.get(model).copied().unwrap_or(1)
+    }
+
+    /// Returns whether another run of so many tokens fits its memory.
+    pub fn has_room(&self, tokens: u64) -> bool {
+        self.runs == 0 || self.memory == 0 || self.tokens + tokens <= self.memory
+    }
+
+    /// Returns how much of its slots is taken.
+    pub fn load(&self) -> f64 {
+        f64::from(self.runs) / f64::from(self.life.slots.max(1))
+    }
+
+    /// Notes that a connection failed or an answer was spoilt.
+    pub fn fail(&mut self, now: Millis) {
+        let pause = Millis(FIRST_PAUSE.0 << self.failures.min(8));
+        self.failures += 1;
+        self.paused = now + pause.min(LONGEST_PAUSE);
+    }
+
+    /// Notes that it took no further item.
+    pub fn refuse(&mut self, now: Millis) {
+        self.paused = self.paused.max(now + FULL_PAUSE);
+    }
+
+    /// Notes that a run made progress.
+    pub fn succeed(&mut self) {
+        self.failures = 0;
+    }
+
+    /// Takes the pace of a finished run into the mean.
+    pub fn note_pace(&mut self, pace: f64) {
+        let former = self.pace.unwrap_or(pace);
+        self.pace = Some(former + SPEED_WEIGHT * (pace - former));
+    }
+
+    /// Ends a load whose time is over: from then on the engine should have the version.
+    pub fn finish_load(&mut self, now: Millis) {
+        if let Some(loading) = self.loading.take_if(|l| now >= l.until) {
+            let known = self.versions.entry(loading.model).or_insert(1);
+            *known = (*known).max(loading.version);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dandelion-batch/src/scheduler/mod.rs
@@ -0,0 +1,19 @@
+//! Places the items of open jobs on engines and brings engines to the named versions.
+
+pub mod engine;
+pub mod event;
+pub mod job;
+pub mod machine;
+pub mod order;
+pub mod place;
+
+pub use engine::Engine;
+pub use event::Action;
+pub use event::Event;
+pub use event::OrderOutcome;
+pub use event::RunId;
+pub use event::RunOutcome;
+pub use event::Speed;
+pub use job::Item;
+pub use job::Job;
+pub use machine::Scheduler;
--- /dev/null
+++ b/crates/dandelion-batch/src/scheduler/place.rs
@@ -0,0 +1,60 @@
+//! Chooses the engine of an item.
+//!
+//! Answers the load of a batch job: many items at once, in groups that share a prompt, on engines
+//! that run a fixed number of requests and lose work when their memory runs out.
+
+use std::collections::BTreeMap;
+
+use dandelion_protocol::ids::UpstreamId;
+use dandelion_protocol::time::Millis;
+
+use crate::scheduler::engine::Engine;
+use crate::scheduler::job::Item;
+use crate::scheduler::job::Job;
+
+/// Share of its slots by which an engine may be fuller than another and still be preferred because
+/// it holds the group's prompt.
+const PROMPT_BONUS: f64 = 0.25;
+
+/// Share of its slots that an engine which failed the item before counts as fuller.
+const AVOID_MALUS: f64 = 2.0;
+
+/// Weight of an engine's slowness against the share of its slots that is taken.
+const PACE_WEIGHT: f64 = 0.5;
+
+/// Returns the engine that should run an item now, if one can.
+pub fn choose<'a>(
+    now: Millis,
+    engines: &'a BTreeMap<UpstreamId, Engine>,
+    job: &Job,
+    item: &Item,
+) -> Option<&'a Engine> {
+    let service = job.service.as_ref()?;
+    let fastest = engines.values().filter_map(|e| e.pace).reduce(f64::min);
+    let fits = |engine: &&Engine| {
+        let version = item.model.as_ref().map(|m| engine.version(m));
+        engine.life.service == *service
+            && engine.is_free(now)
+            && engine.has_room(item.tokens)
+            && version.is_none_or(|v| v >= job.min_version)
+    };
+    let holder = job.groups[item.group].engine.as_ref();
+    let cost = |engine: &Engine| {
+        let id = &engine.life.id;
+        let mut cost = engine.load();
+        if holder == Some(id) {
+            cost -= PROMPT_BONUS;
+        }
+        if item.avoid.as_ref() == Some(id) {
+            cost += AVOID_MALUS;
+        }
+        if let (Some(pace), Some(fastest)) = (engine.pace, fastest) {
+            cost += PACE_WEIGHT * (pace / fastest.max(f64::EPSILON) - 1.0);
+        }
+        cost
+    };
+    engines
+        .values()
+        .filter(fits)
+        .min_by(|a, b| cost(a).total_cmp(&cost(b)))
+}
--- a/crates/dandelion-control/examples/measure_feed.rs
+++ b/crates/dandelion-control/examples/measure_feed.rs
@@ -29,6 +29,7 @@
 use dandelion_protocol::config::CONFIG_TABLE;
 use dandelion_protocol::config::ConfigCommand;
 use dandelion_protocol::config::Member;
+use dandelion_protocol::config::Role;
 use dandelion_protocol::config::Team;
 use dandelion_protocol::control::MEMBERS_TABLE;
 use dandelion_protocol::control::MemberCommand;
@@ -252,6 +253,8 @@
             address: format!("10.20.{}.{}:7400", number / 250, number % 250),
             incarnation: Incarnation(1_700_000_000_000 + number),
             leaving: false,
+            role: Role::Entry,
+            host: String::new(),
         });
         let proposal = Proposal {
             table: MEMBERS_TABLE.to_owned(),
--- a/crates/dandelion-control/src/feed/client.rs
+++ b/crates/dandelion-control/src/feed/client.rs
@@ -159,6 +159,11 @@
         self.feeder.as_ref()
     }
 
+    /// Returns the availability zone of the daemon.
+    pub fn zone(&self) -> &ZoneId {
+        &self.settings.zone
+    }
+
     /// Replaces the list of control daemons.
     pub fn set_feeders(&mut self, feeders: Vec<Feeder>) {
         let kept = feeders
--- /dev/null
+++ b/crates/dandelion-control/src/tables/lives.rs
@@ -0,0 +1,133 @@
+//! Upstreams that live.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use dandelion_kernel::ApplyContext;
+use dandelion_kernel::TABLES;
+use dandelion_kernel::Table;
+use dandelion_kernel::TableEntry;
+use dandelion_protocol::control::Rejection;
+use dandelion_protocol::ids::UpstreamId;
+use dandelion_protocol::lives::UpstreamEnd;
+use dandelion_protocol::lives::UpstreamLife;
+use dandelion_protocol::time::WallMillis;
+use linkme::distributed_slice;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Most ended lives that are remembered; a report that comes later than so many ends is taken for
+/// one of a living upstream.
+const MAX_ENDED: usize = 4_096;
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Known {
+    life: UpstreamLife,
+    sequence: u64,
+}
+
+/// Upstreams by name, at most one life each and at most one an address.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub struct LivesTable {
+    known: BTreeMap<UpstreamId, Known>,
+    ended: BTreeMap<UpstreamId, WallMillis>,
+    addresses: BTreeMap<SocketAddr, WallMillis>,
+}
+
+/// A change of the lives.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LifeCommand {
+    /// An upstream said something new of itself.
+    Report {
+        /// What it said.
+        life: UpstreamLife,
+        /// Number of the report in this life.
+        sequence: u64,
+    },
+    /// An upstream said that it ends; later reports of this life are not believed.
+    End(UpstreamEnd),
+    /// An upstream was not heard for long; it may report again.
+    Forget {
+        /// Upstream.
+        id: UpstreamId,
+        /// Life.
+        born: WallMillis,
+    },
+}
+
+impl LivesTable {
+    /// Iterates over the lives, by name.
+    pub fn lives(&self) -> impl Iterator<Item = &UpstreamLife> {
+        self.known.values().map(|known| &known.life)
+    }
+
+    fn report(&mut self, life: UpstreamLife, sequence: u64) -> Result<(), Rejection> {
+        let ended = self.ended.get(&life.id);
+        let older = |known: &Known| {
+            known.life.born > life.born
+                || (known.life.born == life.born && known.sequence > sequence)
+        };
+        let outdated = ended.is_some_and(|born| *born >= life.born)
+            || self.known.get(&life.id).is_some_and(older)
+            || self.addresses.get(&life.address).is_some_and(|born| *born > life.born);
+        if outdated {
+            return Err(Rejection::invalid(
+                "report",
+                "a later one of this upstream or of its address is known",
+                "nothing is to be done",
+            ));
+        }
+        let (address, born) = (life.address, life.born);
+        self.known.retain(|id, known| known.life.address != address || *id == life.id);
+        self.addresses.insert(address, born);
+        self.known.insert(life.id.clone(), Known { life, sequence });
+        Ok(())
+    }
+
+    fn end(&mut self, end: &UpstreamEnd) {
+        let known = self.known.get(&end.id).map(|known| known.life.born);
+        let Some(born) = end.born.or(known) else {
+            return;
+        };
+        if known.is_some_and(|known| known <= born) {
+            self.known.remove(&end.id);
+        }
+        let ended = self.ended.entry(end.id.clone()).or_default();
+        *ended = born.max(*ended);
+        if self.ended.len() > MAX_ENDED {
+            let oldest = self.ended.iter().min_by_key(|(_, born)| **born);
+            if let Some(id) = oldest.map(|(id, _)| id.clone()) {
+                self.ended.remove(&id);
+            }
+        }
+    }
+}
+
+impl Table for LivesTable {
+    const NAME: &'static str = "lives";
+    const SPREAD: bool = true;
+    const REMEMBERED: bool = false;
+    type Command = LifeCommand;
+    type Reply = ();
+
+    fn apply(&mut self, _: &ApplyContext<'_>, command: LifeCommand) -> Result<(), Rejection> {
+        match command {
+            LifeCommand::Report { life, sequence } => self.report(life, sequence),
+            LifeCommand::End(end) => {
+                self.end(&end);
+                Ok(())
+            }
+            LifeCommand::Forget { id, born } => {
+                let same = |known: &Known| known.life.born == born;
+                if self.known.get(&id).is_some_and(same) {
+                    self.known.remove(&id);
+                }
+                Ok(())
+            }
+        }
+    }
+}
+
+#[distributed_slice(TABLES)]
+static LIVES: TableEntry = TableEntry::of::<LivesTable>();
--- /dev/null
+++ b/crates/dandelion-control/src/tables/plan.rs
@@ -0,0 +1,62 @@
+//! The route plan in force.
+
+use std::sync::Arc;
+
+use dandelion_kernel::ApplyContext;
+use dandelion_kernel::TABLES;
+use dandelion_kernel::Table;
+use dandelion_kernel::TableEntry;
+use dandelion_protocol::control::Rejection;
+use dandelion_protocol::plan::RoutePlan;
+use linkme::distributed_slice;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_bytes::ByteBuf;
+
+/// The plan with the highest version, and the document that it was read from.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub struct PlanTable {
+    plan: Arc<RoutePlan>,
+    document: ByteBuf,
+}
+
+/// Puts a plan in force if its version is higher than the one held; otherwise nothing changes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplacePlan {
+    /// Plan.
+    pub plan: RoutePlan,
+    /// Document that it was read from, returned to readers as it is.
+    pub document: ByteBuf,
+}
+
+impl PlanTable {
+    /// Returns the plan, or nothing before the first one.
+    pub fn plan(&self) -> Option<&Arc<RoutePlan>> {
+        (!self.document.is_empty()).then_some(&self.plan)
+    }
+
+    /// Returns the document of the plan; empty before the first one.
+    pub fn document(&self) -> &[u8] {
+        &self.document
+    }
+}
+
+impl Table for PlanTable {
+    const NAME: &'static str = "plan";
+    const SPREAD: bool = true;
+    const REMEMBERED: bool = false;
+    type Command = ReplacePlan;
+    type Reply = u64;
+
+    fn apply(&mut self, _: &ApplyContext<'_>, command: ReplacePlan) -> Result<u64, Rejection> {
+        let newer = command.plan.version > self.plan.version || self.document.is_empty();
+        if newer {
+            self.plan = Arc::new(command.plan);
+            self.document = command.document;
+        }
+        Ok(self.plan.version)
+    }
+}
+
+#[distributed_slice(TABLES)]
+static PLAN: TableEntry = TableEntry::of::<PlanTable>();
--- a/crates/dandelion-control/tests/config.rs
+++ b/crates/dandelion-control/tests/config.rs
@@ -13,6 +13,7 @@
 use dandelion_protocol::config::Job;
 use dandelion_protocol::config::Key;
 use dandelion_protocol::config::Member;
+use dandelion_protocol::config::Role;
 use dandelion_protocol::config::Service;
 use dandelion_protocol::config::Team;
 use dandelion_protocol::control::MEMBERS_TABLE;
@@ -260,6 +261,8 @@
         address: "127.0.0.1:1".to_owned(),
         incarnation: Incarnation(life),
         leaving: false,
+        role: Role::Entry,
+        host: String::new(),
     };
     let leave = |life| MemberCommand::Leave {
         id: "vm-1".parse().unwrap(),
--- a/crates/dandelion-daemon/src/control/feed.rs
+++ b/crates/dandelion-daemon/src/control/feed.rs
@@ -8,6 +8,9 @@
 use dandelion_control::feed::FeedEvent;
 use dandelion_net::clock;
 use dandelion_protocol::config::Member;
+use dandelion_protocol::ids::UpstreamId;
+use dandelion_telemetry::Event;
+use dandelion_telemetry::event;
 
 use crate::control::handle::Renewed;
 use crate::control::view::View;
@@ -58,6 +61,14 @@
         core.owners.set_config(clock::boot_now(), &view.config);
         core.rollouts.set_config(core, view);
     }
+    if view.plan.as_ref().map(|p| p.version) != former.plan.as_ref().map(|p| p.version) {
+        let version = view.plan.as_ref().map_or(0, |p| p.version);
+        event!(Event::PlanInForce, version = version, revision = view.revision);
+    }
+    if !Arc::ptr_eq(&view.lives, &former.lives) {
+        let known = |id: &UpstreamId| view.lives.iter().any(|life| life.id == *id);
+        core.gateway.picker().keep(known);
+    }
     if view.members != former.members {
         meet_members(core, former, view);
     }
@@ -77,6 +88,7 @@
             mesh.remove_peer(&member.id);
         }
     }
+    core.control.meet_feeders(view, &core.settings.control.peers);
     core.usage.members_changed(&view.members);
     let zone = &core.identity.zone;
     let own = &core.identity.daemon;
--- a/crates/dandelion-daemon/src/control/handle.rs
+++ b/crates/dandelion-daemon/src/control/handle.rs
@@ -10,13 +10,16 @@
 use dandelion_control::FeedClient;
 use dandelion_control::feed::FeedAction;
 use dandelion_control::feed::FeedEvent;
+use dandelion_control::feed::Feeder;
 use dandelion_control::tables::ConfigTable;
 use dandelion_net::clock;
+use dandelion_protocol::config::Role;
 use dandelion_protocol::ids::DaemonId;
 use dandelion_protocol::ids::Revision;
 
 use crate::control::replica::ReplicaHandle;
 use crate::control::view::View;
+use crate::settings::Peer;
 
 /// Feed messages that may wait to be handled.
 const FEED_QUEUE: usize = 1024;
@@ -80,6 +83,30 @@
         self.feed().tables().table::<ConfigTable>().map(read)
     }
 
+    /// Makes the control daemons among the members feeders, beside those that the settings name.
+    pub(super) fn meet_feeders(&self, view: &View, named: &[Peer]) {
+        let members = view.members.iter().filter(|m| m.role == Role::Control);
+        let mut feeders: Vec<Feeder> = members
+            .map(|m| Feeder {
+                daemon: m.id.clone(),
+                zone: m.zone.clone(),
+            })
+            .collect();
+        if feeders.is_empty() {
+            return;
+        }
+        let mut feed = self.feed();
+        for peer in named {
+            if !feeders.iter().any(|f| f.daemon == peer.id) {
+                feeders.push(Feeder {
+                    daemon: peer.id.clone(),
+                    zone: feed.zone().clone(),
+                });
+            }
+        }
+        feed.set_feeders(feeders);
+    }
+
     /// Queues an event of the feed; one that finds the queue full is lost, as on a network.
     pub fn push_feed(&self, event: FeedEvent) {
         let _lost = self.events.try_send(event);
--- a/crates/dandelion-daemon/src/control/propose.rs
+++ b/crates/dandelion-daemon/src/control/propose.rs
@@ -9,6 +9,7 @@
 use dandelion_net::mesh::CallError;
 use dandelion_protocol::codec;
 use dandelion_protocol::codec::CodecError;
+use dandelion_protocol::config::Role;
 use dandelion_protocol::control::Answer;
 use dandelion_protocol::control::Proposal;
 use dandelion_protocol::control::ProposeError;
@@ -160,7 +161,17 @@
         let leader = self.control.leader();
         let own = self.control.replica().map(|_| self.identity.daemon.clone());
         let peers = self.settings.control.peers.iter().map(|p| p.id.clone());
-        leader.into_iter().chain(own).chain(peers).collect()
+        let view = self.control.view();
+        let members = view.members.iter().filter(|m| m.role == Role::Control);
+        let members = members.map(|m| m.id.clone());
+        let named = leader.into_iter().chain(own).chain(members).chain(peers);
+        let mut candidates: Vec<DaemonId> = Vec::new();
+        for id in named {
+            if !candidates.contains(&id) {
+                candidates.push(id);
+            }
+        }
+        candidates
     }
 }
 
--- a/crates/dandelion-daemon/src/control/view.rs
+++ b/crates/dandelion-daemon/src/control/view.rs
@@ -1,10 +1,15 @@
 //! The spread tables as the request path reads them.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use dandelion_control::keys::KeyIndex;
 use dandelion_control::tables::ConfigTable;
+use dandelion_control::tables::LivesTable;
 use dandelion_control::tables::MembersTable;
+use dandelion_control::tables::PlanTable;
+use dandelion_control::tables::StoresTable;
+use dandelion_control::tables::VersionsTable;
 use dandelion_kernel::TableSet;
 use dandelion_protocol::config::Config;
 use dandelion_protocol::config::Member;
@@ -13,6 +18,8 @@
 use dandelion_protocol::ids::Revision;
 use dandelion_protocol::ids::UpstreamId;
 use dandelion_protocol::ids::ZoneId;
+use dandelion_protocol::lives::UpstreamLife;
+use dandelion_protocol::plan::RoutePlan;
 use dandelion_route::ownership;
 
 /// Daemons up to which a cell counts as small.
@@ -31,6 +38,15 @@
     pub keys: Arc<KeyIndex>,
     /// Daemons, ordered by name.
     pub members: Arc<Vec<Member>>,
+    /// Route plan; none before the first one.
+    pub plan: Option<Arc<RoutePlan>>,
+    /// Upstreams that reported, by name.
+    pub lives: Arc<Vec<UpstreamLife>>,
+    /// Newest named version of the weights by model.
+    pub versions: Arc<BTreeMap<String, u64>>,
+    /// Founders of the store group.
+    pub founders: Arc<[DaemonId]>,
+    lives_revision: Revision,
 }
 
 impl View {
@@ -46,6 +62,16 @@
             let keys = Arc::new(KeyIndex::open(&config));
             (config, keys)
         };
+        let lives_revision = change_of::<LivesTable>(tables);
+        let lives = if former.revision > Revision(0) && lives_revision == former.lives_revision {
+            Arc::clone(&former.lives)
+        } else {
+            let lives = tables.table::<LivesTable>();
+            Arc::new(lives.map_or_else(Vec::new, |l| l.lives().cloned().collect()))
+        };
+        let versions = tables.table::<VersionsTable>();
+        let founders = tables.table::<StoresTable>();
+        let plan = tables.table::<PlanTable>();
         let members = tables.table::<MembersTable>();
         let members = members.map(|m| m.daemons().values().cloned().collect());
         Self {
@@ -54,6 +80,11 @@
             config,
             keys,
             members: Arc::new(members.unwrap_or_default()),
+            plan: plan.and_then(|table| table.plan().cloned()),
+            lives,
+            versions: Arc::new(versions.map_or_else(BTreeMap::new, |v| v.newest().clone())),
+            founders: founders.map_or_else(Arc::default, |f| f.founders().into()),
+            lives_revision,
         }
     }
 
--- a/crates/dandelion-daemon/src/core.rs
+++ b/crates/dandelion-daemon/src/core.rs
@@ -26,6 +26,7 @@
 
 use crate::control::Control;
 use crate::duties::FleetView;
+use crate::gateway::Gateway;
 use crate::metrics::DaemonMetrics;
 use crate::node::Node;
 use crate::rollouts::Rollouts;
@@ -33,6 +34,7 @@
 use crate::serve::OpenStreams;
 use crate::serve::Owners;
 use crate::settings::Checked;
+use crate::stores::Stores;
 use crate::usage::Usage;
 
 /// Who this daemon is.
@@ -69,6 +71,10 @@
     pub metrics: DaemonMetrics,
     /// What the control leader knows of all upstreams.
     pub fleet: FleetView,
+    /// Routes by plan.
+    pub gateway: Gateway,
+    /// Batch jobs.
+    pub stores: Stores,
     /// HTTP client for upstreams and the platform.
     pub client: Client,
     trace: Mutex<TraceRing>,
@@ -106,6 +112,8 @@
             rollouts: Rollouts::default(),
             metrics: parts.metrics,
             fleet: FleetView::default(),
+            gateway: Gateway::default(),
+            stores: Stores::default(),
             client,
             trace: Mutex::new(TraceRing::open(MAX_DECISIONS)),
             mesh: OnceLock::new(),
--- a/crates/dandelion-daemon/src/duties/platform.rs
+++ b/crates/dandelion-daemon/src/duties/platform.rs
@@ -6,6 +6,7 @@
 
 use dandelion_net::http::client;
 use dandelion_net::http::client::SendOptions;
+use dandelion_platform::headers;
 use dandelion_protocol::ids::Term;
 use dandelion_protocol::mesh::Header;
 use dandelion_protocol::time::Millis;
@@ -60,11 +61,16 @@
     path: &str,
     body: Vec<u8>,
 ) -> Option<http_types::Request> {
-    let headers = [
-        header("content-type", "application/json"),
-        header("x-issuer", core.identity.daemon.as_str()),
-        header("x-fencing", &term.to_string()),
-    ];
+    let holder = core.identity.daemon.as_str();
+    let headers = if core.settings.gateway.is_used() {
+        headers::duty(holder, term)
+    } else {
+        [
+            header("content-type", "application/json"),
+            header("x-issuer", holder),
+            header("x-fencing", &term.to_string()),
+        ]
+    };
     client::request(address, "POST", path, &headers, body).ok()
 }
 
--- a/crates/dandelion-daemon/src/duties/usage.rs
+++ b/crates/dandelion-daemon/src/duties/usage.rs
@@ -1,5 +1,6 @@
 //! Freezes and reports usage windows while this daemon is in charge.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use async_std::task;
@@ -14,8 +15,11 @@
 use dandelion_fleet::usage::reporter::UsageView;
 use dandelion_kernel::Machine;
 use dandelion_net::clock;
+use dandelion_platform::orders;
+use dandelion_protocol::ids::TeamId;
 use dandelion_protocol::ids::Term;
 use dandelion_protocol::time::Millis;
+use dandelion_protocol::usage::Class;
 use dandelion_telemetry::Event;
 use dandelion_telemetry::event;
 
@@ -95,11 +99,26 @@
     }
 }
 
+/// Returns the requests of callers by team; batch items are not billed as such.
+fn requests(figures: &WindowFigures) -> BTreeMap<TeamId, u64> {
+    let mut requests = BTreeMap::new();
+    let billed = figures.usage.iter().filter(|c| c.class == Class::Interactive);
+    for counts in billed {
+        *requests.entry(counts.team.clone()).or_default() += counts.counts.requests;
+    }
+    requests
+}
+
 async fn report(core: &Handle, term: Term, figures: &WindowFigures) -> ReporterEvent {
     let window = figures.window;
-    let path = format!("/usage/{}", window.0);
-    let body = serde_json::to_vec(figures).unwrap_or_default();
-    let answer = platform::post(core, term, &path, body).await;
+    let answer = if core.settings.gateway.is_used() {
+        let body = orders::encode_usage(window, &requests(figures));
+        platform::post(core, term, orders::USAGE_PATH, body).await
+    } else {
+        let path = format!("/usage/{}", window.0);
+        let body = serde_json::to_vec(figures).unwrap_or_default();
+        platform::post(core, term, &path, body).await
+    };
     let outcome = match answer.map(|a| a.status) {
         Some(200..=299) => ReportOutcome::Accepted,
         Some(409) => ReportOutcome::Differs,
--- /dev/null
+++ b/crates/dandelion-daemon/src/gateway/control.rs
@@ -0,0 +1,199 @@
+//! What operators of the route plan, upstreams and trainers tell a control daemon.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_std::task;
+use dandelion_control::tables::BarrierTable;
+use dandelion_control::tables::NameVersion;
+use dandelion_control::tables::PlanTable;
+use dandelion_control::tables::ReplacePlan;
+use dandelion_control::tables::VersionsTable;
+use dandelion_net::http::server::Handler;
+use dandelion_platform::ControlCall;
+use dandelion_platform::DecodeError;
+use dandelion_platform::calls;
+use dandelion_platform::lives as form;
+use dandelion_platform::plan;
+use dandelion_protocol::ids::Revision;
+use dandelion_telemetry::Event;
+use dandelion_telemetry::event;
+use http_types::Request;
+use http_types::Response;
+
+use crate::control::Failed;
+use crate::core::Handle;
+use crate::gateway::answer;
+use crate::gateway::lives;
+
+/// Longest wait until this daemon has applied what it must read.
+const APPLY_LIMIT: Duration = Duration::from_millis(800);
+
+/// Pause between two looks at what is applied.
+const APPLY_PAUSE: Duration = Duration::from_millis(5);
+
+/// The control address.
+#[derive(Debug, Clone)]
+pub struct ControlApi(Handle);
+
+impl ControlApi {
+    /// Wraps the shared state.
+    pub fn new(core: Handle) -> Self {
+        Self(core)
+    }
+
+    async fn take(&self, request: &mut Request) -> Response {
+        let core = &self.0;
+        let call = calls::control_call(request);
+        let body = request.body_bytes().await.unwrap_or_default();
+        match call {
+            ControlCall::ReplacePlan => replace_plan(core, body).await,
+            ControlCall::ReadPlan => read_plan(core).await,
+            ControlCall::Report(id) => report(core, &id, &body).await,
+            ControlCall::End(id) => match form::decode_end(&id, &body) {
+                Ok(end) => acknowledge(lives::end(core, end).await),
+                Err(error) => unreadable(&id, &error),
+            },
+            ControlCall::NameVersion => name_version(core, &body).await,
+            ControlCall::StartRetire(_) | ControlCall::ReadRetire(_) | ControlCall::Other => {
+                answer::status(404)
+            }
+        }
+    }
+}
+
+impl Handler for ControlApi {
+    async fn handle(&self, mut request: Request, _peer: SocketAddr) -> Response {
+        self.take(&mut request).await
+    }
+}
+
+async fn replace_plan(core: &Handle, document: Vec<u8>) -> Response {
+    let decoded = plan::decode_plan(&document).map_err(|error| error.to_string());
+    let checked = decoded.and_then(|plan| {
+        let checked = plan.check().map_err(|error| error.to_string());
+        checked.map(|()| plan)
+    });
+    let plan = match checked {
+        Ok(plan) => plan,
+        Err(reason) => {
+            event!(Event::PlanRefused, reason = reason);
+            return answer::status(400);
+        }
+    };
+    let version = plan.version;
+    let command = ReplacePlan {
+        plan,
+        document: document.into(),
+    };
+    match core.propose_own::<PlanTable>(&command).await {
+        Ok(applied) => {
+            event!(
+                Event::PlanAccepted,
+                version = version,
+                held = applied.reply,
+                revision = applied.revision
+            );
+            answer::status(200)
+        }
+        Err(error) => unanswered(&error),
+    }
+}
+
+/// Reads the newest plan: what is applied here once everything that was acknowledged before the
+/// question has been.
+async fn read_plan(core: &Handle) -> Response {
+    let Some(replica) = core.control.replica() else {
+        return answer::status(503);
+    };
+    let barrier = match core.propose_own::<BarrierTable>(&()).await {
+        Ok(applied) => applied.revision,
+        Err(error) => return unanswered(&error),
+    };
+    if !wait_applied(core, barrier).await {
+        return answer::not_run(answer::COME_BACK);
+    }
+    let document = replica.read::<PlanTable, _, _>(|table| table.document().to_vec());
+    match document.filter(|bytes| !bytes.is_empty()) {
+        Some(bytes) => answer::json(200, bytes),
+        None => answer::status(404),
+    }
+}
+
+async fn wait_applied(core: &Handle, revision: Revision) -> bool {
+    let until = Instant::now() + APPLY_LIMIT;
+    let applied = || {
+        let replica = core.control.replica();
+        replica.is_some_and(|r| r.read_all(|tables| tables.revision()) >= revision)
+    };
+    while !applied() {
+        if Instant::now() >= until {
+            return false;
+        }
+        task::sleep(APPLY_PAUSE).await;
+    }
+    true
+}
+
+async fn report(core: &Handle, id: &str, body: &[u8]) -> Response {
+    let report = match form::decode_report(id, body) {
+        Ok(report) => report,
+        Err(error) => return unreadable(id, &error),
+    };
+    let view = core.control.view();
+    let Some(plan) = &view.plan else {
+        // Whether its service exists is not known yet.
+        return answer::not_run(answer::COME_BACK);
+    };
+    if plan.service(&report.life.service).is_none() {
+        event!(
+            Event::ReportRefused,
+            upstream = id,
+            reason = "unknown_service",
+            plan = plan.version
+        );
+        return answer::status(400);
+    }
+    acknowledge(lives::report(core, report).await)
+}
+
+async fn name_version(core: &Handle, body: &[u8]) -> Response {
+    let named = match form::decode_version(body) {
+        Ok(named) => named,
+        Err(error) => return unreadable("version", &error),
+    };
+    let command = NameVersion {
+        model: named.model.clone(),
+        version: named.version,
+    };
+    match core.propose_own::<VersionsTable>(&command).await {
+        Ok(applied) => {
+            event!(
+                Event::VersionNamed,
+                model = named.model,
+                version = named.version,
+                newest = applied.reply
+            );
+            answer::status(200)
+        }
+        Err(error) => unanswered(&error),
+    }
+}
+
+fn acknowledge(result: Result<(), Failed>) -> Response {
+    match result {
+        Ok(()) => answer::json(200, b"{}".to_vec()),
+        Err(error) => unanswered(&error),
+    }
+}
+
+fn unreadable(what: &str, error: &DecodeError) -> Response {
+    event!(Event::ReportRefused, upstream = what, reason = error);
+    answer::status(400)
+}
+
+fn unanswered(error: &Failed) -> Response {
+    log::warn!("a change is not acknowledged: {error}");
+    answer::not_run(answer::COME_BACK)
+}
--- /dev/null
+++ b/crates/dandelion-daemon/src/gateway/front.rs
@@ -0,0 +1,93 @@
+//! Callers of planned routes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use dandelion_net::http::server::Handler;
+use dandelion_platform::CallerCall;
+use dandelion_platform::calls;
+use dandelion_platform::headers;
+use dandelion_platform::headers::CallerHeaders;
+use dandelion_protocol::plan::PlanTeam;
+use dandelion_protocol::plan::RouteKind;
+use dandelion_protocol::plan::RoutePlan;
+use dandelion_telemetry::Event;
+use dandelion_telemetry::event;
+use http_types::Method;
+use http_types::Request;
+use http_types::Response;
+
+use crate::core::Handle;
+use crate::gateway::answer;
+use crate::gateway::forward;
+use crate::gateway::jobs;
+
+/// The address that callers reach.
+#[derive(Debug, Clone)]
+pub struct Front(Handle);
+
+impl Front {
+    /// Wraps the shared state.
+    pub fn new(core: Handle) -> Self {
+        Self(core)
+    }
+}
+
+impl Handler for Front {
+    async fn handle(&self, request: Request, _peer: SocketAddr) -> Response {
+        let core = &self.0;
+        let caller = headers::caller_headers(&request);
+        // The lease is asked for first: the plan read afterwards is one that it covers.
+        let leased = core.control.is_leased();
+        let view = core.control.view();
+        let Some(plan) = view.plan.as_ref().filter(|_| leased) else {
+            return refuse(&caller, "no_lease", answer::not_run(answer::NO_LEASE));
+        };
+        match calls::caller_call(&request) {
+            CallerCall::Routed => routed(core, plan, &caller, request).await,
+            call => match team(plan, &caller) {
+                Some(team) => jobs::serve(core, &call, team, &caller, &request).await,
+                None => refuse(&caller, "unknown_key", answer::status(401)),
+            },
+        }
+    }
+}
+
+/// Returns the team of the shown key.
+fn team<'a>(plan: &'a RoutePlan, caller: &CallerHeaders) -> Option<&'a PlanTeam> {
+    plan.holder(caller.key.as_deref()?)
+}
+
+async fn routed(
+    core: &Handle,
+    plan: &Arc<RoutePlan>,
+    caller: &CallerHeaders,
+    request: Request,
+) -> Response {
+    let Some(route) = plan.route(&caller.host, request.url().path()) else {
+        return refuse(caller, "no_route", answer::status(404));
+    };
+    let team = team(plan, caller);
+    let needs_key = !plan.teams.is_empty() && !route.open;
+    if needs_key && team.is_none() {
+        return refuse(caller, "unknown_key", answer::status(401));
+    }
+    if route.kind == RouteKind::Batch && request.method() == Method::Post {
+        let Some(team) = team else {
+            return refuse(caller, "unknown_key", answer::status(401));
+        };
+        return jobs::submit(core, route, team, caller, request).await;
+    }
+    let team = team.map(|t| &t.name);
+    forward::serve(core, route, team, caller, request).await
+}
+
+fn refuse(caller: &CallerHeaders, reason: &str, response: Response) -> Response {
+    event!(
+        Event::RequestRefused,
+        request = caller.attempt.as_deref().unwrap_or("-"),
+        reason = reason,
+        status = u16::from(response.status())
+    );
+    response
+}
--- /dev/null
+++ b/crates/dandelion-daemon/src/gateway/mod.rs
@@ -0,0 +1,18 @@
+//! Routes by plan: callers' requests, the balancer's probes, and what operators, upstreams and
+//! trainers tell the control daemons.
+
+mod answer;
+mod control;
+mod forward;
+mod front;
+mod jobs;
+mod lives;
+mod ready;
+mod state;
+
+pub use control::ControlApi;
+pub use front::Front;
+pub use lives::heard;
+pub use lives::run_expiry;
+pub use ready::Ready;
+pub use state::Gateway;
--- a/crates/dandelion-daemon/src/membership.rs
+++ b/crates/dandelion-daemon/src/membership.rs
@@ -7,6 +7,7 @@
 use dandelion_control::tables::MembersTable;
 use dandelion_net::clock;
 use dandelion_protocol::config::Member;
+use dandelion_protocol::config::Role;
 use dandelion_protocol::control::MemberCommand;
 use dandelion_protocol::ids::DaemonId;
 use dandelion_protocol::ids::Incarnation;
@@ -57,12 +58,26 @@
 /// Joins under a life that is newer than any before, or announces that the daemon leaves.
 pub async fn join(core: &Handle, leaving: bool) -> Result<(), Failed> {
     let address = core.mesh_address();
+    let gateway = &core.settings.gateway;
+    let role = if gateway.folder.is_some() {
+        Role::Store
+    } else if core.control.replica().is_some() {
+        Role::Control
+    } else {
+        Role::Entry
+    };
+    // The time of day may have been set back since the former life.
+    let view = core.control.view();
+    let former = view.member(&core.identity.daemon).map(|m| m.incarnation);
+    let least = former.map_or(0, |life| life.0 + 1);
     let member = Member {
         id: core.identity.daemon.clone(),
         zone: core.identity.zone.clone(),
         address: address.to_string(),
-        incarnation: Incarnation(clock::wall_now().0),
+        incarnation: Incarnation(clock::wall_now().0.max(least)),
         leaving,
+        role,
+        host: gateway.vm_name.clone(),
     };
     let command = MemberCommand::Join(member);
     core.propose_own::<MembersTable>(&command).await?;
--- a/crates/dandelion-daemon/src/node.rs
+++ b/crates/dandelion-daemon/src/node.rs
@@ -9,6 +9,7 @@
 use dandelion_protocol::mesh::MeshMessage;
 use dandelion_protocol::mesh::ReplyBody;
 use dandelion_protocol::mesh::ServeRequest;
+use dandelion_protocol::time::Millis;
 use futures::FutureExt;
 use futures::future::BoxFuture;
 
@@ -16,8 +17,11 @@
 use crate::core::Handle;
 use crate::duties;
 use crate::operator;
+use crate::gateway;
 use crate::rollouts;
 use crate::serve;
+use crate::stores;
+use crate::stores::StoreEvent;
 use crate::zone;
 
 /// The daemon as its peers see it.
@@ -47,6 +51,18 @@
                 let from = from.clone();
                 core.control.push_feed(FeedEvent::Message { from, bytes });
             }
+            MeshMessage::StoreRaft(bytes) => {
+                if let Some(replica) = core.stores.replica() {
+                    replica.push_raft(from, bytes);
+                }
+            }
+            MeshMessage::JobsLeader(_) => core.gateway.set_jobs_leader(Some(from.clone())),
+            MeshMessage::Lived(report) => {
+                gateway::heard(core, &report.life.id, report.life.born);
+                if core.stores.charge(Millis::ZERO).is_some() {
+                    core.stores.tell(StoreEvent::Reported(report));
+                }
+            }
             MeshMessage::Digest(bytes) => serve::hear(core, from, &bytes),
             _ => log::debug!("daemon {from} sent a message of another kind"),
         }
@@ -93,6 +109,7 @@
             }
             ReplyBody::Announced
         }
+        CallBody::Batch(call) => ReplyBody::Batch(stores::answer(core, call).await),
         CallBody::Probe => ReplyBody::Alive,
         CallBody::InForce(revision) => ReplyBody::InForce(operator::spread_here(core, revision)),
         CallBody::Payload(bytes) => rollouts::answer_payload(core, &bytes),
--- a/crates/dandelion-daemon/src/run.rs
+++ b/crates/dandelion-daemon/src/run.rs
@@ -35,6 +35,8 @@
 use dandelion_telemetry::event;
 use dandelion_telemetry::logging;
 use futures::StreamExt;
+use futures::future::join;
+use futures::future::join_all;
 use rand::Rng;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
@@ -50,6 +52,10 @@
 use crate::core::Handle;
 use crate::core::Identity;
 use crate::duties;
+use crate::gateway;
+use crate::gateway::ControlApi;
+use crate::gateway::Front;
+use crate::gateway::Ready;
 use crate::membership;
 use crate::metrics::DaemonMetrics;
 use crate::node::Node;
@@ -57,6 +63,7 @@
 use crate::settings::Checked;
 use crate::settings::EXIT_USAGE;
 use crate::settings::Settings;
+use crate::stores;
 use crate::usage;
 use crate::zone;
 
@@ -71,6 +78,7 @@
 pub struct Daemon {
     core: Handle,
     server: Server,
+    gateway: Vec<Server>,
 }
 
 /// Runs the daemon with the process's arguments and returns its exit code.
@@ -141,7 +149,12 @@
         let server = server.with_context(|| {
             format!("--http-listen {listen} cannot be bound; free it or choose another address")
         })?;
-        Ok(Self { core, server })
+        let gateway = bind_gateway(&core).await?;
+        Ok(Self {
+            core,
+            server,
+            gateway,
+        })
     }
 
     /// Returns the address for callers, trainers, upstreams and operators.
@@ -166,15 +179,21 @@
         if let Err(error) = membership::join(&self.core, true).await {
             log::warn!("the other daemons do not know of the stop: {error}");
         }
-        if let Some(replica) = self.core.control.replica() {
+        let replicas = [self.core.control.replica(), self.core.stores.replica()];
+        for replica in replicas.into_iter().flatten() {
             replica.resign(RESIGN_LIMIT).await;
         }
         let limits = self.core.settings.limits;
         task::sleep(Duration::from_millis(limits.balancer_grace.0)).await;
         self.server.begin_drain();
+        for server in &self.gateway {
+            server.begin_drain();
+        }
         wait_for_owned(&self.core, limits.stop_timeout).await;
         let grace = Duration::from_millis(limits.stop_timeout.0);
-        let cut = self.server.shutdown(grace).await;
+        let gateway = self.gateway.into_iter().map(|server| server.shutdown(grace));
+        let (cut, others) = join(self.server.shutdown(grace), join_all(gateway)).await;
+        let cut = cut + others.into_iter().sum::<usize>();
         if cut > 0 {
             event!(Event::StopTimeout, requests = cut);
         }
@@ -186,6 +205,23 @@
     }
 }
 
+/// Binds the addresses of the gateway that the settings name.
+async fn bind_gateway(core: &Handle) -> anyhow::Result<Vec<Server>> {
+    let settings = &core.settings.gateway;
+    let limits = http_limits(&core.settings);
+    let mut servers = Vec::new();
+    if let Some(address) = settings.ready {
+        servers.push(Server::bind(address, limits, Ready::new(core.clone())).await?);
+    }
+    if let Some(address) = settings.control {
+        servers.push(Server::bind(address, limits, ControlApi::new(core.clone())).await?);
+    }
+    if let Some(address) = settings.front {
+        servers.push(Server::bind(address, limits, Front::new(core.clone())).await?);
+    }
+    Ok(servers)
+}
+
 /// Waits until the owned upstreams have finished what other daemons' callers asked for.
 async fn wait_for_owned(core: &Handle, limit: Millis) {
     const POLL: Duration = Duration::from_millis(50);
@@ -222,7 +258,7 @@
         .with_context(|| format!("--data-folder {}", folder.display()))?;
     let peers = group_peers(settings);
     let node = NodeSettings {
-        voters: VOTERS,
+        voters: voters(settings),
         timing: timing(settings),
         ..NodeSettings::new(settings.name.clone(), settings.zone.clone(), peers)
     };
@@ -231,6 +267,14 @@
     Ok((Some(replica), Some(outgoing)))
 }
 
+fn voters(settings: &Checked) -> usize {
+    if settings.gateway.is_used() {
+        settings.gateway.voters()
+    } else {
+        VOTERS
+    }
+}
+
 /// Returns the daemons of the control group, as the settings name them. A daemon that is not told
 /// to begin a cell is not among them: it introduces itself to the group and starts none.
 fn group_peers(settings: &Checked) -> Vec<DaemonId> {
@@ -312,16 +356,38 @@
     if let Some(outgoing) = outgoing {
         task::spawn(send_outgoing(core.clone(), outgoing));
         task::spawn(duties::run_usage_duty(core.clone()));
-        task::spawn(duties::run_fleet_duty(core.clone()));
-        task::spawn(duties::run_weights_duty(core.clone()));
         task::spawn(membership::run_probes(core.clone()));
     }
     task::spawn(run_feed(core.clone()));
     task::spawn(membership::run_join(core.clone()));
-    task::spawn(zone::run_zone(core.clone()));
-    task::spawn(duties::run_inventory(core.clone()));
     task::spawn(usage::run_copies(core.clone()));
     task::spawn(usage::run_submissions(core.clone()));
+    if core.settings.gateway.is_used() {
+        spawn_gateway(core);
+    } else {
+        spawn_services(core);
+    }
+}
+
+/// Starts what serves routes by plan.
+fn spawn_gateway(core: &Handle) {
+    if core.control.replica().is_some() {
+        task::spawn(gateway::run_expiry(core.clone()));
+    }
+    if core.settings.gateway.folder.is_some() {
+        task::spawn(stores::run_group(core.clone()));
+        task::spawn(stores::run_jobs(core.clone()));
+    }
+}
+
+/// Starts what serves configured services through their owners.
+fn spawn_services(core: &Handle) {
+    if core.control.replica().is_some() {
+        task::spawn(duties::run_fleet_duty(core.clone()));
+        task::spawn(duties::run_weights_duty(core.clone()));
+    }
+    task::spawn(zone::run_zone(core.clone()));
+    task::spawn(duties::run_inventory(core.clone()));
     task::spawn(rollouts::run_rollouts(core.clone()));
 }
 
--- a/crates/dandelion-daemon/src/settings/args.rs
+++ b/crates/dandelion-daemon/src/settings/args.rs
@@ -29,6 +29,9 @@
     /// Replicated state.
     #[command(flatten)]
     pub control: ControlArgs,
+    /// Routes by plan, and batch jobs.
+    #[command(flatten)]
+    pub gateway: GatewayArgs,
     /// Platform and usage.
     #[command(flatten)]
     pub platform: PlatformArgs,
@@ -158,6 +161,52 @@
     pub feed_period_ms: String,
 }
 
+/// Routes by plan, and batch jobs.
+#[derive(Debug, Clone, Args)]
+#[command(next_help_heading = "Gateway")]
+pub struct GatewayArgs {
+    /// Address for callers of the route plan
+    #[arg(long, env = "DANDELION_FRONT_LISTEN", value_name = "IP:PORT")]
+    pub front_listen: Option<String>,
+    /// Address for the balancer's probes
+    #[arg(long, env = "DANDELION_READY_LISTEN", value_name = "IP:PORT")]
+    pub ready_listen: Option<String>,
+    /// Address for operators of the route plan, upstreams that report, and trainers
+    #[arg(long, env = "DANDELION_CONTROL_LISTEN", value_name = "IP:PORT")]
+    pub control_listen: Option<String>,
+    /// Folder of the stored batch jobs; makes this a store daemon
+    #[arg(long, env = "DANDELION_STORE_FOLDER", value_name = "PATH")]
+    pub store_folder: Option<PathBuf>,
+    /// Control listen addresses of some control daemons, whose names are their IP numbers and
+    /// whose mesh ports are this daemon's
+    #[arg(
+        long,
+        env = "DANDELION_SEEDS",
+        value_name = "IP:PORT",
+        value_delimiter = ','
+    )]
+    pub seeds: Vec<String>,
+    /// Whether the whole cell starts for the first time; the seeds then found it
+    #[arg(
+        long,
+        env = "DANDELION_FIRST_START",
+        value_name = "BOOL",
+        default_value = "false"
+    )]
+    pub first_start: String,
+    /// VMs with a disk that may be lost at once
+    #[arg(
+        long,
+        env = "DANDELION_TOLERATE_VMS",
+        value_name = "COUNT",
+        default_value = "1"
+    )]
+    pub tolerate_vms: String,
+    /// Name of the VM, for operators
+    #[arg(long, env = "DANDELION_VM_NAME", value_name = "NAME", default_value = "")]
+    pub vm_name: String,
+}
+
 /// Platform and usage.
 #[derive(Debug, Clone, Args)]
 #[command(next_help_heading = "Platform")]
@@ -265,7 +314,7 @@
         default_value = "text"
     )]
     pub log_format: String,
-    /// Folder of log files; without one, events go to standard error
+    /// Folder of log files; without one, events go to standard output
     #[arg(long, env = "DANDELION_LOG_FOLDER", value_name = "PATH")]
     pub log_folder: Option<PathBuf>,
 }
--- a/crates/dandelion-daemon/src/settings/check.rs
+++ b/crates/dandelion-daemon/src/settings/check.rs
@@ -11,6 +11,7 @@
 use dandelion_telemetry::logging::LogSettings;
 
 use crate::settings::args::ControlArgs;
+use crate::settings::args::GatewayArgs;
 use crate::settings::args::LimitArgs;
 use crate::settings::args::ListenArgs;
 use crate::settings::args::LogArgs;
@@ -19,6 +20,7 @@
 use crate::settings::args::Settings;
 use crate::settings::checked::Checked;
 use crate::settings::checked::ControlSettings;
+use crate::settings::checked::GatewaySettings;
 use crate::settings::checked::LimitSettings;
 use crate::settings::checked::ListenSettings;
 use crate::settings::checked::PlatformSettings;
@@ -43,7 +45,8 @@
             cell: CellId(cell as u16),
             listen,
             secrets: check_secrets(&self.secrets)?,
-            control: check_control(&self.control, &name, listen.mesh_address)?,
+            control: check_control(self, &name, listen.mesh_address)?,
+            gateway: check_gateway(&self.gateway)?,
             platform: check_platform(&self.platform)?,
             limits: check_limits(&self.limits)?,
             log: check_log(&self.log)?,
@@ -127,13 +130,21 @@
 }
 
 fn check_control(
-    args: &ControlArgs,
+    settings: &Settings,
     name: &DaemonId,
     own: SocketAddr,
 ) -> Result<ControlSettings, SettingsError> {
-    let bootstrap = read::read_peers("--bootstrap", &args.bootstrap)?;
-    let listed = read::read_peers("--control-peers", &args.control_peers)?;
-    check_folder(args.data_folder.as_deref())?;
+    let args = &settings.control;
+    let mut bootstrap = read::read_peers("--bootstrap", &args.bootstrap)?;
+    let mut listed = read::read_peers("--control-peers", &args.control_peers)?;
+    let seeds = check_seeds(&settings.gateway, own)?;
+    let founds = check_first_start(&settings.gateway)? && args.data_folder.is_some();
+    if founds && seeds.iter().any(|seed| seed.id == *name) {
+        bootstrap.extend(seeds);
+    } else {
+        listed.extend(seeds);
+    }
+    check_folder("--data-folder", args.data_folder.as_deref())?;
     check_bootstrap(args, &bootstrap, name, own)?;
     let peers = other_peers(&bootstrap, &listed, name);
     if peers.is_empty() && bootstrap.is_empty() {
@@ -151,7 +162,49 @@
     })
 }
 
-fn check_folder(folder: Option<&Path>) -> Result<(), SettingsError> {
+/// Returns the seeds as peers: each is named by its IP number and has this daemon's mesh port.
+fn check_seeds(args: &GatewayArgs, own: SocketAddr) -> Result<Vec<Peer>, SettingsError> {
+    let seeds = args.seeds.iter().filter(|text| !text.is_empty());
+    let addresses = seeds.map(|text| read::read_address("--seeds", text));
+    let peer = |address: SocketAddr| {
+        let ip = address.ip();
+        let id = read::read_name("--seeds", Some(&ip.to_string()))?;
+        let address = SocketAddr::new(ip, own.port());
+        Ok(Peer { id, address })
+    };
+    addresses.map(|address| peer(address?)).collect()
+}
+
+fn check_first_start(args: &GatewayArgs) -> Result<bool, SettingsError> {
+    args.first_start.parse().map_err(|_error| {
+        SettingsError::invalid(
+            "--first-start",
+            &args.first_start,
+            "it is neither true nor false",
+            "use true only while every data folder of the cell is empty",
+        )
+    })
+}
+
+fn check_gateway(args: &GatewayArgs) -> Result<GatewaySettings, SettingsError> {
+    let address = |setting, text: &Option<String>| {
+        let text = text.as_deref().filter(|text| !text.is_empty());
+        text.map(|text| read::read_address(setting, text)).transpose()
+    };
+    let tolerate = read::read_number("--tolerate-vms", &args.tolerate_vms, 0..=8)?;
+    check_folder("--store-folder", args.store_folder.as_deref())?;
+    Ok(GatewaySettings {
+        front: address("--front-listen", &args.front_listen)?,
+        ready: address("--ready-listen", &args.ready_listen)?,
+        control: address("--control-listen", &args.control_listen)?,
+        folder: args.store_folder.clone(),
+        first_start: check_first_start(args)?,
+        tolerate: tolerate as usize,
+        vm_name: args.vm_name.clone(),
+    })
+}
+
+fn check_folder(setting: &'static str, folder: Option<&Path>) -> Result<(), SettingsError> {
     let Some(folder) = folder else {
         return Ok(());
     };
@@ -159,7 +212,7 @@
         return Ok(());
     }
     Err(SettingsError::invalid(
-        "--data-folder",
+        setting,
         &folder.display().to_string(),
         "there is no such folder",
         "create it for the daemon's user, or leave the setting out on a VM without a disk",
--- a/crates/dandelion-daemon/src/settings/checked.rs
+++ b/crates/dandelion-daemon/src/settings/checked.rs
@@ -27,6 +27,8 @@
     pub secrets: SecretSettings,
     /// Replicated state.
     pub control: ControlSettings,
+    /// Routes by plan, and batch jobs.
+    pub gateway: GatewaySettings,
     /// Platform and usage.
     pub platform: PlatformSettings,
     /// Limits.
@@ -70,6 +72,37 @@
     pub feed_period: Millis,
 }
 
+/// Routes by plan, and batch jobs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GatewaySettings {
+    /// For callers of the route plan.
+    pub front: Option<SocketAddr>,
+    /// For the balancer's probes.
+    pub ready: Option<SocketAddr>,
+    /// For operators, upstreams and trainers.
+    pub control: Option<SocketAddr>,
+    /// Folder of the stored batch jobs.
+    pub folder: Option<PathBuf>,
+    /// Whether the cell starts for the first time.
+    pub first_start: bool,
+    /// VMs with a disk that may be lost at once.
+    pub tolerate: usize,
+    /// Name of the VM.
+    pub vm_name: String,
+}
+
+impl GatewaySettings {
+    /// Returns whether any part of the gateway runs here.
+    pub fn is_used(&self) -> bool {
+        self.front.is_some() || self.control.is_some() || self.folder.is_some()
+    }
+
+    /// Voters of a group that outlives the loss of as many disks as are tolerated.
+    pub fn voters(&self) -> usize {
+        2 * self.tolerate + 1
+    }
+}
+
 /// Platform and usage.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PlatformSettings {
--- a/crates/dandelion-daemon/src/settings/mod.rs
+++ b/crates/dandelion-daemon/src/settings/mod.rs
@@ -14,6 +14,7 @@
 pub use args::Settings;
 pub use checked::Checked;
 pub use checked::ControlSettings;
+pub use checked::GatewaySettings;
 pub use checked::LimitSettings;
 pub use checked::ListenSettings;
 pub use checked::LogSettings;
--- /dev/null
+++ b/crates/dandelion-daemon/src/stores/mod.rs
@@ -0,0 +1,13 @@
+//! The group of daemons that stores batch jobs, and the work of its leader.
+
+mod group;
+mod orders;
+mod run;
+mod runner;
+mod service;
+
+pub use group::StoreEvent;
+pub use group::Stores;
+pub use group::run_group;
+pub use runner::run_jobs;
+pub use service::answer;
--- /dev/null
+++ b/crates/dandelion-daemon/src/stores/run.rs
@@ -0,0 +1,267 @@
+//! One run of a batch item at an engine.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use dandelion_batch::scheduler::RunOutcome;
+use dandelion_batch::scheduler::Speed;
+use dandelion_net::http::client;
+use dandelion_net::http::client::Exchange;
+use dandelion_net::http::client::SendError;
+use dandelion_net::http::client::SendOptions;
+use dandelion_platform::headers;
+use dandelion_platform::headers::Forwarding;
+use dandelion_platform::stream::EventReader;
+use dandelion_platform::stream::StreamEvent;
+use dandelion_protocol::batch::BatchJob;
+use dandelion_protocol::batch::BatchResult;
+use dandelion_protocol::lives::UpstreamLife;
+use dandelion_protocol::time::Millis;
+use http_types::Request;
+
+use crate::core::Handle;
+
+/// Longest time for one run.
+const RUN_LIMIT: Duration = Duration::from_secs(30);
+
+/// Time without a byte after which a run is broken off: engines send an event each few tens of
+/// milliseconds, and pause for a load of weights.
+const QUIET_LIMIT: Duration = Duration::from_millis(3_000);
+
+/// Longest answer to a refused run that is read, in bytes.
+const MAX_REFUSAL: usize = 64 * 1024;
+
+/// Output of an item as far as it has been made.
+#[derive(Debug, Clone, Default)]
+pub struct Output {
+    /// Data of the events, separated by line feeds.
+    pub text: String,
+    /// Number of the last event; none before the first.
+    pub last: Option<u64>,
+    /// Versions of the weights that made it.
+    pub versions: Vec<u64>,
+}
+
+impl Output {
+    fn push(&mut self, event: &StreamEvent) {
+        if self.last.is_some() {
+            self.text.push('\n');
+        }
+        self.text.push_str(&event.data);
+        self.last = event.id.or(self.last);
+    }
+
+    fn note_version(&mut self, version: u64) {
+        if !self.versions.contains(&version) {
+            self.versions.push(version);
+        }
+    }
+
+    /// Turns the whole output into the item's result.
+    pub fn into_result(self, id: &str) -> BatchResult {
+        BatchResult {
+            id: id.to_owned(),
+            text: Some(self.text),
+            versions: self.versions,
+        }
+    }
+}
+
+/// One run.
+#[derive(Debug)]
+pub struct ItemRun {
+    /// Job.
+    pub job: Arc<BatchJob>,
+    /// Item by its place in the job.
+    pub item: usize,
+    /// Engine.
+    pub engine: UpstreamLife,
+    /// Output of earlier runs that this one goes on from.
+    pub output: Output,
+}
+
+/// How a run ended, with the output so far.
+#[derive(Debug)]
+pub struct Ended {
+    /// How.
+    pub outcome: RunOutcome,
+    /// Output.
+    pub output: Output,
+}
+
+impl ItemRun {
+    /// Runs the item; `began` is called at the first event.
+    pub async fn run<F>(self, core: &Handle, began: F) -> Ended
+    where
+        F: FnOnce(),
+    {
+        let mut output = self.output.clone();
+        let sent = self.send(core).await;
+        let mut exchange = match sent {
+            Ok(exchange) => exchange,
+            Err(outcome) => return Ended { outcome, output },
+        };
+        let outcome = match self.refusal(&mut exchange).await {
+            Some(outcome) => outcome,
+            None => self.read(&mut exchange, &mut output, began).await,
+        };
+        Ended { outcome, output }
+    }
+
+    async fn send(&self, core: &Handle) -> Result<Exchange, RunOutcome> {
+        let options = SendOptions {
+            deadline: Instant::now() + RUN_LIMIT,
+            progress: QUIET_LIMIT,
+            idempotent: true,
+        };
+        let request = self.request().ok_or(RunOutcome::Failed)?;
+        let sent = core.gateway.client.send(self.engine.address, request, &options);
+        sent.await.map_err(|error| {
+            log::debug!("item {} at {}: {error}", self.id(), self.engine.id);
+            RunOutcome::Broken {
+                reached: matches!(error, SendError::Unknown(_)),
+            }
+        })
+    }
+
+    fn id(&self) -> &str {
+        &self.job.items[self.item].id
+    }
+
+    fn request(&self) -> Option<Request> {
+        let item = &self.job.items[self.item];
+        let with = Forwarding {
+            upstream: self.engine.id.as_str(),
+            team: Some(self.job.team.as_str()),
+            left: RUN_LIMIT,
+        };
+        let mut headers = headers::forwarded(&item.headers, &with);
+        headers.push(headers::header(headers::ATTEMPT, &item.id));
+        if let Some(last) = self.output.last {
+            headers.push(headers::header(headers::LAST_EVENT, &last.to_string()));
+        }
+        let body = item.body.clone();
+        let built = client::request_for(&self.job.host, "POST", &item.path, &headers, body);
+        built.inspect_err(|cause| log::warn!("item {}: {cause}", item.id)).ok()
+    }
+
+    /// Tells how the run ended if the answer is no stream.
+    async fn refusal(&self, exchange: &mut Exchange) -> Option<RunOutcome> {
+        let status = exchange.status();
+        let crossed = exchange.header(headers::ATTEMPT).is_some_and(|id| id != self.id());
+        if crossed {
+            return Some(RunOutcome::Broken { reached: true });
+        }
+        if (200..300).contains(&status) {
+            return None;
+        }
+        let not_run = exchange.header(headers::NOT_RUN).is_some();
+        // The connection can be kept only if the answer was read to its end.
+        let _read = exchange.read_all(MAX_REFUSAL).await;
+        Some(match status {
+            421 => RunOutcome::Mistaken,
+            _ if not_run => RunOutcome::Refused,
+            422 => RunOutcome::Impossible,
+            500 => RunOutcome::Failed,
+            _ => RunOutcome::Broken { reached: true },
+        })
+    }
+
+    async fn read<F>(&self, exchange: &mut Exchange, output: &mut Output, began: F) -> RunOutcome
+    where
+        F: FnOnce(),
+    {
+        let version = exchange.header(headers::VERSION).and_then(|v| v.trim().parse().ok());
+        let mut reading = Reading {
+            run: self,
+            version,
+            began: Some(began),
+            first: None,
+            events: 0,
+        };
+        reading.read(exchange, output).await
+    }
+}
+
+/// A stream that is being read.
+struct Reading<'a, F> {
+    run: &'a ItemRun,
+    version: Option<u64>,
+    began: Option<F>,
+    first: Option<Instant>,
+    events: u64,
+}
+
+impl<F> Reading<'_, F>
+where
+    F: FnOnce(),
+{
+    async fn read(&mut self, exchange: &mut Exchange, output: &mut Output) -> RunOutcome {
+        let broken = RunOutcome::Broken { reached: true };
+        let mut reader = EventReader::default();
+        loop {
+            let piece = match exchange.chunk().await {
+                Ok(Some(piece)) => piece,
+                Ok(None) => break,
+                Err(error) => {
+                    log::debug!("item {} at {}: {error}", self.run.id(), self.run.engine.id);
+                    return broken;
+                }
+            };
+            let Some(events) = reader.push(&piece) else {
+                return broken;
+            };
+            for event in events {
+                if let Some(outcome) = self.take(&event, output) {
+                    return outcome;
+                }
+            }
+        }
+        if reader.is_cut() || output.last.is_none() {
+            return broken;
+        }
+        RunOutcome::Finished {
+            version: self.version,
+            speed: self.speed(),
+        }
+    }
+
+    /// Takes one event in; returns an outcome if the run must end.
+    fn take(&mut self, event: &StreamEvent, output: &mut Output) -> Option<RunOutcome> {
+        self.version = event.version.or(self.version);
+        let expected = output.last.map(|last| last + 1);
+        let follows = match (expected, event.id) {
+            (Some(expected), Some(id)) => id == expected,
+            (None, Some(_)) => true,
+            (_, None) => false,
+        };
+        if !follows {
+            return Some(RunOutcome::Broken { reached: true });
+        }
+        let Some(version) = self.version else {
+            return Some(RunOutcome::Broken { reached: true });
+        };
+        let mixed = self.run.job.pure && output.versions.iter().any(|v| *v != version);
+        if version < self.run.job.min_version || mixed {
+            return Some(RunOutcome::Stale(version));
+        }
+        if let Some(began) = self.began.take() {
+            began();
+            self.first = Some(Instant::now());
+        }
+        self.events += 1;
+        output.note_version(version);
+        output.push(event);
+        None
+    }
+
+    fn speed(&self) -> Option<Speed> {
+        const MIN_EVENTS: u64 = 4;
+        let first = self.first.filter(|_| self.events >= MIN_EVENTS)?;
+        Some(Speed {
+            events: self.events - 1,
+            span: Millis(first.elapsed().as_millis() as u64),
+        })
+    }
+}
--- /dev/null
+++ b/crates/dandelion-daemon/src/stores/runner.rs
@@ -0,0 +1,489 @@
+//! Drives the scheduler while this daemon is in charge of the batch jobs.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_std::future::timeout;
+use async_std::task;
+use dandelion_batch::BatchTable;
+use dandelion_batch::Scheduler;
+use dandelion_batch::scheduler::Action;
+use dandelion_batch::scheduler::Event;
+use dandelion_batch::scheduler::OrderOutcome;
+use dandelion_batch::scheduler::RunId;
+use dandelion_batch::scheduler::RunOutcome;
+use dandelion_batch::table::BatchCommand;
+use dandelion_net::clock;
+use dandelion_protocol::batch::BatchJob;
+use dandelion_protocol::batch::BatchResult;
+use dandelion_protocol::config::Role;
+use dandelion_protocol::ids::ServiceId;
+use dandelion_protocol::ids::Term;
+use dandelion_protocol::lives::UpstreamLife;
+use dandelion_protocol::mesh::MeshMessage;
+use dandelion_protocol::plan::RoutePlan;
+use dandelion_protocol::time::Millis;
+use dandelion_telemetry::Event as LogEvent;
+use dandelion_telemetry::event;
+use futures::future::AbortHandle;
+use futures::future::Abortable;
+use futures::future::Either;
+use futures::future::select;
+
+use crate::control::View;
+use crate::core::Handle;
+use crate::stores::group::StoreEvent;
+use crate::stores::orders;
+use crate::stores::orders::Load;
+use crate::stores::run::Ended;
+use crate::stores::run::ItemRun;
+use crate::stores::run::Output;
+
+/// Longest time between two looks at the clock.
+const TICK: Duration = Duration::from_millis(25);
+
+/// Pause while another daemon is in charge.
+const IDLE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Time between two messages that tell the control daemons who is in charge of the jobs.
+const TELL_PERIOD: Millis = Millis(1_000);
+
+/// Time for which a job is kept after this daemon first saw it.
+const RETENTION: Millis = Millis(150_000);
+
+/// Notes that may wait for the runner.
+const QUEUE: usize = 8_192;
+
+/// What a task tells the runner.
+enum Note {
+    Began(RunId),
+    Ended(RunId, Ended),
+    Ordered(Load, OrderOutcome),
+}
+
+/// What is kept of an open job.
+struct Open {
+    job: Arc<BatchJob>,
+    /// Output of items that broke off, by place.
+    partial: HashMap<usize, Output>,
+}
+
+/// A run under way.
+struct Under {
+    job: String,
+    item: usize,
+    abort: AbortHandle,
+}
+
+/// One term in which this daemon is in charge.
+struct Runner {
+    core: Handle,
+    term: Term,
+    scheduler: Scheduler,
+    open: BTreeMap<String, Open>,
+    runs: BTreeMap<RunId, Under>,
+    seen: BTreeMap<String, Millis>,
+    view: Arc<View>,
+    notes: Sender<Note>,
+    told: Millis,
+}
+
+/// Runs the jobs whenever this daemon is in charge, until the process ends.
+pub async fn run_jobs(core: Handle) {
+    loop {
+        let term = core.stores.replica().and_then(|r| r.in_charge(Millis::ZERO));
+        let Some(term) = term.filter(|_| !core.is_stopping()) else {
+            while core.stores.queue().try_recv().is_ok() {}
+            task::sleep(IDLE_PAUSE).await;
+            continue;
+        };
+        if !core.stores.begin(term).await {
+            continue;
+        }
+        event!(LogEvent::JobsTaken, term = term);
+        core.gateway.set_jobs_leader(Some(core.identity.daemon.clone()));
+        let (notes, queue) = async_channel::bounded(QUEUE);
+        Runner::open(core.clone(), term, notes).run(queue).await;
+        event!(LogEvent::JobsLost, term = term);
+    }
+}
+
+impl Runner {
+    fn open(core: Handle, term: Term, notes: Sender<Note>) -> Self {
+        Self {
+            core,
+            term,
+            scheduler: Scheduler::default(),
+            open: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            seen: BTreeMap::new(),
+            view: Arc::default(),
+            notes,
+            told: Millis::ZERO,
+        }
+    }
+
+    async fn run(mut self, notes: Receiver<Note>) {
+        self.refresh();
+        self.adopt();
+        while self.core.stores.charge(Millis::ZERO) == Some(self.term) && !self.core.is_stopping() {
+            self.refresh();
+            if self.is_due() {
+                self.tell();
+                self.expire();
+            }
+            self.wait(&notes).await;
+        }
+        for run in self.runs.values() {
+            run.abort.abort();
+        }
+    }
+
+    /// Waits for a note or an event, at most one tick, and handles what is there.
+    async fn wait(&mut self, notes: &Receiver<Note>) {
+        let events = self.core.stores.queue().clone();
+        let (note, event) = (pin!(notes.recv()), pin!(events.recv()));
+        let next = timeout(TICK, select(note, event)).await;
+        match next {
+            Ok(Either::Left((Ok(note), _))) => self.take_note(note),
+            Ok(Either::Right((Ok(event), _))) => self.take_event(event),
+            Ok(Either::Left((Err(_), _)) | Either::Right((Err(_), _))) | Err(_) => {
+                self.handle(Event::Tick);
+            }
+        }
+        while let Ok(note) = notes.try_recv() {
+            self.take_note(note);
+        }
+        while let Ok(event) = events.try_recv() {
+            self.take_event(event);
+        }
+    }
+
+    fn take_event(&mut self, event: StoreEvent) {
+        match event {
+            StoreEvent::Submitted(job) => self.adopt_job(&job),
+            StoreEvent::Ended(job) => {
+                self.handle(Event::Ended(&job));
+                self.open.remove(&job);
+            }
+            StoreEvent::Reported(report) => self.handle(Event::Reported(&report)),
+        }
+    }
+
+    fn take_note(&mut self, note: Note) {
+        match note {
+            Note::Began(run) => self.handle(Event::Began(run)),
+            Note::Ended(run, ended) => self.end_run(run, ended),
+            Note::Ordered(load, outcome) => self.handle(Event::OrderEnded {
+                engine: &load.engine.id,
+                model: &load.model,
+                version: load.version,
+                outcome,
+            }),
+        }
+    }
+
+    /// Takes over every open job of the table.
+    fn adopt(&mut self) {
+        let replica = self.core.stores.replica();
+        let ids = replica.and_then(|r| {
+            r.read::<BatchTable, _, _>(|table| {
+                let open = table.jobs().iter().filter(|(_, stored)| !stored.ended);
+                open.map(|(id, _)| id.clone()).collect::<Vec<_>>()
+            })
+        });
+        for id in ids.unwrap_or_default() {
+            self.adopt_job(&id);
+        }
+    }
+
+    fn adopt_job(&mut self, id: &str) {
+        if self.open.contains_key(id) {
+            return;
+        }
+        let replica = self.core.stores.replica();
+        let found = replica.and_then(|r| {
+            r.read::<BatchTable, _, _>(|table| {
+                let stored = table.jobs().get(id).filter(|stored| !stored.ended)?;
+                let items = 0..stored.job.items.len();
+                let open: Vec<bool> = items.map(|item| stored.is_open(item)).collect();
+                Some((stored.job.clone(), open))
+            })
+        });
+        let Some((job, open)) = found.flatten() else {
+            return;
+        };
+        let job = Arc::new(job);
+        let service = self.service_of(&job);
+        let partial = HashMap::new();
+        self.open.insert(
+            id.to_owned(),
+            Open {
+                job: Arc::clone(&job),
+                partial,
+            },
+        );
+        self.handle(Event::Opened {
+            job: &job,
+            open,
+            service,
+        });
+    }
+
+    fn service_of(&self, job: &BatchJob) -> Option<ServiceId> {
+        service_of(self.view.plan.as_deref()?, job)
+    }
+
+    /// Tells the scheduler what has changed in the replicated state of the cell.
+    fn refresh(&mut self) {
+        let view = self.core.control.view();
+        if view.revision == self.view.revision {
+            return;
+        }
+        let former = std::mem::replace(&mut self.view, view);
+        let view = Arc::clone(&self.view);
+        let planned = !same(&former.plan, &view.plan);
+        if planned || !Arc::ptr_eq(&former.lives, &view.lives) {
+            let engines = engines(&view);
+            self.handle(Event::Engines(&engines));
+        }
+        if planned {
+            let routed = self.open.iter();
+            let routed: Vec<(String, Option<ServiceId>)> = routed
+                .map(|(id, open)| (id.clone(), self.service_of(&open.job)))
+                .collect();
+            for (job, service) in routed {
+                self.handle(Event::Routed { job: &job, service });
+            }
+        }
+        for (model, version) in view.versions.iter() {
+            let version = *version;
+            self.handle(Event::Named { model, version });
+        }
+    }
+
+    /// Tells whether the periodic work is due.
+    fn is_due(&mut self) -> bool {
+        let now = clock::boot_now();
+        let due = now >= self.told + TELL_PERIOD;
+        if due {
+            self.told = now;
+        }
+        due
+    }
+
+    /// Tells the control daemons who is in charge, so that they pass on what engines report.
+    fn tell(&self) {
+        let Some(mesh) = self.core.mesh() else {
+            return;
+        };
+        let control = self.view.members.iter().filter(|m| m.role == Role::Control);
+        for member in control {
+            // The next one makes a lost one good.
+            let _lost = mesh.send(&member.id, MeshMessage::JobsLeader(self.term));
+        }
+    }
+
+    fn handle(&mut self, event: Event<'_>) {
+        let mut actions = Vec::new();
+        self.scheduler.handle(clock::boot_now(), event, &mut actions);
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Run {
+                run,
+                job,
+                item,
+                engine,
+            } => self.start(run, job, item, engine),
+            Action::Cancel(run) => {
+                if let Some(under) = self.runs.remove(&run) {
+                    under.abort.abort();
+                    let output = Output::default();
+                    let outcome = RunOutcome::Broken { reached: false };
+                    let ended = Ended { outcome, output };
+                    // The queue holds a note of every run that can be under way.
+                    let _full = self.notes.try_send(Note::Ended(run, ended));
+                }
+            }
+            Action::GiveUp { job, item } => self.give_up(&job, item),
+            Action::Order {
+                engine,
+                model,
+                version,
+                keep,
+            } => self.order(Load {
+                engine,
+                model,
+                version,
+                keep,
+            }),
+        }
+    }
+
+    fn start(&mut self, run: RunId, job: String, item: usize, engine: UpstreamLife) {
+        let Some(open) = self.open.get_mut(&job) else {
+            return;
+        };
+        let item_run = ItemRun {
+            job: Arc::clone(&open.job),
+            item,
+            engine,
+            output: open.partial.remove(&item).unwrap_or_default(),
+        };
+        let (abort, registration) = AbortHandle::new_pair();
+        let core = self.core.clone();
+        let notes = self.notes.clone();
+        let work = async move {
+            let began = notes.clone();
+            let note_began = move || {
+                // The run's end says as much.
+                let _full = began.try_send(Note::Began(run));
+            };
+            let ended = item_run.run(&core, note_began).await;
+            // The runner of an earlier term is gone.
+            let _gone = notes.send(Note::Ended(run, ended)).await;
+        };
+        task::spawn(Abortable::new(work, registration));
+        self.runs.insert(run, Under { job, item, abort });
+    }
+
+    fn end_run(&mut self, run: RunId, ended: Ended) {
+        if let Some(under) = self.runs.remove(&run) {
+            self.keep_output(&under, &ended, run);
+        }
+        self.handle(Event::RunEnded {
+            run,
+            outcome: ended.outcome,
+        });
+    }
+
+    fn keep_output(&mut self, under: &Under, ended: &Ended, run: RunId) {
+        let Some(open) = self.open.get_mut(&under.job) else {
+            return;
+        };
+        let id = open.job.items[under.item].id.clone();
+        if let RunOutcome::Finished { .. } = ended.outcome {
+            let result = ended.output.clone().into_result(&id);
+            self.list(under.job.clone(), result);
+            return;
+        }
+        event!(
+            LogEvent::ItemRetried,
+            job = under.job,
+            item = id,
+            run = run.0,
+            reason = format!("{:?}", ended.outcome),
+            events = ended.output.last.unwrap_or(0)
+        );
+        let goes_on = open.job.resumable && ended.output.last.is_some();
+        if goes_on && !matches!(ended.outcome, RunOutcome::Stale(_)) {
+            open.partial.insert(under.item, ended.output.clone());
+        }
+    }
+
+    /// Lists a result; it is tried again until it is listed or another daemon is in charge.
+    fn list(&self, job: String, result: BatchResult) {
+        let core = self.core.clone();
+        let term = self.term;
+        task::spawn(async move {
+            let item = result.id.clone();
+            let events = result.versions.clone();
+            let command = BatchCommand::List { job, result };
+            while core.stores.charge(Millis::ZERO) == Some(term) {
+                if core.stores.change(&command).await.is_ok() {
+                    event!(
+                        LogEvent::ItemFinished,
+                        item = item,
+                        versions = format!("{events:?}")
+                    );
+                    return;
+                }
+            }
+        });
+    }
+
+    fn give_up(&self, job: &str, item: usize) {
+        let Some(open) = self.open.get(job) else {
+            return;
+        };
+        let id = open.job.items[item].id.clone();
+        event!(LogEvent::ItemGivenUp, job = job, item = id);
+        let result = BatchResult {
+            id,
+            text: None,
+            versions: Vec::new(),
+        };
+        self.list(job.to_owned(), result);
+    }
+
+    fn order(&self, load: Load) {
+        let core = self.core.clone();
+        let notes = self.notes.clone();
+        let term = self.term;
+        task::spawn(async move {
+            let outcome = orders::order(&core, term, &load).await;
+            // The runner of an earlier term is gone.
+            let _gone = notes.send(Note::Ordered(load, outcome)).await;
+        });
+    }
+
+    /// Forgets jobs that were kept for long enough.
+    fn expire(&mut self) {
+        let now = clock::boot_now();
+        let replica = self.core.stores.replica();
+        let due: Vec<String> = replica
+            .and_then(|r| {
+                r.read::<BatchTable, _, _>(|table| {
+                    let seen = &mut self.seen;
+                    let ids = table.jobs().keys();
+                    let old = ids.filter(|id| {
+                        let first = seen.entry((*id).clone()).or_insert(now);
+                        *first + RETENTION < now
+                    });
+                    old.cloned().collect()
+                })
+            })
+            .unwrap_or_default();
+        for job in due {
+            self.seen.remove(&job);
+            let core = self.core.clone();
+            task::spawn(async move {
+                if let Err(error) = core.stores.change(&BatchCommand::Forget { job }).await {
+                    log::debug!("a batch job is not forgotten yet: {error}");
+                }
+            });
+        }
+    }
+}
+
+fn same(a: &Option<Arc<RoutePlan>>, b: &Option<Arc<RoutePlan>>) -> bool {
+    a.as_ref().map(|p| p.version) == b.as_ref().map(|p| p.version)
+}
+
+/// Returns the service that takes most of a job's route.
+fn service_of(plan: &RoutePlan, job: &BatchJob) -> Option<ServiceId> {
+    let route = plan.route(&job.host, &job.path)?;
+    let shares = route.shares.iter().filter(|s| s.weight > 0);
+    shares.max_by_key(|s| s.weight).map(|s| s.service.clone())
+}
+
+/// Returns the engines with the tokens that each holds in memory.
+fn engines(view: &View) -> Vec<(UpstreamLife, Option<u64>)> {
+    let memory = |life: &UpstreamLife| {
+        let service = view.plan.as_ref().and_then(|p| p.service(&life.service));
+        service.and_then(|s| s.memory)
+    };
+    let lives = view.lives.iter();
+    let engines = lives.filter_map(|life| Some((life.clone(), Some(memory(life)?))));
+    engines.collect()
+}
--- a/crates/dandelion-load/src/cluster/daemons.rs
+++ b/crates/dandelion-load/src/cluster/daemons.rs
@@ -186,7 +186,7 @@
             .arg(DAEMON_ARGUMENT)
             .args(arguments)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
         self.processes[index].child = Some(child);
--- a/crates/dandelion-net/src/http/client/mod.rs
+++ b/crates/dandelion-net/src/http/client/mod.rs
@@ -10,6 +10,7 @@
 pub use error::SendError;
 pub use exchange::Exchange;
 pub use request::request;
+pub use request::request_for;
 pub use send::Client;
 pub use send::ClientOptions;
 pub use send::SendOptions;
--- a/crates/dandelion-net/src/http/client/request.rs
+++ b/crates/dandelion-net/src/http/client/request.rs
@@ -23,10 +23,21 @@
     path: &str,
     headers: &[Header],
     body: Vec<u8>,
+) -> Result<Request, Cause> {
+    request_for(&address.to_string(), method, path, headers, body)
+}
+
+/// Makes a request like [`request`] that asks for `host`, whatever address it is sent to.
+pub fn request_for(
+    host: &str,
+    method: &str,
+    path: &str,
+    headers: &[Header],
+    body: Vec<u8>,
 ) -> Result<Request, Cause> {
     let invalid = |error: http_types::Error| Cause::Request(error.to_string());
     let method = Method::from_str(method).map_err(invalid)?;
-    let url = Url::parse(&format!("http://{address}{path}"))
+    let url = Url::parse(&format!("http://{host}{path}"))
         .map_err(|error| Cause::Request(error.to_string()))?;
     let mut request = Request::new(method, url);
     request.set_body(Body::from_bytes(body));
--- a/crates/dandelion-net/src/mesh/counters.rs
+++ b/crates/dandelion-net/src/mesh/counters.rs
@@ -36,9 +36,11 @@
     /// Returns the family of a message.
     pub fn of(message: &MeshMessage) -> Self {
         match message {
-            MeshMessage::Raft(_) => Self::Raft,
+            MeshMessage::Raft(_) | MeshMessage::StoreRaft(_) => Self::Raft,
             MeshMessage::Feed(_) => Self::Feed,
-            MeshMessage::Digest(_) => Self::Digest,
+            MeshMessage::Digest(_) | MeshMessage::Lived(_) | MeshMessage::JobsLeader(_) => {
+                Self::Digest
+            }
             MeshMessage::Call { .. } | MeshMessage::Reply { .. } => Self::Call,
             MeshMessage::Serve { .. }
             | MeshMessage::Part { .. }
--- a/crates/dandelion-net/src/mesh/handler.rs
+++ b/crates/dandelion-net/src/mesh/handler.rs
@@ -10,7 +10,7 @@
 
 /// Handles messages from authenticated peers, and those that a daemon sends to itself.
 pub trait MeshHandler: Clone + Send + Sync + 'static {
-    /// Takes a one-way message: `Raft`, `Feed` or `Digest`. It must not block.
+    /// Takes a one-way message: `Raft`, `StoreRaft`, `Feed`, `Lived` or `Digest`. It must not block.
     fn on_message(&self, from: &DaemonId, message: MeshMessage);
 
     /// Answers a call. The future is dropped when the connection is lost.
--- a/crates/dandelion-net/src/mesh/session.rs
+++ b/crates/dandelion-net/src/mesh/session.rs
@@ -127,7 +127,12 @@
 
     fn take(&self, message: MeshMessage) -> Result<(), MeshError> {
         match message {
-            MeshMessage::Raft(_) | MeshMessage::Feed(_) | MeshMessage::Digest(_) => {
+            MeshMessage::Raft(_)
+            | MeshMessage::StoreRaft(_)
+            | MeshMessage::Feed(_)
+            | MeshMessage::Lived(_)
+            | MeshMessage::JobsLeader(_)
+            | MeshMessage::Digest(_) => {
                 self.shared.handler.on_message(&self.from, message);
             }
             MeshMessage::Call { call, body } => self.start_call(call, body),
--- a/crates/dandelion-protocol/src/config.rs
+++ b/crates/dandelion-protocol/src/config.rs
@@ -107,6 +107,25 @@
     pub incarnation: Incarnation,
     /// Set while it hands over before it stops.
     pub leaving: bool,
+    /// What it is there for.
+    #[serde(default)]
+    pub role: Role,
+    /// Name of the VM that it runs on, where that differs from the daemon's.
+    #[serde(default)]
+    pub host: String,
+}
+
+/// What a daemon is there for.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// Takes callers' requests.
+    #[default]
+    Entry,
+    /// Holds the replicated state of the cell.
+    Control,
+    /// Stores batch jobs.
+    Store,
 }
 
 /// The configuration as spread to every daemon.
--- a/crates/dandelion-protocol/src/lib.rs
+++ b/crates/dandelion-protocol/src/lib.rs
@@ -2,13 +2,16 @@
 //!
 //! Every other package depends on this one; it depends on none of them.
 
+pub mod batch;
 pub mod codec;
 pub mod config;
 pub mod control;
 pub mod fleet;
 pub mod ids;
+pub mod lives;
 pub mod mesh;
 pub mod outcome;
+pub mod plan;
 pub mod rollout;
 pub mod time;
 pub mod upstream;
--- a/crates/dandelion-protocol/src/mesh.rs
+++ b/crates/dandelion-protocol/src/mesh.rs
@@ -4,6 +4,8 @@
 use serde::Serialize;
 use serde_bytes::ByteBuf;
 
+use crate::batch::BatchCall;
+use crate::batch::BatchReply;
 use crate::control::Answer;
 use crate::control::Proposal;
 use crate::control::ProposeError;
@@ -16,8 +18,10 @@
 use crate::ids::Revision;
 use crate::ids::ServiceId;
 use crate::ids::TeamId;
+use crate::ids::Term;
 use crate::ids::UpstreamId;
 use crate::ids::ZoneId;
+use crate::lives::UpstreamReport;
 use crate::outcome::Refusal;
 use crate::time::Millis;
 use crate::upstream::Announcement;
@@ -149,6 +153,8 @@
     InForce(Revision),
     /// Keeps, fetches or releases payloads of a rollout job, encoded by the daemon package.
     Payload(#[serde(with = "serde_bytes")] Vec<u8>),
+    /// Reads or changes batch jobs at the daemon in charge of them.
+    Batch(BatchCall),
     /// Forwards a trainer's or operator's HTTP request to the daemon in charge of it.
     Forward {
         /// Path with query.
@@ -189,6 +195,8 @@
     InForce(Option<Spread>),
     /// Reply to `Payload`, encoded by the daemon package.
     Payload(ByteBuf),
+    /// Reply to `Batch`.
+    Batch(BatchReply),
     /// The call was refused.
     Refused(Refusal),
 }
@@ -209,6 +217,12 @@
     Feed(#[serde(with = "serde_bytes")] Vec<u8>),
     /// Digests and membership within a zone, encoded by the routing package.
     Digest(#[serde(with = "serde_bytes")] Vec<u8>),
+    /// Replication message between daemons that store batch jobs, encoded by the control package.
+    StoreRaft(#[serde(with = "serde_bytes")] Vec<u8>),
+    /// The sender is in charge of the batch jobs, in this term of the store group.
+    JobsLeader(Term),
+    /// A report of an upstream, passed on to the daemons that place work.
+    Lived(UpstreamReport),
     /// A call; `call` is unique per connection and direction.
     Call {
         /// Call number.
--- a/crates/dandelion-route/src/lib.rs
+++ b/crates/dandelion-route/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod entry;
 pub mod outcome;
 pub mod ownership;
+pub mod pick;
 pub mod poison;
 pub mod queue;
 pub mod registry;
--- a/crates/dandelion-route/tests/ownership.rs
+++ b/crates/dandelion-route/tests/ownership.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use dandelion_protocol::config::Member;
+use dandelion_protocol::config::Role;
 use dandelion_protocol::ids::Incarnation;
 use dandelion_protocol::ids::UpstreamId;
 use dandelion_route::ownership::owner_of;
@@ -14,6 +15,8 @@
         address: "127.0.0.1:1".to_owned(),
         incarnation: Incarnation(1),
         leaving: false,
+        role: Role::Entry,
+        host: String::new(),
     };
     (0..count).map(member).collect()
 }
--- a/crates/dandelion-telemetry/src/events/catalogue.rs
+++ b/crates/dandelion-telemetry/src/events/catalogue.rs
@@ -1,5 +1,6 @@
 //! The catalogue of events, by hundreds: 100 start and stop, 200 control, 300 mesh and HTTP,
-//! 400 routing, 500 rollouts, 600 fleet, 700 usage, 800 keys and operators.
+//! 400 routing, 500 rollouts, 600 fleet, 700 usage, 800 keys and operators, 900 route plan and
+//! batch jobs.
 
 use log::Level;
 
@@ -186,4 +187,49 @@
         "An operator's change was accepted." "none";
     806 Warn ChangeRefused "change_refused"
         "An operator's change was refused." "See the answer; it names the remedy.";
+
+    901 Info PlanInForce "plan_in_force"
+        "A route plan took effect on this daemon." "none";
+    902 Info PlanAccepted "plan_accepted"
+        "A route plan was acknowledged; an older version than the one held changes nothing." "none";
+    903 Warn PlanRefused "plan_refused"
+        "A route plan is invalid and was refused." "See the reason; correct the plan.";
+    904 Info LifeReported "life_reported"
+        "An upstream's new life or state was recorded." "none";
+    905 Info LifeEnded "life_ended"
+        "An upstream said that it ends, or was not heard for long." "none";
+    906 Warn ReportRefused "report_refused"
+        "A report of an upstream cannot be read or names no known service." "Check its sender.";
+    907 Info VersionNamed "version_named"
+        "A trainer named a version of its model's weights." "none";
+
+    911 Info RequestAnswered "request_answered"
+        "A request on a planned route got its upstream's answer." "none";
+    912 Warn RequestRetried "request_retried"
+        "An attempt of a request failed or was refused; another upstream is tried." "none";
+    913 Warn RequestRefused "request_refused"
+        "A request was refused without being run." "See the reason.";
+    914 Warn RequestFailed "request_failed"
+        "A request may have run, but no whole answer can be given." "See the reason; check the upstream.";
+
+    921 Info JobAccepted "job_accepted"
+        "A batch job was stored; its items will run." "none";
+    922 Info JobEnded "job_ended"
+        "A batch job was ended by its owner." "none";
+    923 Info JobsTaken "jobs_taken"
+        "This daemon is in charge of the batch jobs." "none";
+    924 Warn JobsLost "jobs_lost"
+        "This daemon is no longer in charge of the batch jobs; its runs were broken off." "none";
+    925 Info ItemFinished "item_finished"
+        "An item's result was listed." "none";
+    926 Warn ItemRetried "item_retried"
+        "A run of an item ended without a result; the item waits for another run." "none";
+    927 Warn ItemGivenUp "item_given_up"
+        "An item was given up and listed as such." "Check the engines' log for the item.";
+    928 Info LoadOrdered "load_ordered"
+        "An engine was ordered to load a version." "none";
+    929 Warn LoadFailed "load_failed"
+        "An order to load a version was not accepted." "none; it is repeated";
+    930 Info StoresFounded "stores_founded"
+        "The group that stores batch jobs was founded." "none";
 }
--- a/crates/dandelion-telemetry/src/logging/open.rs
+++ b/crates/dandelion-telemetry/src/logging/open.rs
@@ -38,7 +38,7 @@
     pub level: LevelFilter,
     /// Form of a line.
     pub form: LogForm,
-    /// Folder of log files; standard error if absent.
+    /// Folder of log files; standard output if absent.
     pub folder: Option<PathBuf>,
 }
 
@@ -73,7 +73,7 @@
     };
     let logger = Logger::with(level).format(line);
     let logger = match &settings.folder {
-        None => logger.log_to_stderr(),
+        None => logger.log_to_stdout(),
         Some(folder) => logger
             .log_to_file(FileSpec::default().directory(folder))
             .rotate(
