Keep texts of results on disk beside the replicated log; replace silent voters; take SIGHUP

SIGHUP ended a store with status 129. A store that came back at another address never became a voter. Ruled out: a fault of the replicated log, whose own schedules pass.

Now texts lie in checksummed segments on the holders' disks, synced on tolerate + 1 of them before the result is listed; missing ones are fetched from the others.

--- a/crates/dandelion-batch/src/table.rs
+++ b/crates/dandelion-batch/src/table.rs
@@ -7,16 +7,18 @@
 use dandelion_kernel::Table;
 use dandelion_kernel::TableEntry;
 use dandelion_protocol::batch::BatchJob;
-use dandelion_protocol::batch::BatchPage;
-use dandelion_protocol::batch::BatchResult;
+use dandelion_protocol::batch::Listed;
 use dandelion_protocol::control::Rejection;
 use dandelion_protocol::ids::TeamId;
 use linkme::distributed_slice;
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Most bytes of text in one page of results; readers take at most 1 MB.
-pub const MAX_PAGE_BYTES: usize = 768 * 1024;
+/// Most bytes of one page of results; readers take at most 1 MB.
+pub const MAX_PAGE_BYTES: u64 = 768 * 1024;
+
+/// Bytes of a result in a page beside its text and identity.
+const RESULT_BYTES: u64 = 96;
 
 /// A job with what is known of its items.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -24,7 +26,7 @@
     /// The job; items that have a result keep their identity only.
     pub job: BatchJob,
     /// Results in the order in which they were listed; a position never changes.
-    pub results: Vec<BatchResult>,
+    pub results: Vec<Listed>,
     /// Whether its owner ended it.
     pub ended: bool,
     open: Vec<bool>,
@@ -53,24 +55,19 @@
     }
 
     /// Returns the results from a position on, as many as fit a page.
-    pub fn page(&self, after: u64) -> BatchPage {
+    pub fn page(&self, after: u64) -> &[Listed] {
         let start = (after as usize).min(self.results.len());
+        let rest = &self.results[start..];
         let mut bytes = 0;
-        let fits = |result: &&BatchResult| {
-            let first = bytes == 0;
-            bytes += result.text.as_ref().map_or(0, String::len) + result.id.len() + 64;
-            first || bytes <= MAX_PAGE_BYTES
+        let fits = |result: &&Listed| {
+            bytes += result.text.map_or(0, |text| text.length) + result.id.len() as u64 + RESULT_BYTES;
+            bytes <= MAX_PAGE_BYTES
         };
-        let results = self.results[start..].iter().take_while(fits);
-        let results: Vec<BatchResult> = results.cloned().collect();
-        BatchPage {
-            total: self.job.items.len() as u64,
-            next: (start + results.len()) as u64,
-            results,
-        }
+        let count = rest.iter().take_while(fits).count();
+        &rest[..count.max(1).min(rest.len())]
     }
 
-    fn list(&mut self, result: BatchResult) {
+    fn list(&mut self, result: Listed) {
         let at = self.job.items.iter().position(|i| i.id == result.id);
         let Some(at) = at.filter(|at| self.is_open(*at)) else {
             return;
@@ -100,7 +97,7 @@
         /// Job.
         job: String,
         /// Result.
-        result: BatchResult,
+        result: Listed,
     },
     /// Ends a job.
     End {
--- a/crates/dandelion-control/src/node/changes.rs
+++ b/crates/dandelion-control/src/node/changes.rs
@@ -1,5 +1,7 @@
 //! Changes of the voters: one at a time, asked for by operators or by repairs.
 
+use std::collections::BTreeMap;
+
 use dandelion_protocol::ids::DaemonId;
 use dandelion_protocol::time::Millis;
 
@@ -12,6 +14,13 @@
 use crate::raft::bootstrap::MAX_PROMOTION_LAG;
 use crate::storage::Storage;
 
+/// Time without an answer after which a voter is replaced by a learner, if there is one: longer
+/// than a restart takes, so that a daemon that comes back keeps its vote.
+pub const REPLACE_AFTER: Millis = Millis(6_000);
+
+/// Voters that do not answer this leader, with the time since when.
+pub type Silent = BTreeMap<ReplicaId, Millis>;
+
 /// A change of an operator that is under way.
 #[derive(Debug, Clone)]
 pub struct Plan {
@@ -113,10 +122,18 @@
     }
 
     /// Repairs the set of voters: a voter whose daemon came back under a new identity is replaced
-    /// by it, and learners fill up missing voters.
+    /// by it, one that is silent for long by a learner, and learners fill up missing voters.
     pub(super) fn tick_repair(&mut self, now: Millis) {
-        let idle = self.plan.is_none() && self.replica.members_committed();
-        if self.replica.leads().is_none() || !idle {
+        if self.replica.leads().is_none() {
+            self.silent.clear();
+            return;
+        }
+        self.note_silent(now);
+        if self.plan.is_some() || !self.replica.members_committed() {
+            return;
+        }
+        if let Some(id) = self.surplus(now) {
+            self.replica.remove_voter(now, id);
             return;
         }
         if self.replica.membership().outdated_voter().is_some() {
@@ -129,9 +146,32 @@
         }
     }
 
+    fn note_silent(&mut self, now: Millis) {
+        let replica = &self.replica;
+        let members = replica.membership();
+        self.silent.retain(|id, _| members.is_voter(*id) && !replica.is_alive(now, *id));
+        for id in members.voters().filter(|id| !replica.is_alive(now, *id)) {
+            self.silent.entry(id).or_insert(now);
+        }
+    }
+
+    /// Returns the voter that has been silent for longest, if that is long enough.
+    fn gone(&self, now: Millis) -> Option<ReplicaId> {
+        let gone = self.silent.iter().filter(|(_, since)| **since + REPLACE_AFTER <= now);
+        gone.min_by_key(|(_, since)| **since).map(|(id, _)| *id)
+    }
+
+    /// Returns a silent voter for which another one has been added.
+    fn surplus(&self, now: Millis) -> Option<ReplicaId> {
+        let voters = self.replica.membership().voters().count();
+        self.gone(now).filter(|_| voters > self.settings.voters)
+    }
+
     fn promotable(&self, now: Millis) -> Option<DaemonId> {
         let members = self.replica.membership();
-        let missing = members.voters().count() < self.settings.voters;
+        let voters = members.voters().count();
+        let replaces = voters == self.settings.voters && self.gone(now).is_some();
+        let missing = voters < self.settings.voters || replaces;
         let zones = members.voters().map(|id| &members.replicas[&id].zone);
         let zones = zones.collect::<Vec<_>>();
         let ready = |id: ReplicaId| {
--- a/crates/dandelion-control/src/node/control.rs
+++ b/crates/dandelion-control/src/node/control.rs
@@ -14,6 +14,7 @@
 use dandelion_protocol::time::WallMillis;
 
 use crate::node::changes::Plan;
+use crate::node::changes::Silent;
 use crate::node::event::NodeAction;
 use crate::node::event::NodeEvent;
 use crate::node::event::NodeSettings;
@@ -46,6 +47,7 @@
     pub(super) ledger: Ledger,
     pub(super) joining: Joining,
     pub(super) plan: Option<Plan>,
+    pub(super) silent: Silent,
     /// Daemons of replicas by the messages they sent.
     pub(super) routes: BTreeMap<ReplicaId, DaemonId>,
     /// Tickets of appended proposals by log index.
@@ -81,6 +83,7 @@
             tables: TableSet::open_all(),
             spread: SpreadLog::default(),
             plan: None,
+            silent: Silent::new(),
             routes: BTreeMap::new(),
             pending: BTreeMap::new(),
             led: None,
@@ -145,6 +148,7 @@
             NodeEvent::Propose { ticket, proposal } => {
                 self.on_propose(wall, ticket, proposal, actions);
             }
+            NodeEvent::Peers(peers) => self.joining.meet(peers),
             NodeEvent::Resign => {
                 self.replica.resign(now);
             }
--- a/crates/dandelion-control/src/node/event.rs
+++ b/crates/dandelion-control/src/node/event.rs
@@ -77,6 +77,9 @@
         /// The change.
         proposal: Proposal,
     },
+    /// Daemons of the group that were learnt of otherwise; a replica that no leader knows
+    /// introduces itself to them as well.
+    Peers(Vec<DaemonId>),
     /// This daemon is about to stop: it hands the leadership over if it can. Repeat it until
     /// [`NodeAction::Follow`] comes. All outside acts must have ended before the first one: the
     /// next leader does not wait for the lease of this one.
--- a/crates/dandelion-control/src/node/joining.rs
+++ b/crates/dandelion-control/src/node/joining.rs
@@ -1,6 +1,7 @@
 //! First start of a group, and replicas that introduce themselves.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use dandelion_protocol::ids::DaemonId;
 use dandelion_protocol::time::Millis;
@@ -17,17 +18,23 @@
 use crate::raft::Membership;
 use crate::raft::RaftMessage;
 use crate::raft::Replicator;
+use crate::raft::Role;
 use crate::storage::Storage;
 
 /// Time between two introductions.
 pub const JOIN_PERIOD: Millis = Millis(500);
 
+/// Time without a leader after which a replica introduces itself again: it may have been replaced
+/// while it was away.
+pub const REJOIN_AFTER: Millis = Millis(3_000);
+
 /// What a replica without a group has learnt of the others.
 #[derive(Debug)]
 pub struct Joining {
     rng: SmallRng,
     next: Millis,
     empty: BTreeMap<DaemonId, Join>,
+    others: Vec<DaemonId>,
 }
 
 impl Joining {
@@ -37,8 +44,14 @@
             rng: SmallRng::seed_from_u64(seed ^ 0x6a6f_696e),
             next: Millis::ZERO,
             empty: BTreeMap::new(),
+            others: Vec::new(),
         }
     }
+
+    /// Takes daemons of the group that the settings do not name.
+    pub fn meet(&mut self, others: Vec<DaemonId>) {
+        self.others = others;
+    }
 }
 
 impl<S> ControlNode<S>
@@ -46,21 +59,32 @@
     S: Storage,
 {
     pub(super) fn tick_joining(&mut self, now: Millis, actions: &mut Vec<NodeAction>) {
-        if !self.replica.membership().is_empty() || now < self.joining.next {
+        let empty = self.replica.membership().is_empty();
+        let lost = self.replica.role() != Role::Leader
+            && now >= self.replica.last_heard() + REJOIN_AFTER;
+        if !(empty || lost) || now < self.joining.next {
             return;
         }
         self.joining.next = now + JOIN_PERIOD;
-        if self.may_bootstrap() {
+        if empty && self.may_bootstrap() {
             self.bootstrap();
             return;
         }
         let join = RaftMessage::Join(self.replica.introduction());
-        let own = &self.settings.daemon;
-        for peer in self.settings.peers.iter().filter(|peer| *peer != own) {
-            send_raft(peer.clone(), &join, actions);
+        for peer in self.acquaintances() {
+            send_raft(peer, &join, actions);
         }
     }
 
+    /// Returns every other daemon that may know the group.
+    fn acquaintances(&self) -> BTreeSet<DaemonId> {
+        let members = self.replica.membership().replicas.values();
+        let members = members.map(|replica| &replica.daemon);
+        let named = self.settings.peers.iter().chain(&self.joining.others);
+        let known = named.chain(members);
+        known.filter(|peer| **peer != self.settings.daemon).cloned().collect()
+    }
+
     /// Only the first of the peers starts a group, and only once every other one has said, to
     /// this very identity, that it knows none.
     fn may_bootstrap(&self) -> bool {
--- a/crates/dandelion-control/src/raft/bootstrap.rs
+++ b/crates/dandelion-control/src/raft/bootstrap.rs
@@ -115,6 +115,15 @@
         self.propose_members(next)
     }
 
+    /// Removes a voter, if the others still make a working quorum.
+    pub fn remove_voter(&mut self, now: Millis, id: ReplicaId) -> Option<Position> {
+        let next = self.membership().without(id);
+        if !self.answers(now, &next) {
+            return None;
+        }
+        self.propose_members(next)
+    }
+
     /// Returns how many entries a replica lacks, as far as the leader knows.
     pub fn lag(&self, id: ReplicaId) -> u64 {
         let last = self.log.last().index;
--- a/crates/dandelion-control/src/raft/replica.rs
+++ b/crates/dandelion-control/src/raft/replica.rs
@@ -173,6 +173,11 @@
         self.leader
     }
 
+    /// Returns when a leader was last heard; meaningless for a leader.
+    pub fn last_heard(&self) -> Millis {
+        self.heard
+    }
+
     /// Returns the daemon that leads the current term, as far as known.
     pub fn leader_daemon(&self) -> Option<&DaemonId> {
         self.daemon_of(self.leader?)
--- a/crates/dandelion-daemon/src/control/replica.rs
+++ b/crates/dandelion-daemon/src/control/replica.rs
@@ -164,6 +164,11 @@
         answer.ok()?.ok()
     }
 
+    /// Names daemons of the group that the settings do not; lost if the queue is full.
+    pub fn meet(&self, peers: Vec<DaemonId>) {
+        let _lost = self.events.try_send(NodeEvent::Peers(peers));
+    }
+
     /// Hands the leadership over, if held, and waits until another daemon may lead.
     pub async fn resign(&self, limit: Duration) {
         let until = Instant::now() + limit;
--- a/crates/dandelion-daemon/src/node.rs
+++ b/crates/dandelion-daemon/src/node.rs
@@ -110,6 +110,7 @@
             ReplyBody::Announced
         }
         CallBody::Batch(call) => ReplyBody::Batch(stores::answer(core, call).await),
+        CallBody::Texts(call) => ReplyBody::Texts(stores::answer_texts(core, call).await),
         CallBody::Probe => ReplyBody::Alive,
         CallBody::InForce(revision) => ReplyBody::InForce(operator::spread_here(core, revision)),
         CallBody::Payload(bytes) => rollouts::answer_payload(core, &bytes),
--- a/crates/dandelion-daemon/src/run.rs
+++ b/crates/dandelion-daemon/src/run.rs
@@ -38,6 +38,7 @@
 use futures::future::join;
 use futures::future::join_all;
 use rand::Rng;
+use signal_hook::consts::SIGHUP;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
 use signal_hook_async_std::Signals;
@@ -110,7 +111,7 @@
 
 async fn run(settings: Checked) -> anyhow::Result<()> {
     let _log = logging::open(&settings.log)?;
-    let signals = Signals::new([SIGTERM, SIGINT]).context("signals cannot be handled")?;
+    let signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).context("signals cannot be handled")?;
     let daemon = Daemon::spawn(settings).await?;
     daemon.announce();
     wait_for_stop(signals).await;
@@ -119,7 +120,12 @@
 }
 
 async fn wait_for_stop(mut signals: Signals) {
-    signals.next().await;
+    while let Some(signal) = signals.next().await {
+        if signal != SIGHUP {
+            return;
+        }
+        event!(Event::Reloaded, reason = "all settings are flags; none has changed");
+    }
 }
 
 impl Daemon {
@@ -377,6 +383,7 @@
     if core.settings.gateway.folder.is_some() {
         task::spawn(stores::run_group(core.clone()));
         task::spawn(stores::run_jobs(core.clone()));
+        task::spawn(stores::run_repair(core.clone()));
     }
 }
 
--- a/crates/dandelion-daemon/src/stores/group.rs
+++ b/crates/dandelion-daemon/src/stores/group.rs
@@ -41,6 +41,7 @@
 use crate::control::ReplicaHandle;
 use crate::core::Handle;
 use crate::core::new_request_id;
+use crate::stores::texts::Texts;
 
 /// Events that may wait for the runner.
 const QUEUE: usize = 8_192;
@@ -70,6 +71,8 @@
 pub struct Stores {
     replica: OnceLock<ReplicaHandle>,
     serving: AtomicU64,
+    /// Texts of results.
+    pub texts: Texts,
     events: Sender<StoreEvent>,
     queue: Receiver<StoreEvent>,
 }
@@ -80,6 +83,7 @@
         Self {
             replica: OnceLock::new(),
             serving: AtomicU64::new(0),
+            texts: Texts::default(),
             events,
             queue,
         }
@@ -153,6 +157,7 @@
             return;
         }
     };
+    task::spawn(meet_stores(core.clone()));
     while let Ok(Outgoing { to, message }) = outgoing.recv().await {
         if let (Some(mesh), MeshMessage::Raft(bytes)) = (core.mesh(), message) {
             // Replication makes good what is lost.
@@ -161,10 +166,26 @@
     }
 }
 
+/// Tells the replica of stores that are no founders, until the process ends.
+async fn meet_stores(core: Handle) {
+    let mut known: Vec<DaemonId> = Vec::new();
+    loop {
+        let view = core.control.view();
+        let stores = view.members.iter().filter(|m| m.role == Role::Store);
+        let stores: Vec<DaemonId> = stores.map(|m| m.id.clone()).collect();
+        if let Some(replica) = core.stores.replica().filter(|_| stores != known) {
+            replica.meet(stores.clone());
+            known = stores;
+        }
+        task::sleep(LOOK_PERIOD).await;
+    }
+}
+
 fn open(core: &Handle, founders: Vec<DaemonId>) -> anyhow::Result<Receiver<Outgoing>> {
     let settings = &core.settings.gateway;
     let folder = settings.folder.as_ref().context("no store folder is set")?;
     let mut rng = rand::rng();
+    core.stores.texts.open(folder)?;
     let storage = FileStorage::open(folder, ReplicaId(rng.random()))?;
     let own = &core.identity.daemon;
     // Only a founder at the first start may begin the group; anyone else introduces itself.
--- a/crates/dandelion-daemon/src/stores/mod.rs
+++ b/crates/dandelion-daemon/src/stores/mod.rs
@@ -5,9 +5,12 @@
 mod run;
 mod runner;
 mod service;
+mod texts;
 
 pub use group::StoreEvent;
 pub use group::Stores;
 pub use group::run_group;
 pub use runner::run_jobs;
 pub use service::answer;
+pub use texts::answer_texts;
+pub use texts::run_repair;
--- a/crates/dandelion-daemon/src/stores/run.rs
+++ b/crates/dandelion-daemon/src/stores/run.rs
@@ -15,7 +15,6 @@
 use dandelion_platform::stream::EventReader;
 use dandelion_platform::stream::StreamEvent;
 use dandelion_protocol::batch::BatchJob;
-use dandelion_protocol::batch::BatchResult;
 use dandelion_protocol::lives::UpstreamLife;
 use dandelion_protocol::time::Millis;
 use http_types::Request;
@@ -57,15 +56,6 @@
             self.versions.push(version);
         }
     }
-
-    /// Turns the whole output into the item's result.
-    pub fn into_result(self, id: &str) -> BatchResult {
-        BatchResult {
-            id: id.to_owned(),
-            text: Some(self.text),
-            versions: self.versions,
-        }
-    }
 }
 
 /// One run.
--- a/crates/dandelion-daemon/src/stores/runner.rs
+++ b/crates/dandelion-daemon/src/stores/runner.rs
@@ -18,9 +18,13 @@
 use dandelion_batch::scheduler::RunId;
 use dandelion_batch::scheduler::RunOutcome;
 use dandelion_batch::table::BatchCommand;
+use dandelion_batch::texts::digest;
 use dandelion_net::clock;
 use dandelion_protocol::batch::BatchJob;
-use dandelion_protocol::batch::BatchResult;
+use dandelion_protocol::batch::Listed;
+use dandelion_protocol::batch::TextEntry;
+use dandelion_protocol::batch::TextKey;
+use dandelion_protocol::batch::TextRef;
 use dandelion_protocol::config::Role;
 use dandelion_protocol::ids::ServiceId;
 use dandelion_protocol::ids::Term;
@@ -43,6 +47,7 @@
 use crate::stores::run::Ended;
 use crate::stores::run::ItemRun;
 use crate::stores::run::Output;
+use crate::stores::texts;
 
 /// Longest time between two looks at the clock.
 const TICK: Duration = Duration::from_millis(25);
@@ -56,6 +61,9 @@
 /// Time for which a job is kept after this daemon first saw it.
 const RETENTION: Millis = Millis(150_000);
 
+/// Pause before a text that too few disks took is offered again.
+const SPREAD_PAUSE: Duration = Duration::from_millis(50);
+
 /// Notes that may wait for the runner.
 const QUEUE: usize = 8_192;
 
@@ -373,8 +381,12 @@
         };
         let id = open.job.items[under.item].id.clone();
         if let RunOutcome::Finished { .. } = ended.outcome {
-            let result = ended.output.clone().into_result(&id);
-            self.list(under.job.clone(), result);
+            let key = TextKey {
+                job: under.job.clone(),
+                item: id,
+                digest: digest(&ended.output.text),
+            };
+            self.finish(key, ended.output.clone());
             return;
         }
         event!(
@@ -391,23 +403,29 @@
         }
     }
 
-    /// Lists a result; it is tried again until it is listed or another daemon is in charge.
-    fn list(&self, job: String, result: BatchResult) {
+    /// Keeps an output on enough disks and lists it then.
+    fn finish(&self, key: TextKey, output: Output) {
         let core = self.core.clone();
         let term = self.term;
+        let result = Listed {
+            id: key.item.clone(),
+            text: Some(TextRef {
+                length: output.text.len() as u64,
+                digest: key.digest,
+            }),
+            versions: output.versions,
+        };
+        let job = key.job.clone();
+        let text = output.text;
         task::spawn(async move {
-            let item = result.id.clone();
-            let events = result.versions.clone();
-            let command = BatchCommand::List { job, result };
+            let entry = TextEntry { key, text };
             while core.stores.charge(Millis::ZERO) == Some(term) {
-                if core.stores.change(&command).await.is_ok() {
-                    event!(
-                        LogEvent::ItemFinished,
-                        item = item,
-                        versions = format!("{events:?}")
-                    );
+                if texts::spread(&core, entry.clone()).await {
+                    drop(entry);
+                    list(&core, term, job, result).await;
                     return;
                 }
+                task::sleep(SPREAD_PAUSE).await;
             }
         });
     }
@@ -418,12 +436,14 @@
         };
         let id = open.job.items[item].id.clone();
         event!(LogEvent::ItemGivenUp, job = job, item = id);
-        let result = BatchResult {
+        let result = Listed {
             id,
             text: None,
             versions: Vec::new(),
         };
-        self.list(job.to_owned(), result);
+        let core = self.core.clone();
+        let (term, job) = (self.term, job.to_owned());
+        task::spawn(async move { list(&core, term, job, result).await });
     }
 
     fn order(&self, load: Load) {
@@ -466,6 +486,19 @@
     }
 }
 
+/// Lists a result; it is tried again until it is listed or another daemon is in charge.
+async fn list(core: &Handle, term: Term, job: String, result: Listed) {
+    let item = result.id.clone();
+    let versions = format!("{:?}", result.versions);
+    let command = BatchCommand::List { job, result };
+    while core.stores.charge(Millis::ZERO) == Some(term) {
+        if core.stores.change(&command).await.is_ok() {
+            event!(LogEvent::ItemFinished, item = item, versions = versions);
+            return;
+        }
+    }
+}
+
 fn same(a: &Option<Arc<RoutePlan>>, b: &Option<Arc<RoutePlan>>) -> bool {
     a.as_ref().map(|p| p.version) == b.as_ref().map(|p| p.version)
 }
--- a/crates/dandelion-daemon/src/stores/service.rs
+++ b/crates/dandelion-daemon/src/stores/service.rs
@@ -9,6 +9,9 @@
 use dandelion_protocol::batch::BatchCall;
 use dandelion_protocol::batch::BatchPage;
 use dandelion_protocol::batch::BatchReply;
+use dandelion_protocol::batch::BatchResult;
+use dandelion_protocol::batch::Listed;
+use dandelion_protocol::batch::TextKey;
 use dandelion_protocol::control::ProposeError;
 use dandelion_protocol::ids::TeamId;
 use dandelion_protocol::time::Millis;
@@ -16,6 +19,7 @@
 use crate::control::ReplicaHandle;
 use crate::core::Handle;
 use crate::stores::group::StoreEvent;
+use crate::stores::texts;
 
 /// Pause between two looks for a result that a reader waits for.
 const WAIT_PAUSE: Duration = Duration::from_millis(40);
@@ -48,11 +52,14 @@
             after,
             wait,
         } => read(core, &job, &team, after, wait).await,
-        BatchCall::Body { job, team, item } => look(core, |table| {
-            let stored = table.of_team(&job, &team);
-            let body = stored.and_then(|stored| stored.body(&item));
-            body.map(|bytes| BatchReply::Body(bytes.to_vec()))
-        }),
+        BatchCall::Body { job, team, item } => {
+            let body = look(core, |table| {
+                let stored = table.of_team(&job, &team);
+                let body = stored.and_then(|stored| stored.body(&item));
+                body.map(|bytes| BatchReply::Body(bytes.to_vec()))
+            });
+            body.unwrap_or_else(|| not_in_charge(core))
+        }
     }
 }
 
@@ -72,16 +79,19 @@
 
 /// Reads the table. What is read is the newest state only if this daemon is still in charge
 /// afterwards.
-fn look<F>(core: &Handle, read: F) -> BatchReply
+fn look<F>(core: &Handle, read: F) -> Option<BatchReply>
 where
     F: FnOnce(&BatchTable) -> Option<BatchReply>,
 {
-    let replica = core.stores.replica();
-    let found = replica.and_then(|r| r.read::<BatchTable, _, _>(read));
-    if core.stores.charge(Millis::ZERO).is_none() {
-        return not_in_charge(core);
-    }
-    found.flatten().unwrap_or(BatchReply::Unknown)
+    let found = core.stores.replica()?.read::<BatchTable, _, _>(read)?;
+    core.stores.charge(Millis::ZERO)?;
+    Some(found.unwrap_or(BatchReply::Unknown))
+}
+
+/// What the table says of a page.
+struct Found {
+    total: u64,
+    listed: Vec<Listed>,
 }
 
 async fn read(
@@ -93,19 +103,46 @@
 ) -> BatchReply {
     let until = clock::boot_now() + wait;
     loop {
-        let reply = look(core, |table| {
+        let mut found = None;
+        let looked = look(core, |table| {
             let stored = table.of_team(job, team)?;
-            Some(BatchReply::Page(stored.page(after)))
+            found = Some(Found {
+                total: stored.job.items.len() as u64,
+                listed: stored.page(after).to_vec(),
+            });
+            Some(BatchReply::Done)
         });
-        let waits = matches!(&reply, BatchReply::Page(page) if is_short(page, after));
+        let found = match (looked, found) {
+            (None, _) => return not_in_charge(core),
+            (Some(_), None) => return BatchReply::Unknown,
+            (Some(_), Some(found)) => found,
+        };
+        let waits = found.listed.is_empty() && after < found.total;
         if !waits || clock::boot_now() >= until {
-            return reply;
+            return page(core, job, after, found).await;
         }
         task::sleep(WAIT_PAUSE).await;
     }
 }
 
-/// Tells whether a page has nothing new though more is to come.
-fn is_short(page: &BatchPage, after: u64) -> bool {
-    page.results.is_empty() && after < page.total
+/// Adds the texts to what the table says of a page.
+async fn page(core: &Handle, job: &str, after: u64, found: Found) -> BatchReply {
+    let keys = found.listed.iter().filter_map(|l| texts::key_of(job, l));
+    let keys: Vec<TextKey> = keys.collect();
+    let Some(texts) = texts::collect(core, &keys).await else {
+        log::warn!("texts of batch job {job} cannot be had now");
+        return BatchReply::Unsure;
+    };
+    let next = after.min(found.total) + found.listed.len() as u64;
+    let mut texts = texts.into_iter();
+    let results = found.listed.into_iter().map(|listed| BatchResult {
+        text: listed.text.and_then(|_| texts.next()),
+        id: listed.id,
+        versions: listed.versions,
+    });
+    BatchReply::Page(BatchPage {
+        total: found.total,
+        next,
+        results: results.collect(),
+    })
 }
--- a/crates/dandelion-protocol/src/batch.rs
+++ b/crates/dandelion-protocol/src/batch.rs
@@ -70,6 +70,66 @@
     pub versions: Vec<u64>,
 }
 
+/// A result as it is replicated: its text is kept apart.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listed {
+    /// Item.
+    pub id: String,
+    /// Text, or nothing where the item was given up.
+    pub text: Option<TextRef>,
+    /// Versions of the weights that generated the output.
+    pub versions: Vec<u64>,
+}
+
+/// Which text belongs to a result: runs of one item make different ones.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TextRef {
+    /// Bytes.
+    pub length: u64,
+    /// Digest.
+    pub digest: u64,
+}
+
+/// Names a text. Runs of one item make different ones, so its digest is part of the name.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct TextKey {
+    /// Job.
+    pub job: String,
+    /// Item.
+    pub item: String,
+    /// Digest of the text.
+    pub digest: u64,
+}
+
+/// The text of a result.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TextEntry {
+    /// Its name.
+    pub key: TextKey,
+    /// Text.
+    pub text: String,
+}
+
+/// A call between daemons that keep texts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TextCall {
+    /// Keeps texts; answered once they are durable.
+    Keep(Vec<TextEntry>),
+    /// Reads texts.
+    Read(Vec<TextKey>),
+}
+
+/// Answer to a [`TextCall`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TextReply {
+    /// Whether all texts are kept.
+    Kept(bool),
+    /// Those that are held here.
+    Read(Vec<TextEntry>),
+}
+
 /// Results from a position on.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BatchPage {
--- a/crates/dandelion-protocol/src/mesh.rs
+++ b/crates/dandelion-protocol/src/mesh.rs
@@ -6,6 +6,8 @@
 
 use crate::batch::BatchCall;
 use crate::batch::BatchReply;
+use crate::batch::TextCall;
+use crate::batch::TextReply;
 use crate::control::Answer;
 use crate::control::Proposal;
 use crate::control::ProposeError;
@@ -155,6 +157,8 @@
     Payload(#[serde(with = "serde_bytes")] Vec<u8>),
     /// Reads or changes batch jobs at the daemon in charge of them.
     Batch(BatchCall),
+    /// Keeps or reads texts of results.
+    Texts(TextCall),
     /// Forwards a trainer's or operator's HTTP request to the daemon in charge of it.
     Forward {
         /// Path with query.
@@ -197,6 +201,8 @@
     Payload(ByteBuf),
     /// Reply to `Batch`.
     Batch(BatchReply),
+    /// Reply to `Texts`.
+    Texts(TextReply),
     /// The call was refused.
     Refused(Refusal),
 }
--- a/crates/dandelion-telemetry/src/events/catalogue.rs
+++ b/crates/dandelion-telemetry/src/events/catalogue.rs
@@ -68,6 +68,8 @@
     106 Warn StopTimeout "stop_timeout"
         "Requests still ran when the stop timeout was over; they were cut."
         "Raise --stop-timeout-ms if requests may take longer.";
+    107 Info Reloaded "settings_reloaded"
+        "The daemon was told that its settings may have changed." "none";
 
     201 Info LeaderElected "leader_elected"
         "A control leader was elected." "none";
