--- a/crates/dandelion-batch/src/scheduler/engine.rs
+++ b/crates/dandelion-batch/src/scheduler/engine.rs
@@ -11,9 +11,12 @@
 /// Longest time for which an engine that failed is passed over.
 const LONGEST_PAUSE: Millis = Millis(2_000);
 
-/// Time for which an engine that refused an item as full is passed over.
+/// First time for which an engine that refused an item as full is passed over.
 const FULL_PAUSE: Millis = Millis(60);
 
+/// Longest time for which an engine that refused an item is passed over.
+const LONGEST_FULL_PAUSE: Millis = Millis(500);
+
 /// Weight of the newest run in the mean speed.
 const SPEED_WEIGHT: f64 = 0.3;
 
@@ -49,6 +52,9 @@
     pub pace: Option<f64>,
     paused: Millis,
     failures: u32,
+    refusals: u32,
+    /// Whether a run is under way that tells whether an engine works again.
+    probing: bool,
 }
 
 impl Engine {
@@ -65,12 +71,33 @@
             pace: None,
             paused: Millis::ZERO,
             failures: 0,
+            refusals: 0,
+            probing: false,
         }
     }
 
     /// Returns whether it can take another run.
     pub fn is_free(&self, now: Millis) -> bool {
-        self.life.ready && self.runs < self.life.slots && now >= self.paused && !self.is_loading(now)
+        self.life.ready
+            && self.runs < self.life.slots
+            && now >= self.paused
+            && !self.is_loading(now)
+            && !self.probing
+    }
+
+    /// Counts a run that is sent. After a failure or refusal the first one is a probe: until it
+    /// began or ended no other is sent.
+    pub fn start(&mut self, tokens: u64) {
+        self.runs += 1;
+        self.tokens += tokens;
+        self.probing = self.failures > 0 || self.refusals > 0;
+    }
+
+    /// Counts a run that ended.
+    pub fn end(&mut self, tokens: u64) {
+        self.runs = self.runs.saturating_sub(1);
+        self.tokens = self.tokens.saturating_sub(tokens);
+        self.probing = false;
     }
 
     /// Returns whether it loads weights.
@@ -102,12 +129,16 @@
 
     /// Notes that it took no further item.
     pub fn refuse(&mut self, now: Millis) {
-        self.paused = self.paused.max(now + FULL_PAUSE);
+        let pause = Millis(FULL_PAUSE.0 << self.refusals.min(8));
+        self.refusals += 1;
+        self.paused = self.paused.max(now + pause.min(LONGEST_FULL_PAUSE));
     }
 
     /// Notes that a run made progress.
     pub fn succeed(&mut self) {
         self.failures = 0;
+        self.refusals = 0;
+        self.probing = false;
     }
 
     /// Takes the pace of a finished run into the mean.
--- a/crates/dandelion-batch/src/scheduler/machine.rs
+++ b/crates/dandelion-batch/src/scheduler/machine.rs
@@ -147,8 +147,7 @@
         job.groups[group].engine = Some(life.id.clone());
         job.items[index].state = ItemState::Running(run);
         if let Some(engine) = self.engines.get_mut(&life.id) {
-            engine.runs += 1;
-            engine.tokens += tokens;
+            engine.start(tokens);
         }
         self.runs.insert(
             run,
@@ -233,8 +232,7 @@
             return;
         };
         if let Some(engine) = self.engines.get_mut(&ended.engine) {
-            engine.runs = engine.runs.saturating_sub(1);
-            engine.tokens = engine.tokens.saturating_sub(ended.tokens);
+            engine.end(ended.tokens);
         }
         self.note_engine(now, &ended, outcome);
         let Some(job) = self.jobs.get_mut(&ended.job) else {
@@ -253,9 +251,7 @@
                 item.failures += 1;
                 ItemState::Waiting(now + FAILED_PAUSE)
             }
-            RunOutcome::Refused | RunOutcome::Mistaken => {
-                ItemState::Waiting(now + REFUSED_PAUSE)
-            }
+            RunOutcome::Refused | RunOutcome::Mistaken => ItemState::Waiting(now + REFUSED_PAUSE),
             RunOutcome::Stale(_) | RunOutcome::Broken { .. } => ItemState::Waiting(now),
         };
         let spent = *outcome == RunOutcome::Failed && item.failures >= attempts;
--- a/crates/dandelion-batch/src/scheduler/order.rs
+++ b/crates/dandelion-batch/src/scheduler/order.rs
@@ -44,7 +44,7 @@
 ) -> Vec<Load> {
     let loading = engines.values().filter(|e| e.is_loading(now)).count();
     let serving = engines.values().filter(|e| !e.versions.is_empty()).count();
-    let most = serving.div_ceil(ENGINES_PER_LOAD).max(1);
+    let most = (serving / ENGINES_PER_LOAD).max(1);
     let mut behind: Vec<(u64, u32, UpstreamId, String, u64)> = Vec::new();
     for engine in engines.values() {
         let asks = engine.life.ready && !engine.is_loading(now) && now >= engine.order_after;
--- a/crates/dandelion-batch/src/table.rs
+++ b/crates/dandelion-batch/src/table.rs
@@ -60,7 +60,8 @@
         let rest = &self.results[start..];
         let mut bytes = 0;
         let fits = |result: &&Listed| {
-            bytes += result.text.map_or(0, |text| text.length) + result.id.len() as u64 + RESULT_BYTES;
+            bytes +=
+                result.text.map_or(0, |text| text.length) + result.id.len() as u64 + RESULT_BYTES;
             bytes <= MAX_PAGE_BYTES
         };
         let count = rest.iter().take_while(fits).count();
--- a/crates/dandelion-control/src/node/changes.rs
+++ b/crates/dandelion-control/src/node/changes.rs
@@ -149,7 +149,8 @@
     fn note_silent(&mut self, now: Millis) {
         let replica = &self.replica;
         let members = replica.membership();
-        self.silent.retain(|id, _| members.is_voter(*id) && !replica.is_alive(now, *id));
+        self.silent
+            .retain(|id, _| members.is_voter(*id) && !replica.is_alive(now, *id));
         for id in members.voters().filter(|id| !replica.is_alive(now, *id)) {
             self.silent.entry(id).or_insert(now);
         }
@@ -157,7 +158,10 @@
 
     /// Returns the voter that has been silent for longest, if that is long enough.
     fn gone(&self, now: Millis) -> Option<ReplicaId> {
-        let gone = self.silent.iter().filter(|(_, since)| **since + REPLACE_AFTER <= now);
+        let gone = self
+            .silent
+            .iter()
+            .filter(|(_, since)| **since + REPLACE_AFTER <= now);
         gone.min_by_key(|(_, since)| **since).map(|(id, _)| *id)
     }
 
--- a/crates/dandelion-control/src/node/joining.rs
+++ b/crates/dandelion-control/src/node/joining.rs
@@ -60,8 +60,8 @@
 {
     pub(super) fn tick_joining(&mut self, now: Millis, actions: &mut Vec<NodeAction>) {
         let empty = self.replica.membership().is_empty();
-        let lost = self.replica.role() != Role::Leader
-            && now >= self.replica.last_heard() + REJOIN_AFTER;
+        let lost =
+            self.replica.role() != Role::Leader && now >= self.replica.last_heard() + REJOIN_AFTER;
         if !(empty || lost) || now < self.joining.next {
             return;
         }
@@ -82,7 +82,10 @@
         let members = members.map(|replica| &replica.daemon);
         let named = self.settings.peers.iter().chain(&self.joining.others);
         let known = named.chain(members);
-        known.filter(|peer| **peer != self.settings.daemon).cloned().collect()
+        known
+            .filter(|peer| **peer != self.settings.daemon)
+            .cloned()
+            .collect()
     }
 
     /// Only the first of the peers starts a group, and only once every other one has said, to
--- a/crates/dandelion-control/src/tables/lives.rs
+++ b/crates/dandelion-control/src/tables/lives.rs
@@ -70,7 +70,10 @@
         };
         let outdated = ended.is_some_and(|born| *born >= life.born)
             || self.known.get(&life.id).is_some_and(older)
-            || self.addresses.get(&life.address).is_some_and(|born| *born > life.born);
+            || self
+                .addresses
+                .get(&life.address)
+                .is_some_and(|born| *born > life.born);
         if outdated {
             return Err(Rejection::invalid(
                 "report",
@@ -79,7 +82,8 @@
             ));
         }
         let (address, born) = (life.address, life.born);
-        self.known.retain(|id, known| known.life.address != address || *id == life.id);
+        self.known
+            .retain(|id, known| known.life.address != address || *id == life.id);
         self.addresses.insert(address, born);
         self.known.insert(life.id.clone(), Known { life, sequence });
         Ok(())
--- a/crates/dandelion-daemon/src/control/feed.rs
+++ b/crates/dandelion-daemon/src/control/feed.rs
@@ -63,7 +63,11 @@
     }
     if view.plan.as_ref().map(|p| p.version) != former.plan.as_ref().map(|p| p.version) {
         let version = view.plan.as_ref().map_or(0, |p| p.version);
-        event!(Event::PlanInForce, version = version, revision = view.revision);
+        event!(
+            Event::PlanInForce,
+            version = version,
+            revision = view.revision
+        );
     }
     if !Arc::ptr_eq(&view.lives, &former.lives) {
         let known = |id: &UpstreamId| view.lives.iter().any(|life| life.id == *id);
@@ -88,7 +92,8 @@
             mesh.remove_peer(&member.id);
         }
     }
-    core.control.meet_feeders(view, &core.settings.control.peers);
+    core.control
+        .meet_feeders(view, &core.settings.control.peers);
     core.usage.members_changed(&view.members);
     let zone = &core.identity.zone;
     let own = &core.identity.daemon;
--- a/crates/dandelion-daemon/src/duties/usage.rs
+++ b/crates/dandelion-daemon/src/duties/usage.rs
@@ -102,7 +102,10 @@
 /// Returns the requests of callers by team; batch items are not billed as such.
 fn requests(figures: &WindowFigures) -> BTreeMap<TeamId, u64> {
     let mut requests = BTreeMap::new();
-    let billed = figures.usage.iter().filter(|c| c.class == Class::Interactive);
+    let billed = figures
+        .usage
+        .iter()
+        .filter(|c| c.class == Class::Interactive);
     for counts in billed {
         *requests.entry(counts.team.clone()).or_default() += counts.counts.requests;
     }
--- a/crates/dandelion-daemon/src/gateway/forward.rs
+++ b/crates/dandelion-daemon/src/gateway/forward.rs
@@ -184,7 +184,11 @@
         let Some(request) = self.request(life) else {
             return Attempt::Failed(Some(answer::status(400)));
         };
-        let sent = self.core.gateway.client.send(life.address, request, &options);
+        let sent = self
+            .core
+            .gateway
+            .client
+            .send(life.address, request, &options);
         let exchange = match sent.await {
             Ok(exchange) => exchange,
             Err(SendError::NotSent(_)) => {
@@ -201,7 +205,10 @@
             running.ending = Ending::Refused;
             return Attempt::NotRun;
         }
-        if exchange.header(headers::ATTEMPT).is_some_and(|id| id != self.id) {
+        if exchange
+            .header(headers::ATTEMPT)
+            .is_some_and(|id| id != self.id)
+        {
             running.ending = Ending::Failed;
             return Attempt::Failed(None);
         }
@@ -315,7 +322,11 @@
                 Event::RequestRefused,
                 request = self.id,
                 route = self.route.name,
-                reason = if refusals == 0 { "no_upstream" } else { "upstreams_full" },
+                reason = if refusals == 0 {
+                    "no_upstream"
+                } else {
+                    "upstreams_full"
+                },
                 refusals = refusals
             );
             return answer::not_run(answer::COME_BACK);
--- a/crates/dandelion-daemon/src/gateway/jobs.rs
+++ b/crates/dandelion-daemon/src/gateway/jobs.rs
@@ -85,7 +85,12 @@
     };
     match ask(core, BatchCall::Submit(Box::new(job)), Millis::ZERO).await {
         Outcome::Replied(BatchReply::Done) => {
-            event!(Event::JobAccepted, job = id, team = team.name, items = items);
+            event!(
+                Event::JobAccepted,
+                job = id,
+                team = team.name,
+                items = items
+            );
             answer::status(202)
         }
         Outcome::NotTaken => {
@@ -198,7 +203,11 @@
         }
         asked.push(store);
     }
-    if unsure { Outcome::Unsure } else { Outcome::NotTaken }
+    if unsure {
+        Outcome::Unsure
+    } else {
+        Outcome::NotTaken
+    }
 }
 
 /// Returns the daemon that was in charge last, or the next store that was not asked yet.
--- a/crates/dandelion-daemon/src/gateway/lives.rs
+++ b/crates/dandelion-daemon/src/gateway/lives.rs
@@ -106,7 +106,9 @@
             }
         }
         let known = |id: &UpstreamId| view.lives.iter().any(|life| life.id == *id);
-        core.gateway.heard().retain(|id, heard| known(id) || heard.at + SILENCE > now);
+        core.gateway
+            .heard()
+            .retain(|id, heard| known(id) || heard.at + SILENCE > now);
     }
 }
 
--- a/crates/dandelion-daemon/src/run.rs
+++ b/crates/dandelion-daemon/src/run.rs
@@ -124,7 +124,10 @@
         if signal != SIGHUP {
             return;
         }
-        event!(Event::Reloaded, reason = "all settings are flags; none has changed");
+        event!(
+            Event::Reloaded,
+            reason = "all settings are flags; none has changed"
+        );
     }
 }
 
@@ -197,7 +200,10 @@
         }
         wait_for_owned(&self.core, limits.stop_timeout).await;
         let grace = Duration::from_millis(limits.stop_timeout.0);
-        let gateway = self.gateway.into_iter().map(|server| server.shutdown(grace));
+        let gateway = self
+            .gateway
+            .into_iter()
+            .map(|server| server.shutdown(grace));
         let (cut, others) = join(self.server.shutdown(grace), join_all(gateway)).await;
         let cut = cut + others.into_iter().sum::<usize>();
         if cut > 0 {
--- a/crates/dandelion-daemon/src/settings/args.rs
+++ b/crates/dandelion-daemon/src/settings/args.rs
@@ -203,7 +203,12 @@
     )]
     pub tolerate_vms: String,
     /// Name of the VM, for operators
-    #[arg(long, env = "DANDELION_VM_NAME", value_name = "NAME", default_value = "")]
+    #[arg(
+        long,
+        env = "DANDELION_VM_NAME",
+        value_name = "NAME",
+        default_value = ""
+    )]
     pub vm_name: String,
 }
 
--- a/crates/dandelion-daemon/src/settings/check.rs
+++ b/crates/dandelion-daemon/src/settings/check.rs
@@ -189,7 +189,8 @@
 fn check_gateway(args: &GatewayArgs) -> Result<GatewaySettings, SettingsError> {
     let address = |setting, text: &Option<String>| {
         let text = text.as_deref().filter(|text| !text.is_empty());
-        text.map(|text| read::read_address(setting, text)).transpose()
+        text.map(|text| read::read_address(setting, text))
+            .transpose()
     };
     let tolerate = read::read_number("--tolerate-vms", &args.tolerate_vms, 0..=8)?;
     check_folder("--store-folder", args.store_folder.as_deref())?;
--- a/crates/dandelion-daemon/src/stores/run.rs
+++ b/crates/dandelion-daemon/src/stores/run.rs
@@ -106,7 +106,10 @@
             idempotent: true,
         };
         let request = self.request().ok_or(RunOutcome::Failed)?;
-        let sent = core.gateway.client.send(self.engine.address, request, &options);
+        let sent = core
+            .gateway
+            .client
+            .send(self.engine.address, request, &options);
         sent.await.map_err(|error| {
             log::debug!("item {} at {}: {error}", self.id(), self.engine.id);
             RunOutcome::Broken {
@@ -133,13 +136,17 @@
         }
         let body = item.body.clone();
         let built = client::request_for(&self.job.host, "POST", &item.path, &headers, body);
-        built.inspect_err(|cause| log::warn!("item {}: {cause}", item.id)).ok()
+        built
+            .inspect_err(|cause| log::warn!("item {}: {cause}", item.id))
+            .ok()
     }
 
     /// Tells how the run ended if the answer is no stream.
     async fn refusal(&self, exchange: &mut Exchange) -> Option<RunOutcome> {
         let status = exchange.status();
-        let crossed = exchange.header(headers::ATTEMPT).is_some_and(|id| id != self.id());
+        let crossed = exchange
+            .header(headers::ATTEMPT)
+            .is_some_and(|id| id != self.id());
         if crossed {
             return Some(RunOutcome::Broken { reached: true });
         }
@@ -162,7 +169,9 @@
     where
         F: FnOnce(),
     {
-        let version = exchange.header(headers::VERSION).and_then(|v| v.trim().parse().ok());
+        let version = exchange
+            .header(headers::VERSION)
+            .and_then(|v| v.trim().parse().ok());
         let mut reading = Reading {
             run: self,
             version,
--- a/crates/dandelion-daemon/src/stores/runner.rs
+++ b/crates/dandelion-daemon/src/stores/runner.rs
@@ -104,7 +104,10 @@
 /// Runs the jobs whenever this daemon is in charge, until the process ends.
 pub async fn run_jobs(core: Handle) {
     loop {
-        let term = core.stores.replica().and_then(|r| r.in_charge(Millis::ZERO));
+        let term = core
+            .stores
+            .replica()
+            .and_then(|r| r.in_charge(Millis::ZERO));
         let Some(term) = term.filter(|_| !core.is_stopping()) else {
             while core.stores.queue().try_recv().is_ok() {}
             task::sleep(IDLE_PAUSE).await;
@@ -114,7 +117,8 @@
             continue;
         }
         event!(LogEvent::JobsTaken, term = term);
-        core.gateway.set_jobs_leader(Some(core.identity.daemon.clone()));
+        core.gateway
+            .set_jobs_leader(Some(core.identity.daemon.clone()));
         let (notes, queue) = async_channel::bounded(QUEUE);
         Runner::open(core.clone(), term, notes).run(queue).await;
         event!(LogEvent::JobsLost, term = term);
@@ -299,7 +303,8 @@
 
     fn handle(&mut self, event: Event<'_>) {
         let mut actions = Vec::new();
-        self.scheduler.handle(clock::boot_now(), event, &mut actions);
+        self.scheduler
+            .handle(clock::boot_now(), event, &mut actions);
         for action in actions {
             self.carry_out(action);
         }
--- a/crates/dandelion-daemon/src/stores/service.rs
+++ b/crates/dandelion-daemon/src/stores/service.rs
@@ -94,13 +94,7 @@
     listed: Vec<Listed>,
 }
 
-async fn read(
-    core: &Handle,
-    job: &str,
-    team: &TeamId,
-    after: u64,
-    wait: Millis,
-) -> BatchReply {
+async fn read(core: &Handle, job: &str, team: &TeamId, after: u64, wait: Millis) -> BatchReply {
     let until = clock::boot_now() + wait;
     loop {
         let mut found = None;
--- a/crates/dandelion-daemon/src/stores/texts.rs
+++ b/crates/dandelion-daemon/src/stores/texts.rs
@@ -293,7 +293,11 @@
     let texts = &core.stores.texts;
     let mut found: HashMap<&TextKey, String> = HashMap::new();
     found.extend(keys.iter().filter_map(|key| Some((key, texts.read(key)?))));
-    let missing: Vec<TextKey> = keys.iter().filter(|k| !found.contains_key(k)).cloned().collect();
+    let missing: Vec<TextKey> = keys
+        .iter()
+        .filter(|k| !found.contains_key(k))
+        .cloned()
+        .collect();
     if !missing.is_empty() {
         let fetched = fetch(core, missing).await;
         for entry in fetched {
@@ -365,7 +369,9 @@
         r.read::<BatchTable, _, _>(|table| {
             for (job, stored) in table.jobs() {
                 let from = checked.get(job).copied().unwrap_or(0);
-                if from >= stored.results.len() || !holders(&view.members, job, copies).contains(own) {
+                if from >= stored.results.len()
+                    || !holders(&view.members, job, copies).contains(own)
+                {
                     continue;
                 }
                 let mut whole = true;
@@ -395,7 +401,9 @@
     let replica = core.stores.replica();
     let gone = replica.and_then(|r| {
         r.read::<BatchTable, _, _>(|table| {
-            let gone = known.into_iter().filter(|job| !table.jobs().contains_key(job));
+            let gone = known
+                .into_iter()
+                .filter(|job| !table.jobs().contains_key(job));
             gone.collect::<Vec<_>>()
         })
     });
--- a/crates/dandelion-protocol/src/plan.rs
+++ b/crates/dandelion-protocol/src/plan.rs
@@ -106,7 +106,9 @@
 #[derive(Debug, Clone, Error, PartialEq, Eq)]
 pub enum PlanError {
     /// A route names a service that the plan lacks.
-    #[error("route `{route}` names the unknown service `{service}`; add the service or correct the route")]
+    #[error(
+        "route `{route}` names the unknown service `{service}`; add the service or correct the route"
+    )]
     UnknownService {
         /// Route.
         route: String,
@@ -168,7 +170,8 @@
 
     /// Returns the route of `host` with the longest prefix that begins `path`.
     pub fn route(&self, host: &str, path: &str) -> Option<&RouteRule> {
-        let fits = |r: &&RouteRule| r.host.eq_ignore_ascii_case(host) && path.starts_with(&r.prefix);
+        let fits =
+            |r: &&RouteRule| r.host.eq_ignore_ascii_case(host) && path.starts_with(&r.prefix);
         let routes = self.routes.iter().filter(fits);
         routes.max_by_key(|r| r.prefix.len())
     }
--- a/crates/dandelion-route/src/pick.rs
+++ b/crates/dandelion-route/src/pick.rs
@@ -105,7 +105,8 @@
     where
         F: Fn(&UpstreamId) -> bool,
     {
-        self.marks.retain(|id, mark| mark.running > 0 || is_known(id));
+        self.marks
+            .retain(|id, mark| mark.running > 0 || is_known(id));
     }
 
     /// Returns the end of a pause, and how long an answer should take.
