--- a/crates/dandelion-batch/src/scheduler/machine.rs
+++ b/crates/dandelion-batch/src/scheduler/machine.rs
@@ -245,8 +245,7 @@
         }
         item.avoid = Some(ended.engine.clone());
         item.state = match outcome {
-            RunOutcome::Finished { .. } => ItemState::Done,
-            RunOutcome::Impossible => ItemState::Done,
+            RunOutcome::Finished { .. } | RunOutcome::Impossible => ItemState::Done,
             RunOutcome::Failed => {
                 item.failures += 1;
                 ItemState::Waiting(now + FAILED_PAUSE)
--- a/crates/dandelion-daemon/src/control/view.rs
+++ b/crates/dandelion-daemon/src/control/view.rs
@@ -46,7 +46,8 @@
     pub versions: Arc<BTreeMap<String, u64>>,
     /// Founders of the store group.
     pub founders: Arc<[DaemonId]>,
-    lives_revision: Revision,
+    /// Revision of the last change of the upstreams.
+    pub lives_revision: Revision,
 }
 
 impl View {
--- a/crates/dandelion-daemon/src/gateway/control.rs
+++ b/crates/dandelion-daemon/src/gateway/control.rs
@@ -10,6 +10,7 @@
 use dandelion_control::tables::PlanTable;
 use dandelion_control::tables::ReplacePlan;
 use dandelion_control::tables::VersionsTable;
+use dandelion_kernel::TableSet;
 use dandelion_net::http::server::Handler;
 use dandelion_platform::ControlCall;
 use dandelion_platform::DecodeError;
@@ -125,7 +126,7 @@
     let until = Instant::now() + APPLY_LIMIT;
     let applied = || {
         let replica = core.control.replica();
-        replica.is_some_and(|r| r.read_all(|tables| tables.revision()) >= revision)
+        replica.is_some_and(|r| r.read_all(TableSet::revision) >= revision)
     };
     while !applied() {
         if Instant::now() >= until {
--- a/crates/dandelion-daemon/src/gateway/forward.rs
+++ b/crates/dandelion-daemon/src/gateway/forward.rs
@@ -214,7 +214,7 @@
         }
         self.count();
         if self.route.kind == RouteKind::Stream {
-            return self.stream(exchange, running);
+            return Self::stream(exchange, running);
         }
         self.whole(exchange, running).await
     }
@@ -277,7 +277,7 @@
     }
 
     /// Passes a stream on as it comes; one that breaks off ends visibly broken.
-    fn stream(&self, mut exchange: Exchange, running: &mut Running<'_>) -> Attempt {
+    fn stream(mut exchange: Exchange, running: &mut Running<'_>) -> Attempt {
         running.ending = Ending::Answered(Millis(running.begun.elapsed().as_millis() as u64));
         let (sender, body) = body::channel(STREAM_PIECES);
         let response = answer::passed(exchange.status(), exchange.headers(), body);
--- a/crates/dandelion-daemon/src/gateway/jobs.rs
+++ b/crates/dandelion-daemon/src/gateway/jobs.rs
@@ -30,7 +30,7 @@
 const ASK_LIMIT: Duration = Duration::from_millis(900);
 
 /// Longest time for which a caller is kept waiting while no store daemon is in charge.
-const SEARCH_LIMIT: Duration = Duration::from_millis(3_000);
+const SEARCH_LIMIT: Duration = Duration::from_secs(3);
 
 /// Pause after every store daemon was asked in vain.
 const ROUND_PAUSE: Duration = Duration::from_millis(50);
@@ -188,7 +188,7 @@
                 let other = leader.filter(|l| *l != store && !asked.contains(l));
                 core.gateway.set_jobs_leader(other);
             }
-            Some(BatchReply::Unsure) => {
+            Some(BatchReply::Unsure) | None => {
                 unsure = true;
                 core.gateway.set_jobs_leader(None);
             }
@@ -196,10 +196,6 @@
                 core.gateway.set_jobs_leader(Some(store));
                 return Outcome::Replied(reply);
             }
-            None => {
-                unsure = true;
-                core.gateway.set_jobs_leader(None);
-            }
         }
         asked.push(store);
     }
--- a/crates/dandelion-daemon/src/gateway/lives.rs
+++ b/crates/dandelion-daemon/src/gateway/lives.rs
@@ -25,7 +25,7 @@
 const SILENCE: Millis = Millis(15_000);
 
 /// Time between two looks for silent upstreams.
-const LOOK_PERIOD: Duration = Duration::from_millis(1_000);
+const LOOK_PERIOD: Duration = Duration::from_secs(1);
 
 /// Notes that an upstream was heard, here or by another control daemon.
 pub fn heard(core: &Handle, id: &UpstreamId, born: WallMillis) {
@@ -38,7 +38,7 @@
     heard(core, &report.life.id, report.life.born);
     pass_on(core, &report);
     let view = core.control.view();
-    if view.lives.iter().any(|life| *life == report.life) {
+    if view.lives.contains(&report.life) {
         return Ok(());
     }
     let life = report.life;
--- a/crates/dandelion-daemon/src/stores/group.rs
+++ b/crates/dandelion-daemon/src/stores/group.rs
@@ -53,7 +53,7 @@
 const FOUND_PATIENCE: Millis = Millis(5_000);
 
 /// Longest wait for the group's answer to a change.
-const PROPOSE_LIMIT: Duration = Duration::from_millis(2_000);
+const PROPOSE_LIMIT: Duration = Duration::from_secs(2);
 
 /// What the runner of jobs is told.
 #[derive(Debug)]
--- a/crates/dandelion-daemon/src/stores/run.rs
+++ b/crates/dandelion-daemon/src/stores/run.rs
@@ -26,7 +26,7 @@
 
 /// Time without a byte after which a run is broken off: engines send an event each few tens of
 /// milliseconds, and pause for a load of weights.
-const QUIET_LIMIT: Duration = Duration::from_millis(3_000);
+const QUIET_LIMIT: Duration = Duration::from_secs(3);
 
 /// Longest answer to a refused run that is read, in bytes.
 const MAX_REFUSAL: usize = 64 * 1024;
--- a/crates/dandelion-daemon/src/stores/runner.rs
+++ b/crates/dandelion-daemon/src/stores/runner.rs
@@ -259,7 +259,7 @@
         }
         let former = std::mem::replace(&mut self.view, view);
         let view = Arc::clone(&self.view);
-        let planned = !same(&former.plan, &view.plan);
+        let planned = version_of(&former) != version_of(&view);
         if planned || !Arc::ptr_eq(&former.lives, &view.lives) {
             let engines = engines(&view);
             self.handle(Event::Engines(&engines));
@@ -504,8 +504,8 @@
     }
 }
 
-fn same(a: &Option<Arc<RoutePlan>>, b: &Option<Arc<RoutePlan>>) -> bool {
-    a.as_ref().map(|p| p.version) == b.as_ref().map(|p| p.version)
+fn version_of(view: &View) -> Option<u64> {
+    view.plan.as_ref().map(|plan| plan.version)
 }
 
 /// Returns the service that takes most of a job's route.
--- a/crates/dandelion-daemon/src/stores/texts.rs
+++ b/crates/dandelion-daemon/src/stores/texts.rs
@@ -51,7 +51,7 @@
 const CACHE_BYTES: usize = 6 * 1024 * 1024;
 
 /// Longest wait for another daemon to keep or give texts.
-const CALL_LIMIT: Duration = Duration::from_millis(1_000);
+const CALL_LIMIT: Duration = Duration::from_secs(1);
 
 /// Time between two looks for texts that are missing here.
 const REPAIR_PERIOD: Duration = Duration::from_millis(500);
@@ -115,8 +115,8 @@
     pub fn open(&self, folder: &Path) -> io::Result<()> {
         let store = Arc::new(Mutex::new(TextStore::open(&folder.join(FOLDER))?));
         let (writes, queue) = async_channel::bounded(QUEUE);
-        let writer = Arc::clone(&store);
-        thread::spawn(move || write_all(&writer, &queue));
+        let written = Arc::clone(&store);
+        thread::spawn(move || write_all(&written, &queue));
         let _first = self.disk.set(Disk { store, writes });
         Ok(())
     }
