--- /dev/null
+++ b/crates/dandelion-batch/tests/scheduler.rs
@@ -0,0 +1,317 @@
+//! The scheduler: a step's load on engines that run a fixed number of items, with failures.
+
+use dandelion_batch::Scheduler;
+use dandelion_batch::scheduler::Action;
+use dandelion_batch::scheduler::Event;
+use dandelion_batch::scheduler::OrderOutcome;
+use dandelion_batch::scheduler::RunId;
+use dandelion_batch::scheduler::RunOutcome;
+use dandelion_protocol::batch::BatchItem;
+use dandelion_protocol::batch::BatchJob;
+use dandelion_protocol::ids::ServiceId;
+use dandelion_protocol::lives::UpstreamLife;
+use dandelion_protocol::lives::UpstreamReport;
+use dandelion_protocol::time::Millis;
+use dandelion_protocol::time::WallMillis;
+
+const SLOTS: u32 = 4;
+
+fn service() -> ServiceId {
+    "llm".parse().unwrap()
+}
+
+fn life(n: u16) -> UpstreamLife {
+    UpstreamLife {
+        id: format!("e{n}").parse().unwrap(),
+        born: WallMillis(1),
+        service: service(),
+        address: format!("10.0.0.{n}:80").parse().unwrap(),
+        zone: "z".parse().unwrap(),
+        slots: SLOTS,
+        ready: true,
+    }
+}
+
+fn report(n: u16, version: u64) -> UpstreamReport {
+    UpstreamReport {
+        life: life(n),
+        sequence: 1,
+        versions: [("m".to_owned(), version)].into(),
+    }
+}
+
+/// Makes a job of groups of two; each item's expected output is given.
+fn job(id: &str, outputs: &[u64], min_version: u64, wanted: u32) -> BatchJob {
+    let item = |(n, output): (usize, &u64)| BatchItem {
+        id: format!("{id}-{n}"),
+        path: "/p/1".to_owned(),
+        headers: Vec::new(),
+        body: Vec::new(),
+        tokens: 100_000,
+        expected: Some(*output),
+        model: Some("m".to_owned()),
+        group: format!("g{}", n / 2),
+    };
+    BatchJob {
+        id: id.to_owned(),
+        team: "builders".parse().unwrap(),
+        host: "h".to_owned(),
+        path: "/p/".to_owned(),
+        min_version,
+        wanted,
+        due: Millis(7_500),
+        keep: Millis(40_000),
+        attempts: 3,
+        pure: false,
+        resumable: true,
+        items: outputs.iter().enumerate().map(item).collect(),
+    }
+}
+
+struct Desk {
+    scheduler: Scheduler,
+    now: Millis,
+}
+
+impl Desk {
+    fn open(engines: u16) -> Self {
+        let mut desk = Self {
+            scheduler: Scheduler::default(),
+            now: Millis(1_000),
+        };
+        let lives: Vec<_> = (1..=engines).map(|n| (life(n), Some(1_000_000))).collect();
+        desk.handle(Event::Engines(&lives));
+        for n in 1..=engines {
+            desk.handle(Event::Reported(&report(n, 1)));
+        }
+        desk
+    }
+
+    fn handle(&mut self, event: Event<'_>) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.scheduler.handle(self.now, event, &mut actions);
+        actions
+    }
+
+    fn submit(&mut self, job: &BatchJob) -> Vec<Action> {
+        self.handle(Event::Opened {
+            job,
+            open: vec![true; job.items.len()],
+            service: Some(service()),
+        })
+    }
+
+    fn end(&mut self, run: RunId, outcome: RunOutcome) -> Vec<Action> {
+        self.handle(Event::RunEnded { run, outcome })
+    }
+
+    fn tick(&mut self, span: u64) -> Vec<Action> {
+        self.now = self.now + Millis(span);
+        self.handle(Event::Tick)
+    }
+}
+
+fn runs(actions: &[Action]) -> Vec<(RunId, usize, String)> {
+    let runs = actions.iter().filter_map(|a| match a {
+        Action::Run {
+            run, item, engine, ..
+        } => Some((*run, *item, engine.id.to_string())),
+        _ => None,
+    });
+    runs.collect()
+}
+
+fn finished() -> RunOutcome {
+    RunOutcome::Finished {
+        version: Some(1),
+        speed: None,
+    }
+}
+
+#[test]
+fn slots_kept() {
+    let mut desk = Desk::open(2);
+    let started = runs(&desk.submit(&job("j", &[100; 20], 1, 10)));
+    assert_eq!(started.len(), 8);
+    for engine in ["e1", "e2"] {
+        assert_eq!(started.iter().filter(|(_, _, e)| e == engine).count(), 4);
+    }
+    let next = runs(&desk.end(started[0].0, finished()));
+    assert_eq!(next.len(), 1);
+    assert_eq!(next[0].2, started[0].2);
+}
+
+/// The trainer waits for two groups of three: the two with the shortest items go first, and among
+/// the items of the wanted groups the longest.
+#[test]
+fn wanted_groups_first() {
+    let mut desk = Desk::open(1);
+    let started = runs(&desk.submit(&job("j", &[900, 10, 50, 40, 70, 60], 1, 2)));
+    let items: Vec<usize> = started.iter().map(|(_, item, _)| *item).collect();
+    assert_eq!(items, [4, 5, 2, 3]);
+}
+
+#[test]
+fn old_weights_wait() {
+    let mut desk = Desk::open(2);
+    assert!(runs(&desk.submit(&job("j", &[10, 10], 2, 1))).is_empty());
+    let started = runs(&desk.handle(Event::Reported(&report(2, 2))));
+    assert_eq!(started.len(), 2);
+    assert!(started.iter().all(|(_, _, engine)| engine == "e2"));
+}
+
+#[test]
+fn stale_runs_again() {
+    let mut desk = Desk::open(2);
+    let started = runs(&desk.submit(&job("j", &[10, 10], 1, 1)));
+    let (run, item, _) = started[0].clone();
+    let again = runs(&desk.end(run, RunOutcome::Stale(0)));
+    assert_eq!(again.len(), 1);
+    assert_eq!(again[0].1, item);
+}
+
+#[test]
+fn full_engine_probed() {
+    let mut desk = Desk::open(1);
+    let started = runs(&desk.submit(&job("j", &[10; 8], 1, 4)));
+    for (run, _, _) in &started {
+        assert!(runs(&desk.end(*run, RunOutcome::Refused)).is_empty());
+    }
+    let probes = runs(&desk.tick(1_000));
+    assert_eq!(probes.len(), 1, "one item tells whether it takes any");
+    let more = runs(&desk.handle(Event::Began(probes[0].0)));
+    assert_eq!(more.len(), 3);
+}
+
+#[test]
+fn failed_thrice() {
+    let mut desk = Desk::open(2);
+    let mut actions = desk.submit(&job("j", &[10], 1, 1));
+    for attempt in 1..=3 {
+        let started = runs(&actions);
+        assert_eq!(started.len(), 1, "attempt {attempt}");
+        actions = desk.end(started[0].0, RunOutcome::Failed);
+        if attempt < 3 {
+            actions = desk.tick(200);
+        }
+    }
+    assert!(matches!(actions[..], [Action::GiveUp { item: 0, .. }]));
+    assert!(desk.scheduler.jobs().is_empty());
+}
+
+#[test]
+fn impossible_given_up() {
+    let mut desk = Desk::open(1);
+    let started = runs(&desk.submit(&job("j", &[10, 10], 1, 1)));
+    let actions = desk.end(started[0].0, RunOutcome::Impossible);
+    assert!(matches!(actions[..], [Action::GiveUp { .. }]));
+}
+
+/// A broken connection is no failure of the item: it goes on elsewhere, however often.
+#[test]
+fn broken_goes_on() {
+    let mut desk = Desk::open(3);
+    let mut started = runs(&desk.submit(&job("j", &[10], 1, 1)));
+    for _ in 0..10 {
+        let former = started[0].2.clone();
+        let actions = desk.end(started[0].0, RunOutcome::Broken { reached: true });
+        started = runs(&actions);
+        if started.is_empty() {
+            started = runs(&desk.tick(3_000));
+        } else {
+            assert_ne!(started[0].2, former);
+        }
+        assert_eq!(started.len(), 1);
+    }
+}
+
+#[test]
+fn ended_job_cancelled() {
+    let mut desk = Desk::open(1);
+    let started = runs(&desk.submit(&job("j", &[10, 10], 1, 1)));
+    let actions = desk.handle(Event::Ended("j"));
+    let cancelled = actions
+        .iter()
+        .filter(|a| matches!(a, Action::Cancel(_)))
+        .count();
+    assert_eq!(cancelled, started.len());
+    assert!(runs(&desk.tick(100)).is_empty());
+}
+
+#[test]
+fn new_life_cancels() {
+    let mut desk = Desk::open(2);
+    desk.submit(&job("j", &[10; 8], 1, 4));
+    let left = [(life(2), Some(1_000_000))];
+    let actions = desk.handle(Event::Engines(&left));
+    let cancelled = actions
+        .iter()
+        .filter(|a| matches!(a, Action::Cancel(_)))
+        .count();
+    assert_eq!(cancelled, 4);
+}
+
+fn orders(actions: &[Action]) -> Vec<(String, u64)> {
+    let orders = actions.iter().filter_map(|a| match a {
+        Action::Order {
+            engine, version, ..
+        } => Some((engine.id.to_string(), *version)),
+        _ => None,
+    });
+    orders.collect()
+}
+
+/// Ten engines: two load at a time, each once, and all have the version in the end.
+#[test]
+fn staggered_loads() {
+    let mut desk = Desk::open(10);
+    let mut actions = desk.handle(Event::Named {
+        model: "m",
+        version: 2,
+    });
+    let mut loaded: Vec<String> = Vec::new();
+    for _ in 0..400 {
+        let sent = orders(&actions);
+        assert!(sent.len() <= 2);
+        for (engine, version) in sent {
+            assert_eq!(version, 2);
+            assert!(!loaded.contains(&engine), "{engine} was ordered twice");
+            loaded.push(engine.clone());
+            let id = engine.parse().unwrap();
+            desk.handle(Event::OrderEnded {
+                engine: &id,
+                model: "m",
+                version,
+                outcome: OrderOutcome::Accepted,
+            });
+        }
+        actions = desk.tick(25);
+    }
+    assert_eq!(loaded.len(), 10);
+    let behind = desk
+        .scheduler
+        .engines()
+        .values()
+        .filter(|e| e.version("m") < 2);
+    assert_eq!(behind.count(), 0);
+}
+
+#[test]
+fn unanswered_order() {
+    let mut desk = Desk::open(1);
+    let actions = desk.handle(Event::Named {
+        model: "m",
+        version: 2,
+    });
+    assert_eq!(orders(&actions).len(), 1);
+    let id = "e1".parse().unwrap();
+    let failed = Event::OrderEnded {
+        engine: &id,
+        model: "m",
+        version: 2,
+        outcome: OrderOutcome::Failed,
+    };
+    assert!(orders(&desk.handle(failed)).is_empty());
+    assert!(orders(&desk.tick(500)).is_empty());
+    assert_eq!(orders(&desk.tick(1_500)).len(), 1);
+}
