--- a/crates/dandelion-control/src/node/changes.rs
+++ b/crates/dandelion-control/src/node/changes.rs
@@ -14,10 +14,6 @@
 use crate::raft::bootstrap::MAX_PROMOTION_LAG;
 use crate::storage::Storage;
 
-/// Time without an answer after which a voter is replaced by a learner, if there is one: longer
-/// than a restart takes, so that a daemon that comes back keeps its vote.
-pub const REPLACE_AFTER: Millis = Millis(6_000);
-
 /// Voters that do not answer this leader, with the time since when.
 pub type Silent = BTreeMap<ReplicaId, Millis>;
 
@@ -158,10 +154,9 @@
 
     /// Returns the voter that has been silent for longest, if that is long enough.
     fn gone(&self, now: Millis) -> Option<ReplicaId> {
-        let gone = self
-            .silent
-            .iter()
-            .filter(|(_, since)| **since + REPLACE_AFTER <= now);
+        let patience = self.settings.timing.replace_after;
+        let silent = self.silent.iter();
+        let gone = silent.filter(|(_, since)| **since + patience <= now);
         gone.min_by_key(|(_, since)| **since).map(|(id, _)| *id)
     }
 
--- a/crates/dandelion-control/src/node/joining.rs
+++ b/crates/dandelion-control/src/node/joining.rs
@@ -24,10 +24,6 @@
 /// Time between two introductions.
 pub const JOIN_PERIOD: Millis = Millis(500);
 
-/// Time without a leader after which a replica introduces itself again: it may have been replaced
-/// while it was away.
-pub const REJOIN_AFTER: Millis = Millis(3_000);
-
 /// What a replica without a group has learnt of the others.
 #[derive(Debug)]
 pub struct Joining {
@@ -60,8 +56,8 @@
 {
     pub(super) fn tick_joining(&mut self, now: Millis, actions: &mut Vec<NodeAction>) {
         let empty = self.replica.membership().is_empty();
-        let lost =
-            self.replica.role() != Role::Leader && now >= self.replica.last_heard() + REJOIN_AFTER;
+        let lost = self.replica.role() != Role::Leader
+            && now >= self.replica.last_heard() + self.settings.timing.rejoin_after;
         if !(empty || lost) || now < self.joining.next {
             return;
         }
--- a/crates/dandelion-control/src/timing.rs
+++ b/crates/dandelion-control/src/timing.rs
@@ -22,6 +22,12 @@
     pub feed_lease: Millis,
     /// Shortest time between two reports of a feeder to the leader.
     pub report_gap: Millis,
+    /// Time without an answer after which a voter is replaced by a learner, if there is one: longer
+    /// than a restart takes, so that a daemon that comes back keeps its vote.
+    pub replace_after: Millis,
+    /// Time without a leader after which a replica introduces itself again: it may have been
+    /// replaced while it was away.
+    pub rejoin_after: Millis,
 }
 
 impl Default for Timing {
@@ -33,6 +39,8 @@
             feed_period: Millis(500),
             feed_lease: Millis(2000),
             report_gap: Millis(20),
+            replace_after: Millis(6_000),
+            rejoin_after: Millis(3_000),
         }
     }
 }
--- a/crates/dandelion-control/tests/schedules.rs
+++ b/crates/dandelion-control/tests/schedules.rs
@@ -42,3 +42,13 @@
 fn five_voters() {
     run_all(Shape::of(5), 20_000..22_500);
 }
+
+/// Voters that stay away are replaced by learners in the middle of other faults.
+#[test]
+fn spare_learners() {
+    let shape = Shape {
+        voters: 3,
+        ..Shape::of(5)
+    };
+    run_all(shape, 30_000..31_000);
+}
--- a/crates/dandelion-control/tests/support/group.rs
+++ b/crates/dandelion-control/tests/support/group.rs
@@ -36,6 +36,8 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Shape {
     pub control: usize,
+    /// Voters wanted.
+    pub voters: usize,
     pub plain: usize,
     pub fault: Option<Fault>,
     pub skip_sync: bool,
@@ -51,6 +53,7 @@
     pub fn of(control: usize) -> Self {
         Self {
             control,
+            voters: control,
             plain: 1,
             fault: None,
             skip_sync: false,
@@ -71,6 +74,8 @@
         feed_period: Millis(100),
         feed_lease: Millis(400),
         report_gap: Millis(10),
+        replace_after: Millis(1_200),
+        rejoin_after: Millis(600),
     }
 }
 
@@ -100,7 +105,7 @@
         for number in 0..total {
             let zone = format!("zone-{}", number % 3).parse().unwrap();
             let mut settings = NodeSettings::new(name(number), zone, peers.clone());
-            settings.voters = shape.control;
+            settings.voters = shape.voters;
             settings.timing = shape.timing;
             settings.compact_bytes = shape.compact_bytes;
             settings.fault = shape.fault;
--- a/crates/dandelion-control/tests/takeover.rs
+++ b/crates/dandelion-control/tests/takeover.rs
@@ -354,3 +354,53 @@
         assert_sound(&group);
     }
 }
+
+/// A voter that stays away gives its vote to a learner, and learns once it is back.
+#[test]
+fn absent_voter_replaced() {
+    let shape = Shape {
+        voters: 3,
+        ..Shape::of(4)
+    };
+    let mut group = whole(shape, 31);
+    change(&mut group, 1);
+    let before = voters(&group);
+    let leader = group.in_charge().unwrap();
+    let absent = (0..4).find(|n| *n != leader && before.contains(&name(*n).to_string()));
+    let absent = absent.unwrap();
+    group.slots[absent].kill(u64::MAX);
+    let replaced = |group: &Group| {
+        let now = group.in_charge().map(|_| voters(group));
+        now.is_some_and(|now| now.len() == 3 && !now.contains(&name(absent).to_string()))
+    };
+    assert!(group.run_until(6_000, replaced), "{}", group.describe());
+    change(&mut group, 2);
+    group.slots[absent].down = group.now;
+    assert!(
+        group.run_until(6_000, Group::is_whole),
+        "{}",
+        group.describe()
+    );
+    assert_eq!(held(&group, absent), 2);
+    assert_eq!(voters(&group).len(), 3);
+    assert_sound(&group);
+}
+
+/// One that is back in time keeps its vote.
+#[test]
+fn short_absence() {
+    let shape = Shape {
+        voters: 3,
+        ..Shape::of(4)
+    };
+    let mut group = whole(shape, 32);
+    change(&mut group, 1);
+    let before = voters(&group);
+    let leader = group.in_charge().unwrap();
+    let absent = (0..4).find(|n| *n != leader && before.contains(&name(*n).to_string()));
+    let until = group.now + 600;
+    group.slots[absent.unwrap()].kill(until);
+    group.run(3_000);
+    assert_eq!(voters(&group), before);
+    assert_sound(&group);
+}
