--- a/crates/dandelion-batch/tests/table.rs
+++ b/crates/dandelion-batch/tests/table.rs
@@ -87,12 +87,12 @@
     apply(&mut table, BatchCommand::Submit(Box::new(job("j", 1)))).unwrap();
     let mut foreign = job("j", 1);
     foreign.team = team("others");
-    assert!(apply(&mut table, BatchCommand::Submit(Box::new(foreign))).is_err());
+    apply(&mut table, BatchCommand::Submit(Box::new(foreign))).unwrap_err();
     let end = |name: &str| BatchCommand::End {
         job: "j".to_owned(),
         team: team(name),
     };
-    assert!(apply(&mut table, end("others")).is_err());
+    apply(&mut table, end("others")).unwrap_err();
     apply(&mut table, end("builders")).unwrap();
     apply(&mut table, end("builders")).unwrap();
     assert!(table.jobs()["j"].ended);
--- a/crates/dandelion-control/src/node/changes.rs
+++ b/crates/dandelion-control/src/node/changes.rs
@@ -128,6 +128,9 @@
         if self.plan.is_some() || !self.replica.members_committed() {
             return;
         }
+        if self.tick_retiring(now) {
+            return;
+        }
         if let Some(id) = self.surplus(now) {
             self.replica.remove_voter(now, id);
             return;
@@ -142,6 +145,32 @@
         }
     }
 
+    /// Removes a replica of a daemon that leaves, once enough others vote; returns whether one is
+    /// left.
+    fn tick_retiring(&mut self, now: Millis) -> bool {
+        let members = self.replica.membership();
+        let leaves = |id: &ReplicaId| {
+            let daemon = members.replicas.get(id).map(|r| &r.daemon);
+            daemon.is_some_and(|daemon| self.retiring.contains(daemon))
+        };
+        let Some(id) = members.replicas.keys().find(|id| leaves(id)).copied() else {
+            return false;
+        };
+        let enough = members.voters().count() > self.settings.voters;
+        if !members.is_voter(id) || enough {
+            if id == self.replica.id() {
+                // Another leader removes this replica.
+                self.replica.resign(now);
+            } else {
+                self.replica.remove_voter(now, id);
+            }
+        } else if let Some(daemon) = self.promotable(now) {
+            // Refusals are retried with the next tick.
+            let _ = self.replica.add_voter(&daemon);
+        }
+        true
+    }
+
     fn note_silent(&mut self, now: Millis) {
         let replica = &self.replica;
         let members = replica.membership();
@@ -169,12 +198,15 @@
     fn promotable(&self, now: Millis) -> Option<DaemonId> {
         let members = self.replica.membership();
         let voters = members.voters().count();
-        let replaces = voters == self.settings.voters && self.gone(now).is_some();
+        let leaves = |id: ReplicaId| self.retiring.contains(&members.replicas[&id].daemon);
+        let leaving = members.voters().any(leaves);
+        let replaces = voters == self.settings.voters && (leaving || self.gone(now).is_some());
         let missing = voters < self.settings.voters || replaces;
         let zones = members.voters().map(|id| &members.replicas[&id].zone);
         let zones = zones.collect::<Vec<_>>();
         let ready = |id: ReplicaId| {
-            self.replica.is_alive(now, id) && self.replica.lag(id) <= MAX_PROMOTION_LAG
+            let near = self.replica.lag(id) <= MAX_PROMOTION_LAG;
+            self.replica.is_alive(now, id) && near && !leaves(id)
         };
         let learners = members.replicas.iter().filter(|(_, r)| !r.voter);
         let mut wanted = learners.filter(|(id, r)| {
--- a/crates/dandelion-control/src/node/control.rs
+++ b/crates/dandelion-control/src/node/control.rs
@@ -48,6 +48,7 @@
     pub(super) joining: Joining,
     pub(super) plan: Option<Plan>,
     pub(super) silent: Silent,
+    pub(super) retiring: Vec<DaemonId>,
     /// Daemons of replicas by the messages they sent.
     pub(super) routes: BTreeMap<ReplicaId, DaemonId>,
     /// Tickets of appended proposals by log index.
@@ -84,6 +85,7 @@
             spread: SpreadLog::default(),
             plan: None,
             silent: Silent::new(),
+            retiring: Vec::new(),
             routes: BTreeMap::new(),
             pending: BTreeMap::new(),
             led: None,
@@ -149,6 +151,7 @@
                 self.on_propose(wall, ticket, proposal, actions);
             }
             NodeEvent::Peers(peers) => self.joining.meet(peers),
+            NodeEvent::Retire(daemons) => self.retiring = daemons,
             NodeEvent::Resign => {
                 self.replica.resign(now);
             }
--- a/crates/dandelion-control/src/node/event.rs
+++ b/crates/dandelion-control/src/node/event.rs
@@ -80,6 +80,8 @@
     /// Daemons of the group that were learnt of otherwise; a replica that no leader knows
     /// introduces itself to them as well.
     Peers(Vec<DaemonId>),
+    /// Daemons that leave for good: a leader removes their replicas and takes in none of them.
+    Retire(Vec<DaemonId>),
     /// This daemon is about to stop: it hands the leadership over if it can. Repeat it until
     /// [`NodeAction::Follow`] comes. All outside acts must have ended before the first one: the
     /// next leader does not wait for the lease of this one.
--- a/crates/dandelion-control/src/node/joining.rs
+++ b/crates/dandelion-control/src/node/joining.rs
@@ -109,7 +109,9 @@
             self.reply_join(join, actions);
         }
         if self.replica.leads().is_some() {
-            self.replica.admit(join);
+            if !self.retiring.contains(&join.daemon) {
+                self.replica.admit(join);
+            }
             return;
         }
         let leader = self.leader().cloned();
--- a/crates/dandelion-control/src/tables/mod.rs
+++ b/crates/dandelion-control/src/tables/mod.rs
@@ -19,7 +19,7 @@
 pub use members::MembersTable;
 pub use plan::PlanTable;
 pub use plan::ReplacePlan;
-pub use stores::FoundStores;
+pub use stores::StoresCommand;
 pub use stores::StoresTable;
 pub use versions::NameVersion;
 pub use versions::VersionsTable;
--- a/crates/dandelion-control/tests/lives.rs
+++ b/crates/dandelion-control/tests/lives.rs
@@ -56,7 +56,7 @@
     let mut table = LivesTable::default();
     report(&mut table, life("i", 5, A, true), 1).unwrap();
     report(&mut table, life("i", 5, A, false), 3).unwrap();
-    assert!(report(&mut table, life("i", 5, A, true), 2).is_err());
+    report(&mut table, life("i", 5, A, true), 2).unwrap_err();
     assert_eq!(ready(&table, "i"), Some(false));
 }
 
@@ -65,7 +65,7 @@
     let mut table = LivesTable::default();
     report(&mut table, life("i", 5, A, true), 1).unwrap();
     end(&mut table, "i", Some(5));
-    assert!(report(&mut table, life("i", 5, A, true), 9).is_err());
+    report(&mut table, life("i", 5, A, true), 9).unwrap_err();
     assert_eq!(ready(&table, "i"), None);
     report(&mut table, life("i", 6, A, true), 1).unwrap();
     end(&mut table, "i", Some(5));
@@ -78,7 +78,7 @@
     report(&mut table, life("old", 5, A, true), 1).unwrap();
     report(&mut table, life("new", 9, A, true), 1).unwrap();
     assert_eq!(ready(&table, "old"), None);
-    assert!(report(&mut table, life("old", 5, A, true), 2).is_err());
+    report(&mut table, life("old", 5, A, true), 2).unwrap_err();
     assert_eq!(ready(&table, "new"), Some(true));
 }
 
--- a/crates/dandelion-control/tests/plan.rs
+++ b/crates/dandelion-control/tests/plan.rs
@@ -9,7 +9,7 @@
 use dandelion_protocol::time::WallMillis;
 use quickcheck::quickcheck;
 
-fn replace(table: &mut PlanTable, version: u64, content: &str) -> u64 {
+fn replace(table: &mut PlanTable, version: u64, text: &str) -> u64 {
     let context = ApplyContext {
         revision: Revision(1),
         at: WallMillis(0),
@@ -19,7 +19,7 @@
         version,
         ..RoutePlan::default()
     };
-    let document = content.as_bytes().to_vec().into();
+    let document = text.as_bytes().to_vec().into();
     table
         .apply(&context, ReplacePlan { plan, document })
         .unwrap()
--- a/crates/dandelion-daemon/src/control/replica.rs
+++ b/crates/dandelion-daemon/src/control/replica.rs
@@ -169,6 +169,11 @@
         let _lost = self.events.try_send(NodeEvent::Peers(peers));
     }
 
+    /// Names daemons that leave the group for good; lost if the queue is full.
+    pub fn retire(&self, daemons: Vec<DaemonId>) {
+        let _lost = self.events.try_send(NodeEvent::Retire(daemons));
+    }
+
     /// Hands the leadership over, if held, and waits until another daemon may lead.
     pub async fn resign(&self, limit: Duration) {
         let until = Instant::now() + limit;
--- a/crates/dandelion-daemon/src/control/view.rs
+++ b/crates/dandelion-daemon/src/control/view.rs
@@ -13,6 +13,7 @@
 use dandelion_kernel::TableSet;
 use dandelion_protocol::config::Config;
 use dandelion_protocol::config::Member;
+use dandelion_protocol::config::Role;
 use dandelion_protocol::ids::DaemonId;
 use dandelion_protocol::ids::JobId;
 use dandelion_protocol::ids::Revision;
@@ -46,6 +47,8 @@
     pub versions: Arc<BTreeMap<String, u64>>,
     /// Founders of the store group.
     pub founders: Arc<[DaemonId]>,
+    /// Store daemons that are being emptied.
+    pub retiring: Arc<[DaemonId]>,
     /// Revision of the last change of the upstreams.
     pub lives_revision: Revision,
 }
@@ -71,7 +74,7 @@
             Arc::new(lives.map_or_else(Vec::new, |l| l.lives().cloned().collect()))
         };
         let versions = tables.table::<VersionsTable>();
-        let founders = tables.table::<StoresTable>();
+        let stores = tables.table::<StoresTable>();
         let plan = tables.table::<PlanTable>();
         let members = tables.table::<MembersTable>();
         let members = members.map(|m| m.daemons().values().cloned().collect());
@@ -84,7 +87,8 @@
             plan: plan.and_then(|table| table.plan().cloned()),
             lives,
             versions: Arc::new(versions.map_or_else(BTreeMap::new, |v| v.newest().clone())),
-            founders: founders.map_or_else(Arc::default, |f| f.founders().into()),
+            founders: stores.map_or_else(Arc::default, |s| s.founders().into()),
+            retiring: stores.map_or_else(Arc::default, |s| s.retiring().into()),
             lives_revision,
         }
     }
@@ -94,6 +98,12 @@
         self.members.len() > SMALL_CELL
     }
 
+    /// Iterates over the store daemons that stay.
+    pub fn stores(&self) -> impl Iterator<Item = &Member> {
+        let stores = self.members.iter().filter(|m| m.role == Role::Store);
+        stores.filter(|m| !self.retiring.contains(&m.id))
+    }
+
     /// Returns a daemon by name.
     pub fn member(&self, id: &DaemonId) -> Option<&Member> {
         self.members.iter().find(|m| &m.id == id)
--- a/crates/dandelion-daemon/src/gateway/control.rs
+++ b/crates/dandelion-daemon/src/gateway/control.rs
@@ -27,6 +27,7 @@
 use crate::core::Handle;
 use crate::gateway::answer;
 use crate::gateway::lives;
+use crate::gateway::retire;
 
 /// Longest wait until this daemon has applied what it must read.
 const APPLY_LIMIT: Duration = Duration::from_millis(800);
@@ -57,9 +58,9 @@
                 Err(error) => unreadable(&id, &error),
             },
             ControlCall::NameVersion => name_version(core, &body).await,
-            ControlCall::StartRetire(_) | ControlCall::ReadRetire(_) | ControlCall::Other => {
-                answer::status(404)
-            }
+            ControlCall::StartRetire(vm) => retire::start(core, &vm).await,
+            ControlCall::ReadRetire(vm) => retire::read(core, &vm).await,
+            ControlCall::Other => answer::status(404),
         }
     }
 }
@@ -194,7 +195,7 @@
     answer::status(400)
 }
 
-fn unanswered(error: &Failed) -> Response {
+pub(super) fn unanswered(error: &Failed) -> Response {
     log::warn!("a change is not acknowledged: {error}");
     answer::not_run(answer::COME_BACK)
 }
--- a/crates/dandelion-daemon/src/gateway/jobs.rs
+++ b/crates/dandelion-daemon/src/gateway/jobs.rs
@@ -39,7 +39,7 @@
 const MAX_WAIT: Millis = Millis(1_000);
 
 /// What came of a call.
-enum Outcome {
+pub enum Outcome {
     /// An answer of the daemon in charge.
     Replied(BatchReply),
     /// No daemon took the call.
@@ -172,7 +172,7 @@
 }
 
 /// Asks the daemon in charge, and looks for it if it has moved. Every call may be repeated.
-async fn ask(core: &Handle, call: BatchCall, wait: Millis) -> Outcome {
+pub async fn ask(core: &Handle, call: BatchCall, wait: Millis) -> Outcome {
     let until = Instant::now() + SEARCH_LIMIT;
     let limit = ASK_LIMIT + Duration::from_millis(wait.0);
     let mut unsure = false;
--- a/crates/dandelion-daemon/src/gateway/mod.rs
+++ b/crates/dandelion-daemon/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod jobs;
 mod lives;
 mod ready;
+mod retire;
 mod state;
 
 pub use control::ControlApi;
--- a/crates/dandelion-daemon/src/stores/group.rs
+++ b/crates/dandelion-daemon/src/stores/group.rs
@@ -17,7 +17,7 @@
 use dandelion_control::node::NodeSettings;
 use dandelion_control::raft::ReplicaId;
 use dandelion_control::tables::BarrierTable;
-use dandelion_control::tables::FoundStores;
+use dandelion_control::tables::StoresCommand;
 use dandelion_control::tables::StoresTable;
 use dandelion_kernel::Table;
 use dandelion_net::clock;
@@ -169,6 +169,7 @@
 /// Tells the replica of stores that are no founders, until the process ends.
 async fn meet_stores(core: Handle) {
     let mut known: Vec<DaemonId> = Vec::new();
+    let mut retiring: Vec<DaemonId> = Vec::new();
     loop {
         let view = core.control.view();
         let stores = view.members.iter().filter(|m| m.role == Role::Store);
@@ -177,6 +178,14 @@
             replica.meet(stores.clone());
             known = stores;
         }
+        if let Some(replica) = core
+            .stores
+            .replica()
+            .filter(|_| *view.retiring != *retiring)
+        {
+            retiring = view.retiring.to_vec();
+            replica.retire(retiring.clone());
+        }
         task::sleep(LOOK_PERIOD).await;
     }
 }
@@ -226,9 +235,10 @@
     if !is_enough {
         return;
     }
-    let command = FoundStores { founders };
+    let count = founders.len();
+    let command = StoresCommand::Found(founders);
     match core.propose_own::<StoresTable>(&command).await {
-        Ok(_) => event!(Event::StoresFounded, founders = command.founders.len()),
+        Ok(_) => event!(Event::StoresFounded, founders = count),
         Err(error) => log::debug!("the store group is not founded yet: {error}"),
     }
 }
--- a/crates/dandelion-daemon/src/stores/service.rs
+++ b/crates/dandelion-daemon/src/stores/service.rs
@@ -13,6 +13,7 @@
 use dandelion_protocol::batch::Listed;
 use dandelion_protocol::batch::TextKey;
 use dandelion_protocol::control::ProposeError;
+use dandelion_protocol::ids::DaemonId;
 use dandelion_protocol::ids::TeamId;
 use dandelion_protocol::time::Millis;
 
@@ -46,6 +47,7 @@
             }
             reply
         }
+        BatchCall::Emptied(daemon) => emptied(core, &daemon).await,
         BatchCall::Read {
             job,
             team,
@@ -63,6 +65,22 @@
     }
 }
 
+/// Tells whether a daemon that leaves has no replica any more and every text is held elsewhere.
+async fn emptied(core: &Handle, daemon: &DaemonId) -> BatchReply {
+    let Some(replica) = core.stores.replica() else {
+        return not_in_charge(core);
+    };
+    let has_replica = replica
+        .status()
+        .replicas
+        .iter()
+        .any(|r| r.daemon == *daemon);
+    if has_replica || !texts::are_spread(core).await {
+        return BatchReply::NotYet;
+    }
+    BatchReply::Done
+}
+
 fn not_in_charge(core: &Handle) -> BatchReply {
     let leader = core.stores.replica().and_then(ReplicaHandle::leader);
     BatchReply::NotInCharge(leader)
--- a/crates/dandelion-daemon/src/stores/texts.rs
+++ b/crates/dandelion-daemon/src/stores/texts.rs
@@ -36,6 +36,7 @@
 use futures::channel::oneshot;
 use futures::stream::FuturesUnordered;
 
+use crate::control::View;
 use crate::core::Handle;
 
 /// Folder of the texts within the store folder.
@@ -215,6 +216,7 @@
 pub async fn answer_texts(core: &Handle, call: TextCall) -> TextReply {
     let texts = &core.stores.texts;
     match call {
+        TextCall::Complete => TextReply::Kept(missing(core).is_empty()),
         TextCall::Keep(entries) => TextReply::Kept(texts.keep(entries).await),
         TextCall::Read(keys) => {
             let found = keys.into_iter().filter_map(|key| {
@@ -228,9 +230,8 @@
 
 /// Returns the daemons that hold the texts of a job: as many as are needed and one more, in
 /// different zones as far as possible.
-pub fn holders(members: &[Member], job: &str, copies: usize) -> Vec<DaemonId> {
-    let stores = members.iter().filter(|m| m.role == Role::Store);
-    let mut rest: Vec<&Member> = stores.collect();
+pub fn holders(view: &View, job: &str, copies: usize) -> Vec<DaemonId> {
+    let mut rest: Vec<&Member> = view.stores().collect();
     let ids: Vec<&DaemonId> = rest.iter().map(|m| &m.id).collect();
     let count = ids.len();
     let ranked = ownership::top(job.as_bytes(), ids, count);
@@ -251,7 +252,7 @@
 pub async fn spread(core: &Handle, entry: TextEntry) -> bool {
     let copies = core.settings.gateway.tolerate + 1;
     let view = core.control.view();
-    let holders = holders(&view.members, &entry.key.job, copies);
+    let holders = holders(&view, &entry.key.job, copies);
     core.stores.texts.cache().put(&entry);
     let (enough, done) = oneshot::channel();
     let core = core.clone();
@@ -334,6 +335,22 @@
     found
 }
 
+/// Returns whether every other store daemon that stays holds all texts that it should.
+pub async fn are_spread(core: &Handle) -> bool {
+    let view = core.control.view();
+    for store in view.stores().filter(|m| m.id != core.identity.daemon) {
+        let Some(mesh) = core.mesh() else {
+            return false;
+        };
+        let call = CallBody::Texts(TextCall::Complete);
+        let answer = mesh.call(&store.id, call, CALL_LIMIT).await;
+        if !matches!(answer, Ok(ReplyBody::Texts(TextReply::Kept(true)))) {
+            return false;
+        }
+    }
+    missing(core).is_empty()
+}
+
 /// Fetches texts that should be here and are not, and forgets those of jobs that are gone, until
 /// the process ends.
 pub async fn run_repair(core: Handle) {
@@ -369,9 +386,7 @@
         r.read::<BatchTable, _, _>(|table| {
             for (job, stored) in table.jobs() {
                 let from = checked.get(job).copied().unwrap_or(0);
-                if from >= stored.results.len()
-                    || !holders(&view.members, job, copies).contains(own)
-                {
+                if from >= stored.results.len() || !holders(&view, job, copies).contains(own) {
                     continue;
                 }
                 let mut whole = true;
--- a/crates/dandelion-protocol/src/batch.rs
+++ b/crates/dandelion-protocol/src/batch.rs
@@ -118,13 +118,15 @@
     Keep(Vec<TextEntry>),
     /// Reads texts.
     Read(Vec<TextKey>),
+    /// Asks whether every text that should be here is.
+    Complete,
 }
 
 /// Answer to a [`TextCall`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum TextReply {
-    /// Whether all texts are kept.
+    /// Whether all texts are kept here.
     Kept(bool),
     /// Those that are held here.
     Read(Vec<TextEntry>),
@@ -167,6 +169,8 @@
         /// Item.
         item: String,
     },
+    /// Asks whether a daemon that leaves holds nothing any more that others lack.
+    Emptied(DaemonId),
     /// Ends a job.
     End {
         /// Job.
@@ -186,6 +190,8 @@
     Page(BatchPage),
     /// Body of an item.
     Body(#[serde(with = "serde_bytes")] Vec<u8>),
+    /// Not yet; ask again.
+    NotYet,
     /// There is no such job or item.
     Unknown,
     /// This daemon is not in charge; nothing was changed.
--- a/crates/dandelion-telemetry/src/events/catalogue.rs
+++ b/crates/dandelion-telemetry/src/events/catalogue.rs
@@ -204,7 +204,12 @@
         "A report of an upstream cannot be read or names no known service." "Check its sender.";
     907 Info VersionNamed "version_named"
         "A trainer named a version of its model's weights." "none";
-
+    908 Info RetireBegun "retire_begun"
+        "A store daemon is being emptied." "none";
+    909 Warn RetireRefused "retire_refused"
+        "A store daemon was not emptied, because too few would be left." "Add a store daemon first.";
+    910 Info RetireDone "retire_done"
+        "A store daemon is emptied; its VM can be taken away." "none";
     911 Info RequestAnswered "request_answered"
         "A request on a planned route got its upstream's answer." "none";
     912 Warn RequestRetried "request_retried"
