Reach daemons that are named by their IP numbers without being told their address

Ruled out: lost votes (no election was begun that could win), the disks. mesh_peers::named_by_ip fails before (NotSent) and passes now.

--- a/crates/dandelion-daemon/src/run.rs
+++ b/crates/dandelion-daemon/src/run.rs
@@ -349,6 +349,7 @@
     let config = MeshConfig {
         hello,
         listen: settings.listen.mesh,
+        name_port: (settings.gateway.is_used()).then(|| settings.listen.mesh_address.port()),
         secrets: Secrets { current, other },
         timing: MeshTiming::default(),
     };
--- a/crates/dandelion-net/examples/relay/daemon.rs
+++ b/crates/dandelion-net/examples/relay/daemon.rs
@@ -148,6 +148,7 @@
 async fn node(name: &str, engine: SocketAddr) -> Mesh<Owner> {
     let secret = Secret::new(&[7; 32]).expect("long enough");
     let config = MeshConfig {
+        name_port: None,
         hello: Hello {
             version: MESH_VERSION,
             cell: CellId(0),
--- a/crates/dandelion-net/src/mesh/config.rs
+++ b/crates/dandelion-net/src/mesh/config.rs
@@ -14,6 +14,9 @@
     pub hello: Hello,
     /// Address to listen on; port 0 takes a free one.
     pub listen: SocketAddr,
+    /// Port of daemons that are named by their IP numbers: such a daemon is reached there without
+    /// its address being told.
+    pub name_port: Option<u16>,
     /// Secrets shared by all daemons of the cell.
     pub secrets: Secrets,
     /// Time limits.
--- a/crates/dandelion-net/src/mesh/node.rs
+++ b/crates/dandelion-net/src/mesh/node.rs
@@ -1,6 +1,7 @@
 //! The mesh of one daemon.
 
 use std::collections::HashMap;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::RwLock;
@@ -261,6 +262,16 @@
     }
 
     fn link(&self, peer: &DaemonId) -> Option<Arc<Link>> {
+        if let Some(link) = self.known(peer) {
+            return Some(link);
+        }
+        let port = self.node.shared.config.name_port?;
+        let ip: IpAddr = peer.as_str().parse().ok()?;
+        self.set_peer(peer, SocketAddr::new(ip, port));
+        self.known(peer)
+    }
+
+    fn known(&self, peer: &DaemonId) -> Option<Arc<Link>> {
         let peers = self.node.peers.read().expect(LOCK_HELD);
         peers.get(peer).cloned()
     }
--- a/crates/dandelion-net/tests/common/mod.rs
+++ b/crates/dandelion-net/tests/common/mod.rs
@@ -151,6 +151,7 @@
             address: String::new(),
         },
         listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+        name_port: None,
         secrets,
         timing: Timing {
             heartbeat: Duration::from_millis(50),
--- a/crates/dandelion-net/tests/mesh_peers.rs
+++ b/crates/dandelion-net/tests/mesh_peers.rs
@@ -244,3 +244,17 @@
         }
     }
 }
+
+/// After all daemons were restarted at once, a voter knows the others by name only.
+#[test]
+fn named_by_ip() {
+    block_on(async {
+        let a = node_with(config("127.0.0.1", secrets(1, None))).await;
+        let mut known = config("b", secrets(1, None));
+        known.name_port = Some(a.mesh.local_addr().port());
+        let b = node_with(known).await;
+        assert_eq!(call_until(&b, &id("127.0.0.1")).await, replied());
+        let stranger = b.mesh.call(&id("c"), forward("echo"), LIMIT).await;
+        assert_eq!(stranger, Err(CallError::NotSent));
+    });
+}
