Move runs off slow engines; open known stores at once; give up silent runs sooner

A run reads its prompt and output again in some 20 ms elsewhere. After kill_all the stores waited for the feed (1.2 s) before they opened a group whose members their folder names; engines that go dark were found after 3 s. Ruled out: full slots (a third is used).

--- a/crates/dandelion-batch/src/scheduler/engine.rs
+++ b/crates/dandelion-batch/src/scheduler/engine.rs
@@ -17,9 +17,12 @@
 /// Longest time for which an engine that refused an item is passed over.
 const LONGEST_FULL_PAUSE: Millis = Millis(500);
 
-/// Weight of the newest run in the mean speed.
+/// Weight of the newest report in the mean pace.
 const SPEED_WEIGHT: f64 = 0.3;
 
+/// Time after which a pace says nothing any more: what slows an engine lasts for seconds.
+const PACE_AGE: Millis = Millis(4_000);
+
 /// A version that an engine loads.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Loading {
@@ -48,8 +51,7 @@
     pub loading: Option<Loading>,
     /// Time before which no order is sent.
     pub order_after: Millis,
-    /// Time between two events of a run, in milliseconds.
-    pub pace: Option<f64>,
+    pace: Option<(f64, Millis)>,
     paused: Millis,
     failures: u32,
     refusals: u32,
@@ -141,10 +143,16 @@
         self.probing = false;
     }
 
-    /// Takes the pace of a finished run into the mean.
-    pub fn note_pace(&mut self, pace: f64) {
-        let former = self.pace.unwrap_or(pace);
-        self.pace = Some(former + SPEED_WEIGHT * (pace - former));
+    /// Returns the time between two events of a run, in milliseconds, if it was measured lately.
+    pub fn pace(&self, now: Millis) -> Option<f64> {
+        let fresh = self.pace.filter(|(_, at)| now < *at + PACE_AGE);
+        fresh.map(|(pace, _)| pace)
+    }
+
+    /// Takes a measured pace into the mean.
+    pub fn note_pace(&mut self, now: Millis, pace: f64) {
+        let former = self.pace(now).unwrap_or(pace);
+        self.pace = Some((former + SPEED_WEIGHT * (pace - former), now));
     }
 
     /// Ends a load whose time is over: from then on the engine should have the version.
--- a/crates/dandelion-batch/src/scheduler/event.rs
+++ b/crates/dandelion-batch/src/scheduler/event.rs
@@ -20,6 +20,13 @@
     pub span: Millis,
 }
 
+impl Speed {
+    /// Returns the milliseconds between two events.
+    pub fn pace(&self) -> f64 {
+        self.span.0 as f64 / self.events.max(1) as f64
+    }
+}
+
 /// How a run ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RunOutcome {
@@ -40,6 +47,8 @@
     Impossible,
     /// The output is made by weights that are too old; the engine has this version.
     Stale(u64),
+    /// It was broken off, to go on at a faster engine.
+    Moved,
     /// The connection broke or the answer cannot be trusted; `reached` tells whether the engine
     /// took the connection.
     Broken {
@@ -95,6 +104,13 @@
     },
     /// A run made its first event.
     Began(RunId),
+    /// A run made further events at this speed.
+    Progress {
+        /// Run.
+        run: RunId,
+        /// Speed since the last report.
+        speed: Speed,
+    },
     /// A run ended.
     RunEnded {
         /// Run.
@@ -133,6 +149,8 @@
     },
     /// Break a run off.
     Cancel(RunId),
+    /// Break a run off and keep its output: it goes on at a faster engine.
+    Move(RunId),
     /// List an item as given up.
     GiveUp {
         /// Job.
--- a/crates/dandelion-batch/src/scheduler/job.rs
+++ b/crates/dandelion-batch/src/scheduler/job.rs
@@ -58,6 +58,8 @@
     pub min_version: u64,
     /// Whether one version must make a whole result.
     pub pure: bool,
+    /// Whether a broken stream may go on at another engine.
+    pub resumable: bool,
     /// Failures after which an item is given up.
     pub attempts: u32,
     /// Groups that the trainer waits for.
@@ -103,6 +105,7 @@
         Self {
             min_version: job.min_version,
             pure: job.pure,
+            resumable: job.resumable,
             attempts: job.attempts,
             wanted: job.wanted as usize,
             due: now + job.due,
--- a/crates/dandelion-batch/src/scheduler/machine.rs
+++ b/crates/dandelion-batch/src/scheduler/machine.rs
@@ -82,6 +82,7 @@
                     engine.succeed();
                 }
             }
+            Event::Progress { run, speed } => self.progress(now, run, speed.pace(), actions),
             Event::RunEnded { run, outcome } => self.end_run(now, run, &outcome, actions),
             Event::OrderEnded {
                 engine,
@@ -166,6 +167,23 @@
         });
     }
 
+    /// Takes the pace of a run in, and moves the run if it is slow.
+    fn progress(&mut self, now: Millis, run: RunId, pace: f64, actions: &mut Vec<Action>) {
+        let Some(under) = self.runs.get(&run) else {
+            return;
+        };
+        if let Some(engine) = self.engines.get_mut(&under.engine) {
+            engine.note_pace(now, pace);
+        }
+        let Some(job) = self.jobs.get(&under.job) else {
+            return;
+        };
+        let item = &job.items[under.item];
+        if place::is_slow(now, &self.engines, job, item, pace) {
+            actions.push(Action::Move(run));
+        }
+    }
+
     fn route(&mut self, id: &str, service: Option<ServiceId>) {
         if let Some(job) = self.jobs.get_mut(id) {
             job.service = service;
@@ -251,7 +269,9 @@
                 ItemState::Waiting(now + FAILED_PAUSE)
             }
             RunOutcome::Refused | RunOutcome::Mistaken => ItemState::Waiting(now + REFUSED_PAUSE),
-            RunOutcome::Stale(_) | RunOutcome::Broken { .. } => ItemState::Waiting(now),
+            RunOutcome::Stale(_) | RunOutcome::Moved | RunOutcome::Broken { .. } => {
+                ItemState::Waiting(now)
+            }
         };
         let spent = *outcome == RunOutcome::Failed && item.failures >= attempts;
         if spent || *outcome == RunOutcome::Impossible {
@@ -281,7 +301,7 @@
                     engine.versions.insert(model.clone(), *version);
                 }
                 if let Some(speed) = speed.filter(|s| s.events > 0) {
-                    engine.note_pace(speed.span.0 as f64 / speed.events as f64);
+                    engine.note_pace(now, speed.pace());
                 }
             }
             RunOutcome::Stale(version) => {
@@ -291,7 +311,7 @@
             }
             RunOutcome::Refused | RunOutcome::Mistaken => engine.refuse(now),
             RunOutcome::Broken { .. } => engine.fail(now),
-            RunOutcome::Failed | RunOutcome::Impossible => (),
+            RunOutcome::Failed | RunOutcome::Impossible | RunOutcome::Moved => (),
         }
     }
 }
--- a/crates/dandelion-batch/src/scheduler/place.rs
+++ b/crates/dandelion-batch/src/scheduler/place.rs
@@ -30,7 +30,10 @@
     item: &Item,
 ) -> Option<&'a Engine> {
     let service = job.service.as_ref()?;
-    let fastest = engines.values().filter_map(|e| e.pace).reduce(f64::min);
+    let fastest = engines
+        .values()
+        .filter_map(|e| e.pace(now))
+        .reduce(f64::min);
     let fits = |engine: &&Engine| {
         let version = item.model.as_ref().map(|m| engine.version(m));
         engine.life.service == *service
@@ -48,7 +51,7 @@
         if item.avoid.as_ref() == Some(id) {
             cost += AVOID_MALUS;
         }
-        if let (Some(pace), Some(fastest)) = (engine.pace, fastest) {
+        if let (Some(pace), Some(fastest)) = (engine.pace(now), fastest) {
             cost += PACE_WEIGHT * (pace / fastest.max(f64::EPSILON) - 1.0);
         }
         cost
@@ -58,3 +61,35 @@
         .filter(fits)
         .min_by(|a, b| cost(a).total_cmp(&cost(b)))
 }
+
+/// Times by which a run must be slower than the usual to be moved.
+const SLOW_FACTOR: f64 = 1.7;
+
+/// Times by which an engine may be slower than the usual to take over a run.
+const FAIR_FACTOR: f64 = 1.3;
+
+/// Returns whether a run of this pace should go on elsewhere: engines that turn slow hold up every
+/// group that has an item there, while reading a prompt and its output again takes a hundredth of
+/// the time that is saved.
+pub fn is_slow(
+    now: Millis,
+    engines: &BTreeMap<UpstreamId, Engine>,
+    job: &Job,
+    item: &Item,
+    pace: f64,
+) -> bool {
+    let mut paces: Vec<f64> = engines.values().filter_map(|e| e.pace(now)).collect();
+    paces.sort_by(f64::total_cmp);
+    let Some(usual) = paces.get(paces.len().saturating_sub(1) / 2).copied() else {
+        return false;
+    };
+    let takes_over = |engine: &Engine| {
+        let version = item.model.as_ref().map(|m| engine.version(m));
+        job.service.as_ref() == Some(&engine.life.service)
+            && engine.is_free(now)
+            && engine.has_room(item.tokens)
+            && version.is_none_or(|v| v >= job.min_version)
+            && engine.pace(now).is_some_and(|p| p <= usual * FAIR_FACTOR)
+    };
+    !job.pure && job.resumable && pace > usual * SLOW_FACTOR && engines.values().any(takes_over)
+}
--- a/crates/dandelion-batch/tests/scheduler.rs
+++ b/crates/dandelion-batch/tests/scheduler.rs
@@ -6,6 +6,7 @@
 use dandelion_batch::scheduler::OrderOutcome;
 use dandelion_batch::scheduler::RunId;
 use dandelion_batch::scheduler::RunOutcome;
+use dandelion_batch::scheduler::Speed;
 use dandelion_protocol::batch::BatchItem;
 use dandelion_protocol::batch::BatchJob;
 use dandelion_protocol::ids::ServiceId;
@@ -315,3 +316,49 @@
     assert!(orders(&desk.tick(500)).is_empty());
     assert_eq!(orders(&desk.tick(1_500)).len(), 1);
 }
+
+fn speed(pace: u64) -> Speed {
+    Speed {
+        events: 10,
+        span: Millis(10 * pace),
+    }
+}
+
+/// Three engines, one of which turns slow: its run goes on elsewhere, and nothing is placed there
+/// while others have room. Once the pace is out of date it is tried again.
+#[test]
+fn slow_engine_left() {
+    let mut desk = Desk::open(3);
+    let started = runs(&desk.submit(&job("j", &[100; 3], 1, 2)));
+    assert_eq!(started.len(), 3);
+    let mut moved = Vec::new();
+    for (n, (run, _, _)) in started.iter().enumerate() {
+        let pace = if n == 2 { 100 } else { 30 };
+        let speed = speed(pace);
+        moved.extend(desk.handle(Event::Progress { run: *run, speed }));
+    }
+    let (slow, item, engine) = started[2].clone();
+    assert_eq!(moved, [Action::Move(slow)]);
+    let again = runs(&desk.end(slow, RunOutcome::Moved));
+    assert_eq!(again[0].1, item);
+    assert_ne!(again[0].2, engine);
+    let more = runs(&desk.submit(&job("k", &[100; 4], 1, 2)));
+    assert!(more.iter().all(|(_, _, e)| *e != engine));
+    desk.tick(5_000);
+    let later = runs(&desk.submit(&job("l", &[100; 6], 1, 2)));
+    assert!(later.iter().any(|(_, _, e)| *e == engine));
+}
+
+/// Where every engine is slow, or none has room, moving helps nobody.
+#[test]
+fn nowhere_faster() {
+    let mut desk = Desk::open(2);
+    let started = runs(&desk.submit(&job("j", &[100; 2], 1, 1)));
+    for (run, _, _) in &started {
+        let actions = desk.handle(Event::Progress {
+            run: *run,
+            speed: speed(100),
+        });
+        assert!(actions.is_empty());
+    }
+}
--- a/crates/dandelion-daemon/src/stores/group.rs
+++ b/crates/dandelion-daemon/src/stores/group.rs
@@ -16,6 +16,7 @@
 use dandelion_control::Timing;
 use dandelion_control::node::NodeSettings;
 use dandelion_control::raft::ReplicaId;
+use dandelion_control::storage::snapshot_file::SNAPSHOT_FILE;
 use dandelion_control::tables::BarrierTable;
 use dandelion_control::tables::StoresCommand;
 use dandelion_control::tables::StoresTable;
@@ -149,7 +150,12 @@
 
 /// Founds or joins the group and carries its messages until the process ends.
 pub async fn run_group(core: Handle) {
-    let founders = wait_founders(&core).await;
+    let founders = if has_group(&core) {
+        // The folder says who the others are; nothing need be waited for.
+        Vec::new()
+    } else {
+        wait_founders(&core).await
+    };
     let outgoing = match open(&core, founders) {
         Ok(outgoing) => outgoing,
         Err(error) => {
@@ -211,6 +217,12 @@
     Ok(outgoing)
 }
 
+/// Tells whether the store folder holds a replica that has met its group.
+fn has_group(core: &Handle) -> bool {
+    let folder = core.settings.gateway.folder.as_ref();
+    folder.is_some_and(|folder| folder.join(SNAPSHOT_FILE).is_file())
+}
+
 /// Waits until the founders are known. At the first start the stores propose themselves as soon as
 /// there are enough of them.
 async fn wait_founders(core: &Handle) -> Vec<DaemonId> {
--- a/crates/dandelion-daemon/src/stores/run.rs
+++ b/crates/dandelion-daemon/src/stores/run.rs
@@ -25,8 +25,11 @@
 const RUN_LIMIT: Duration = Duration::from_secs(30);
 
 /// Time without a byte after which a run is broken off: engines send an event each few tens of
-/// milliseconds, and pause for a load of weights.
-const QUIET_LIMIT: Duration = Duration::from_secs(3);
+/// milliseconds, and pause for a second at most while they load weights.
+const QUIET_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Events between two reports of a run's speed.
+const REPORT_EVENTS: u64 = 6;
 
 /// Longest answer to a refused run that is read, in bytes.
 const MAX_REFUSAL: usize = 64 * 1024;
@@ -71,6 +74,16 @@
     pub output: Output,
 }
 
+/// Takes what a run tells while it goes on.
+pub trait RunWatch {
+    /// The first event was made.
+    fn began(&mut self);
+    /// Further events were made at this speed.
+    fn progress(&mut self, speed: Speed);
+    /// Tells whether the run is to be broken off so that it goes on elsewhere.
+    fn is_moved(&self) -> bool;
+}
+
 /// How a run ended, with the output so far.
 #[derive(Debug)]
 pub struct Ended {
@@ -81,10 +94,10 @@
 }
 
 impl ItemRun {
-    /// Runs the item; `began` is called at the first event.
-    pub async fn run<F>(self, core: &Handle, began: F) -> Ended
+    /// Runs the item; `watch` is told of its progress.
+    pub async fn run<W>(self, core: &Handle, watch: W) -> Ended
     where
-        F: FnOnce(),
+        W: RunWatch,
     {
         let mut output = self.output.clone();
         let sent = self.send(core).await;
@@ -94,7 +107,7 @@
         };
         let outcome = match self.refusal(&mut exchange).await {
             Some(outcome) => outcome,
-            None => self.read(&mut exchange, &mut output, began).await,
+            None => self.read(&mut exchange, &mut output, watch).await,
         };
         Ended { outcome, output }
     }
@@ -165,9 +178,9 @@
         })
     }
 
-    async fn read<F>(&self, exchange: &mut Exchange, output: &mut Output, began: F) -> RunOutcome
+    async fn read<W>(&self, exchange: &mut Exchange, output: &mut Output, watch: W) -> RunOutcome
     where
-        F: FnOnce(),
+        W: RunWatch,
     {
         let version = exchange
             .header(headers::VERSION)
@@ -175,26 +188,29 @@
         let mut reading = Reading {
             run: self,
             version,
-            began: Some(began),
+            watch,
             first: None,
             events: 0,
+            reported: None,
         };
         reading.read(exchange, output).await
     }
 }
 
 /// A stream that is being read.
-struct Reading<'a, F> {
+struct Reading<'a, W> {
     run: &'a ItemRun,
     version: Option<u64>,
-    began: Option<F>,
+    watch: W,
     first: Option<Instant>,
     events: u64,
+    /// Events and time of the last report.
+    reported: Option<(u64, Instant)>,
 }
 
-impl<F> Reading<'_, F>
+impl<W> Reading<'_, W>
 where
-    F: FnOnce(),
+    W: RunWatch,
 {
     async fn read(&mut self, exchange: &mut Exchange, output: &mut Output) -> RunOutcome {
         let broken = RunOutcome::Broken { reached: true };
@@ -216,6 +232,10 @@
                     return outcome;
                 }
             }
+            self.report();
+            if self.watch.is_moved() {
+                return RunOutcome::Moved;
+            }
         }
         if reader.is_cut() || output.last.is_none() {
             return broken;
@@ -245,8 +265,8 @@
         if version < self.run.job.min_version || mixed {
             return Some(RunOutcome::Stale(version));
         }
-        if let Some(began) = self.began.take() {
-            began();
+        if self.first.is_none() {
+            self.watch.began();
             self.first = Some(Instant::now());
         }
         self.events += 1;
@@ -255,6 +275,19 @@
         None
     }
 
+    fn report(&mut self) {
+        let now = Instant::now();
+        let (events, at) = *self.reported.get_or_insert((self.events, now));
+        if self.events < events + REPORT_EVENTS {
+            return;
+        }
+        self.reported = Some((self.events, now));
+        self.watch.progress(Speed {
+            events: self.events - events,
+            span: Millis(now.duration_since(at).as_millis() as u64),
+        });
+    }
+
     fn speed(&self) -> Option<Speed> {
         const MIN_EVENTS: u64 = 4;
         let first = self.first.filter(|_| self.events >= MIN_EVENTS)?;
--- a/crates/dandelion-daemon/src/stores/runner.rs
+++ b/crates/dandelion-daemon/src/stores/runner.rs
@@ -4,6 +4,8 @@
 use std::collections::HashMap;
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_channel::Receiver;
@@ -17,6 +19,7 @@
 use dandelion_batch::scheduler::OrderOutcome;
 use dandelion_batch::scheduler::RunId;
 use dandelion_batch::scheduler::RunOutcome;
+use dandelion_batch::scheduler::Speed;
 use dandelion_batch::table::BatchCommand;
 use dandelion_batch::texts::digest;
 use dandelion_net::clock;
@@ -47,6 +50,7 @@
 use crate::stores::run::Ended;
 use crate::stores::run::ItemRun;
 use crate::stores::run::Output;
+use crate::stores::run::RunWatch;
 use crate::stores::texts;
 
 /// Longest time between two looks at the clock.
@@ -70,6 +74,7 @@
 /// What a task tells the runner.
 enum Note {
     Began(RunId),
+    Progress(RunId, Speed),
     Ended(RunId, Ended),
     Ordered(Load, OrderOutcome),
 }
@@ -86,6 +91,29 @@
     job: String,
     item: usize,
     abort: AbortHandle,
+    moved: Arc<AtomicBool>,
+}
+
+/// Tells the runner of a run's progress. A note that finds the queue full is left out: the next one
+/// or the run's end says as much.
+struct Watch {
+    run: RunId,
+    notes: Sender<Note>,
+    moved: Arc<AtomicBool>,
+}
+
+impl RunWatch for Watch {
+    fn began(&mut self) {
+        let _full = self.notes.try_send(Note::Began(self.run));
+    }
+
+    fn progress(&mut self, speed: Speed) {
+        let _full = self.notes.try_send(Note::Progress(self.run, speed));
+    }
+
+    fn is_moved(&self) -> bool {
+        self.moved.load(Ordering::Relaxed)
+    }
 }
 
 /// One term in which this daemon is in charge.
@@ -190,6 +218,7 @@
     fn take_note(&mut self, note: Note) {
         match note {
             Note::Began(run) => self.handle(Event::Began(run)),
+            Note::Progress(run, speed) => self.handle(Event::Progress { run, speed }),
             Note::Ended(run, ended) => self.end_run(run, ended),
             Note::Ordered(load, outcome) => self.handle(Event::OrderEnded {
                 engine: &load.engine.id,
@@ -328,6 +357,11 @@
                     let _full = self.notes.try_send(Note::Ended(run, ended));
                 }
             }
+            Action::Move(run) => {
+                if let Some(under) = self.runs.get(&run) {
+                    under.moved.store(true, Ordering::Relaxed);
+                }
+            }
             Action::GiveUp { job, item } => self.give_up(&job, item),
             Action::Order {
                 engine,
@@ -356,18 +390,25 @@
         let (abort, registration) = AbortHandle::new_pair();
         let core = self.core.clone();
         let notes = self.notes.clone();
+        let moved = Arc::new(AtomicBool::new(false));
+        let watch = Watch {
+            run,
+            notes: notes.clone(),
+            moved: Arc::clone(&moved),
+        };
         let work = async move {
-            let began = notes.clone();
-            let note_began = move || {
-                // The run's end says as much.
-                let _full = began.try_send(Note::Began(run));
-            };
-            let ended = item_run.run(&core, note_began).await;
+            let ended = item_run.run(&core, watch).await;
             // The runner of an earlier term is gone.
             let _gone = notes.send(Note::Ended(run, ended)).await;
         };
         task::spawn(Abortable::new(work, registration));
-        self.runs.insert(run, Under { job, item, abort });
+        let under = Under {
+            job,
+            item,
+            abort,
+            moved,
+        };
+        self.runs.insert(run, under);
     }
 
     fn end_run(&mut self, run: RunId, ended: Ended) {
