Try engines of unknown version; let loads wait for a step's burst

Cause: after each change of the store leader nothing ran for 1.5 to 2 s, until every engine had reported its version; and a step asked together with a named version met loading engines (20 refusals a second).

--- a/crates/dandelion-batch/src/scheduler/engine.rs
+++ b/crates/dandelion-batch/src/scheduler/engine.rs
@@ -107,9 +107,11 @@
         self.loading.as_ref().is_some_and(|l| now < l.until)
     }
 
-    /// Returns the version of a model that it should have now; the first one unless it said so.
-    pub fn version(&self, model: &str) -> u64 {
-        self.versions.get(model).copied().unwrap_or(1)
+    /// Returns whether it may have a version of a model that is new enough. One that has not said
+    /// is taken to have: it is asked by sending it work, whose answer names the version.
+    pub fn may_serve(&self, model: Option<&str>, min_version: u64) -> bool {
+        let known = model.and_then(|model| self.versions.get(model));
+        known.is_none_or(|version| *version >= min_version)
     }
 
     /// Returns whether another run of so many tokens fits its memory.
--- a/crates/dandelion-batch/src/scheduler/job.rs
+++ b/crates/dandelion-batch/src/scheduler/job.rs
@@ -120,6 +120,12 @@
         self.items.iter().all(|i| i.state == ItemState::Done)
     }
 
+    /// Returns whether an item waits for an engine.
+    pub fn is_waiting(&self) -> bool {
+        let waits = |i: &Item| matches!(i.state, ItemState::Waiting(_));
+        self.items.iter().any(waits)
+    }
+
     /// Returns the items that may be sent now, the most useful first: the groups that the trainer
     /// waits for before the others, and among them the longest first, because the last item of
     /// a step decides when the step ends.
--- a/crates/dandelion-batch/src/scheduler/machine.rs
+++ b/crates/dandelion-batch/src/scheduler/machine.rs
@@ -16,6 +16,7 @@
 use crate::scheduler::job::ItemState;
 use crate::scheduler::job::Job;
 use crate::scheduler::order;
+use crate::scheduler::order::Named;
 use crate::scheduler::place;
 
 /// Pause before an item that no engine ran is sent again.
@@ -38,7 +39,7 @@
 pub struct Scheduler {
     jobs: BTreeMap<String, Job>,
     engines: BTreeMap<UpstreamId, Engine>,
-    named: BTreeMap<String, u64>,
+    named: BTreeMap<String, Named>,
     runs: BTreeMap<RunId, Run>,
     last_run: u64,
 }
@@ -73,8 +74,14 @@
             Event::Engines(lives) => self.meet(lives, actions),
             Event::Reported(report) => self.report(report),
             Event::Named { model, version } => {
-                let known = self.named.entry(model.to_owned()).or_default();
-                *known = version.max(*known);
+                let fresh = Named {
+                    version,
+                    since: now,
+                };
+                let known = self.named.entry(model.to_owned()).or_insert(fresh);
+                if known.version < version {
+                    *known = fresh;
+                }
             }
             Event::Began(run) => {
                 let engine = self.runs.get(&run).map(|r| &r.engine);
@@ -103,7 +110,8 @@
         for engine in self.engines.values_mut() {
             engine.finish_load(now);
         }
-        let loads = order::choose(now, &mut self.engines, &self.named);
+        let pressed = self.jobs.values().any(Job::is_waiting);
+        let loads = order::choose(now, &mut self.engines, &self.named, pressed);
         let pure = self.jobs.values().any(|job| job.pure);
         actions.extend(loads.into_iter().map(|load| Action::Order {
             engine: load.engine,
--- a/crates/dandelion-batch/src/scheduler/order.rs
+++ b/crates/dandelion-batch/src/scheduler/order.rs
@@ -1,4 +1,8 @@
 //! Brings engines to the named versions, a few at a time.
+//!
+//! Answers the load of trainers that name a version and ask for their next step at once: a step
+//! begins with more items than there are slots, so engines that can still serve it load only once
+//! its first burst is placed.
 
 use std::collections::BTreeMap;
 
@@ -22,6 +26,10 @@
 /// Time after which an engine that was busy is asked again.
 const BUSY_PAUSE: Millis = Millis(500);
 
+/// Longest time for which an engine that open jobs can use puts a load off: the next version is
+/// named some seconds later, and by then all must have this one.
+const PATIENCE: Millis = Millis(2_000);
+
 /// Time between two orders to one engine.
 const ORDER_GAP: Millis = Millis(300);
 
@@ -36,11 +44,22 @@
     pub version: u64,
 }
 
-/// Chooses the engines that are to load now: those that lag most, and of these the idlest.
+/// A named version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Named {
+    /// Version.
+    pub version: u64,
+    /// When it became known here.
+    pub since: Millis,
+}
+
+/// Chooses the engines that are to load now: those that lag most, and of these the idlest. While
+/// items wait (`pressed`), engines that lag by one version only go on serving.
 pub fn choose(
     now: Millis,
     engines: &mut BTreeMap<UpstreamId, Engine>,
-    named: &BTreeMap<String, u64>,
+    named: &BTreeMap<String, Named>,
+    pressed: bool,
 ) -> Vec<Load> {
     let loading = engines.values().filter(|e| e.is_loading(now)).count();
     let serving = engines.values().filter(|e| !e.versions.is_empty()).count();
@@ -49,6 +68,10 @@
     for engine in engines.values() {
         let asks = engine.life.ready && !engine.is_loading(now) && now >= engine.order_after;
         if let Some((model, version, lag)) = widest_lag(engine, named).filter(|_| asks) {
+            let late = named.get(&model).is_some_and(|n| n.since + PATIENCE <= now);
+            if lag == 1 && pressed && !late {
+                continue;
+            }
             behind.push((lag, engine.runs, engine.life.id.clone(), model, version));
         }
     }
@@ -74,9 +97,9 @@
 }
 
 /// Returns the model by whose version the engine lags most.
-fn widest_lag(engine: &Engine, named: &BTreeMap<String, u64>) -> Option<(String, u64, u64)> {
+fn widest_lag(engine: &Engine, named: &BTreeMap<String, Named>) -> Option<(String, u64, u64)> {
     let lags = engine.versions.iter().filter_map(|(model, has)| {
-        let version = *named.get(model)?;
+        let version = named.get(model)?.version;
         let lag = version.saturating_sub(*has);
         (lag > 0).then(|| (model.clone(), version, lag))
     });
--- a/crates/dandelion-batch/src/scheduler/place.rs
+++ b/crates/dandelion-batch/src/scheduler/place.rs
@@ -35,11 +35,10 @@
         .filter_map(|e| e.pace(now))
         .reduce(f64::min);
     let fits = |engine: &&Engine| {
-        let version = item.model.as_ref().map(|m| engine.version(m));
         engine.life.service == *service
             && engine.is_free(now)
             && engine.has_room(item.tokens)
-            && version.is_none_or(|v| v >= job.min_version)
+            && engine.may_serve(item.model.as_deref(), job.min_version)
     };
     let holder = job.groups[item.group].engine.as_ref();
     let cost = |engine: &Engine| {
@@ -84,11 +83,10 @@
         return false;
     };
     let takes_over = |engine: &Engine| {
-        let version = item.model.as_ref().map(|m| engine.version(m));
         job.service.as_ref() == Some(&engine.life.service)
             && engine.is_free(now)
             && engine.has_room(item.tokens)
-            && version.is_none_or(|v| v >= job.min_version)
+            && engine.may_serve(item.model.as_deref(), job.min_version)
             && engine.pace(now).is_some_and(|p| p <= usual * FAIR_FACTOR)
     };
     !job.pure && job.resumable && pace > usual * SLOW_FACTOR && engines.values().any(takes_over)
