--- a/crates/dandelion-daemon/src/gateway/answer.rs
+++ b/crates/dandelion-daemon/src/gateway/answer.rs
@@ -16,6 +16,9 @@
 /// reaches probably has one.
 pub const NO_LEASE: Millis = Millis(50);
 
+/// Header that the server sets itself.
+const DATE: &str = "date";
+
 /// Refuses a request that has not run and will not run.
 pub fn not_run(retry: Millis) -> Response {
     let mut response = Response::new(503);
@@ -41,7 +44,7 @@
     let mut response = Response::new(code(status));
     response.set_body(body);
     for header in headers {
-        if !is_hop_header(&header.name) {
+        if !is_hop_header(&header.name) && header.name != DATE {
             response.insert_header(header.name.as_str(), header.value.as_str());
         }
     }
--- a/crates/dandelion-daemon/src/gateway/front.rs
+++ b/crates/dandelion-daemon/src/gateway/front.rs
@@ -2,20 +2,25 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Instant;
 
 use dandelion_net::http::server::Handler;
 use dandelion_platform::CallerCall;
 use dandelion_platform::calls;
 use dandelion_platform::headers;
 use dandelion_platform::headers::CallerHeaders;
+use dandelion_protocol::ids::TeamId;
 use dandelion_protocol::plan::PlanTeam;
 use dandelion_protocol::plan::RouteKind;
 use dandelion_protocol::plan::RoutePlan;
+use dandelion_protocol::time::Millis;
+use dandelion_protocol::usage::Class;
 use dandelion_telemetry::Event;
 use dandelion_telemetry::event;
 use http_types::Method;
 use http_types::Request;
 use http_types::Response;
+use http_types::StatusCode;
 
 use crate::core::Handle;
 use crate::gateway::answer;
@@ -76,10 +81,33 @@
         let Some(team) = team else {
             return refuse(caller, "unknown_key", answer::status(401));
         };
-        return jobs::submit(core, route, team, caller, request).await;
+        let begun = Instant::now();
+        let response = jobs::submit(core, route, team, caller, request).await;
+        observe(core, Some(&team.name), Class::Rollout, begun, &response);
+        return response;
     }
     let team = team.map(|t| &t.name);
-    forward::serve(core, route, team, caller, request).await
+    let begun = Instant::now();
+    let response = forward::serve(core, route, team, caller, request).await;
+    observe(core, team, Class::Interactive, begun, &response);
+    response
+}
+
+/// Takes a request into the metrics.
+fn observe(
+    core: &Handle,
+    team: Option<&TeamId>,
+    class: Class,
+    begun: Instant,
+    response: &Response,
+) {
+    let metrics = core.metrics.team(team, class);
+    if response.status() == StatusCode::ServiceUnavailable {
+        metrics.refuse();
+        return;
+    }
+    metrics.begin();
+    metrics.end(Millis(begun.elapsed().as_millis() as u64), 0);
 }
 
 fn refuse(caller: &CallerHeaders, reason: &str, response: Response) -> Response {
--- a/crates/dandelion-telemetry/src/events/catalogue.rs
+++ b/crates/dandelion-telemetry/src/events/catalogue.rs
@@ -70,6 +70,8 @@
         "Raise --stop-timeout-ms if requests may take longer.";
     107 Info Reloaded "settings_reloaded"
         "The daemon was told that its settings may have changed." "none";
+    108 Warn LinesLeftOut "log_lines_left_out"
+        "Lines of one kind were left out of the log, because there were too many in a second." "none; refusals and failures have a budget of their own";
 
     201 Info LeaderElected "leader_elected"
         "A control leader was elected." "none";
--- a/crates/dandelion-telemetry/src/logging/mod.rs
+++ b/crates/dandelion-telemetry/src/logging/mod.rs
@@ -2,6 +2,7 @@
 
 mod format;
 mod open;
+mod queue;
 
 pub use format::write_json;
 pub use format::write_text;
@@ -10,3 +11,5 @@
 pub use open::LogHandle;
 pub use open::LogSettings;
 pub use open::open;
+pub use queue::LineForm;
+pub use queue::LineQueue;
--- a/crates/dandelion-telemetry/src/logging/open.rs
+++ b/crates/dandelion-telemetry/src/logging/open.rs
@@ -1,6 +1,7 @@
 //! Set-up of the log.
 
 use std::fmt;
+use std::io;
 use std::path::PathBuf;
 
 use flexi_logger::Cleanup;
@@ -15,6 +16,8 @@
 use thiserror::Error;
 
 use super::format;
+use super::queue::LineForm;
+use super::queue::LineQueue;
 
 /// Size at which a log file is closed and a new one begun, in bytes.
 const MAX_FILE_BYTES: u64 = 64 << 20;
@@ -67,13 +70,16 @@
 /// Opens the process's log. Keep the handle until the process ends.
 pub fn open(settings: &LogSettings) -> Result<LogHandle, LogError> {
     let level = LogSpecification::builder().default(settings.level).build();
-    let line = match settings.form {
+    let line: LineForm = match settings.form {
         LogForm::Text => format::write_text,
         LogForm::Json => format::write_json,
     };
     let logger = Logger::with(level).format(line);
     let logger = match &settings.folder {
-        None => logger.log_to_stdout(),
+        None => {
+            let queue = LineQueue::spawn(io::stdout(), line, settings.level);
+            logger.log_to_writer(Box::new(queue))
+        }
         Some(folder) => logger
             .log_to_file(FileSpec::default().directory(folder))
             .rotate(
