Keep unfinished outputs of long runs on two disks; write log lines in bounded batches

A run's output is now copied each 1.2 s to this disk and one other, and the next leader goes on from it. line_queue::stalled_reader had found that the log's thread took lines out of the queue without a bound.

--- a/crates/dandelion-batch/src/texts.rs
+++ b/crates/dandelion-batch/src/texts.rs
@@ -162,6 +162,11 @@
         Ok(found.map(|entry| entry.text))
     }
 
+    /// Iterates over the texts of a job, by item and digest.
+    pub fn of_job<'a>(&'a self, job: &'a str) -> impl Iterator<Item = &'a TextKey> {
+        self.index.keys().filter(move |key| key.job == job)
+    }
+
     /// Forgets the texts of a job, and removes segments that hold no other.
     pub fn forget(&mut self, job: &str) -> io::Result<()> {
         let of_job = |key: &TextKey| key.job == job;
--- a/crates/dandelion-batch/tests/texts.rs
+++ b/crates/dandelion-batch/tests/texts.rs
@@ -140,3 +140,20 @@
     assert!(files(folder.path()).len() < before);
     assert!(store.has(&entry("new", "a", "kept").key));
 }
+
+/// Unfinished outputs of an item are kept under the number of their last event: the last name is the
+/// longest output, also after a restart.
+#[test]
+fn longest_last() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut store = TextStore::open(folder.path()).unwrap();
+    for (last, text) in [(3, "abc"), (12, "abcdefghijkl"), (7, "abcdefg")] {
+        let mut kept = entry("j", "a", text);
+        kept.key.digest = last;
+        keep(&mut store, &[kept]);
+    }
+    keep(&mut store, &[entry("other", "a", "x")]);
+    let store = TextStore::open(folder.path()).unwrap();
+    let names: Vec<u64> = store.of_job("j").map(|key| key.digest).collect();
+    assert_eq!(names, [3, 7, 12]);
+}
--- a/crates/dandelion-daemon/src/stores/group.rs
+++ b/crates/dandelion-daemon/src/stores/group.rs
@@ -44,6 +44,12 @@
 use crate::core::new_request_id;
 use crate::stores::texts::Texts;
 
+/// Folder of the texts within the store folder.
+const TEXTS_FOLDER: &str = "texts";
+
+/// Folder of unfinished outputs within the store folder.
+const PARTIALS_FOLDER: &str = "partials";
+
 /// Events that may wait for the runner.
 const QUEUE: usize = 8_192;
 
@@ -74,6 +80,8 @@
     serving: AtomicU64,
     /// Texts of results.
     pub texts: Texts,
+    /// Unfinished outputs.
+    pub partials: Texts,
     events: Sender<StoreEvent>,
     queue: Receiver<StoreEvent>,
 }
@@ -85,6 +93,7 @@
             replica: OnceLock::new(),
             serving: AtomicU64::new(0),
             texts: Texts::default(),
+            partials: Texts::default(),
             events,
             queue,
         }
@@ -200,7 +209,8 @@
     let settings = &core.settings.gateway;
     let folder = settings.folder.as_ref().context("no store folder is set")?;
     let mut rng = rand::rng();
-    core.stores.texts.open(folder)?;
+    core.stores.texts.open(&folder.join(TEXTS_FOLDER))?;
+    core.stores.partials.open(&folder.join(PARTIALS_FOLDER))?;
     let storage = FileStorage::open(folder, ReplicaId(rng.random()))?;
     let own = &core.identity.daemon;
     // Only a founder at the first start may begin the group; anyone else introduces itself.
--- a/crates/dandelion-daemon/src/stores/mod.rs
+++ b/crates/dandelion-daemon/src/stores/mod.rs
@@ -2,6 +2,7 @@
 
 mod group;
 mod orders;
+mod partials;
 mod run;
 mod runner;
 mod service;
--- a/crates/dandelion-daemon/src/stores/run.rs
+++ b/crates/dandelion-daemon/src/stores/run.rs
@@ -15,6 +15,7 @@
 use dandelion_platform::stream::EventReader;
 use dandelion_platform::stream::StreamEvent;
 use dandelion_protocol::batch::BatchJob;
+use dandelion_protocol::batch::Partial;
 use dandelion_protocol::lives::UpstreamLife;
 use dandelion_protocol::time::Millis;
 use http_types::Request;
@@ -28,6 +29,9 @@
 /// milliseconds, and pause for a second at most while they load weights.
 const QUIET_LIMIT: Duration = Duration::from_millis(1_500);
 
+/// Time between two copies of a run's output: what a change of the daemon in charge can cost.
+const CHECKPOINT_PERIOD: Duration = Duration::from_millis(1_200);
+
 /// Events between two reports of a run's speed.
 const REPORT_EVENTS: u64 = 6;
 
@@ -46,6 +50,15 @@
 }
 
 impl Output {
+    /// Goes on from an output that was kept.
+    pub fn from_partial(partial: Partial) -> Self {
+        Self {
+            text: partial.text,
+            last: Some(partial.last),
+            versions: partial.versions,
+        }
+    }
+
     fn push(&mut self, event: &StreamEvent) {
         if self.last.is_some() {
             self.text.push('\n');
@@ -80,6 +93,8 @@
     fn began(&mut self);
     /// Further events were made at this speed.
     fn progress(&mut self, speed: Speed);
+    /// The output so far is worth keeping.
+    fn checkpoint(&mut self, output: &Output);
     /// Tells whether the run is to be broken off so that it goes on elsewhere.
     fn is_moved(&self) -> bool;
 }
@@ -192,6 +207,7 @@
             first: None,
             events: 0,
             reported: None,
+            checkpoint: Instant::now(),
         };
         reading.read(exchange, output).await
     }
@@ -206,6 +222,8 @@
     events: u64,
     /// Events and time of the last report.
     reported: Option<(u64, Instant)>,
+    /// When the output was copied last.
+    checkpoint: Instant,
 }
 
 impl<W> Reading<'_, W>
@@ -233,6 +251,10 @@
                 }
             }
             self.report();
+            if self.checkpoint.elapsed() >= CHECKPOINT_PERIOD {
+                self.checkpoint = Instant::now();
+                self.watch.checkpoint(output);
+            }
             if self.watch.is_moved() {
                 return RunOutcome::Moved;
             }
--- a/crates/dandelion-daemon/src/stores/runner.rs
+++ b/crates/dandelion-daemon/src/stores/runner.rs
@@ -25,6 +25,7 @@
 use dandelion_net::clock;
 use dandelion_protocol::batch::BatchJob;
 use dandelion_protocol::batch::Listed;
+use dandelion_protocol::batch::Partial;
 use dandelion_protocol::batch::TextEntry;
 use dandelion_protocol::batch::TextKey;
 use dandelion_protocol::batch::TextRef;
@@ -40,6 +41,7 @@
 use futures::future::AbortHandle;
 use futures::future::Abortable;
 use futures::future::Either;
+use futures::future::join_all;
 use futures::future::select;
 
 use crate::control::View;
@@ -47,6 +49,7 @@
 use crate::stores::group::StoreEvent;
 use crate::stores::orders;
 use crate::stores::orders::Load;
+use crate::stores::partials;
 use crate::stores::run::Ended;
 use crate::stores::run::ItemRun;
 use crate::stores::run::Output;
@@ -100,6 +103,9 @@
     run: RunId,
     notes: Sender<Note>,
     moved: Arc<AtomicBool>,
+    core: Handle,
+    job: String,
+    item: String,
 }
 
 impl RunWatch for Watch {
@@ -111,6 +117,19 @@
         let _full = self.notes.try_send(Note::Progress(self.run, speed));
     }
 
+    fn checkpoint(&mut self, output: &Output) {
+        let Some(last) = output.last else {
+            return;
+        };
+        let partial = Partial {
+            item: self.item.clone(),
+            text: output.text.clone(),
+            last,
+            versions: output.versions.clone(),
+        };
+        partials::keep(&self.core, self.job.clone(), partial);
+    }
+
     fn is_moved(&self) -> bool {
         self.moved.load(Ordering::Relaxed)
     }
@@ -170,7 +189,7 @@
 
     async fn run(mut self, notes: Receiver<Note>) {
         self.refresh();
-        self.adopt();
+        self.adopt().await;
         while self.core.stores.charge(Millis::ZERO) == Some(self.term) && !self.core.is_stopping() {
             self.refresh();
             if self.is_due() {
@@ -206,10 +225,11 @@
 
     fn take_event(&mut self, event: StoreEvent) {
         match event {
-            StoreEvent::Submitted(job) => self.adopt_job(&job),
+            StoreEvent::Submitted(job) => self.adopt_job(&job, BTreeMap::new()),
             StoreEvent::Ended(job) => {
                 self.handle(Event::Ended(&job));
                 self.open.remove(&job);
+                self.core.stores.partials.forget(&job);
             }
             StoreEvent::Reported(report) => self.handle(Event::Reported(&report)),
         }
@@ -230,7 +250,7 @@
     }
 
     /// Takes over every open job of the table.
-    fn adopt(&mut self) {
+    async fn adopt(&mut self) {
         let replica = self.core.stores.replica();
         let ids = replica.and_then(|r| {
             r.read::<BatchTable, _, _>(|table| {
@@ -238,12 +258,15 @@
                 open.map(|(id, _)| id.clone()).collect::<Vec<_>>()
             })
         });
-        for id in ids.unwrap_or_default() {
-            self.adopt_job(&id);
+        let ids = ids.unwrap_or_default();
+        let collected = ids.iter().map(|id| partials::collect(&self.core, id));
+        let collected = join_all(collected).await;
+        for (id, partials) in ids.iter().zip(collected) {
+            self.adopt_job(id, partials);
         }
     }
 
-    fn adopt_job(&mut self, id: &str) {
+    fn adopt_job(&mut self, id: &str, mut partials: BTreeMap<String, Partial>) {
         if self.open.contains_key(id) {
             return;
         }
@@ -261,7 +284,12 @@
         };
         let job = Arc::new(job);
         let service = self.service_of(&job);
-        let partial = HashMap::new();
+        let items = job.items.iter().enumerate();
+        let partial = items.filter_map(|(at, item)| {
+            let partial = partials.remove(&item.id).filter(|_| job.resumable)?;
+            Some((at, Output::from_partial(partial)))
+        });
+        let partial: HashMap<usize, Output> = partial.collect();
         self.open.insert(
             id.to_owned(),
             Open {
@@ -395,6 +423,9 @@
             run,
             notes: notes.clone(),
             moved: Arc::clone(&moved),
+            core: self.core.clone(),
+            item: open.job.items[item].id.clone(),
+            job: job.clone(),
         };
         let work = async move {
             let ended = item_run.run(&core, watch).await;
--- a/crates/dandelion-daemon/src/stores/texts.rs
+++ b/crates/dandelion-daemon/src/stores/texts.rs
@@ -38,9 +38,7 @@
 
 use crate::control::View;
 use crate::core::Handle;
-
-/// Folder of the texts within the store folder.
-const FOLDER: &str = "texts";
+use crate::stores::partials;
 
 /// Writes that may wait for the disk.
 const QUEUE: usize = 1_024;
@@ -114,7 +112,7 @@
 impl Texts {
     /// Opens the folder and starts the thread that writes to it.
     pub fn open(&self, folder: &Path) -> io::Result<()> {
-        let store = Arc::new(Mutex::new(TextStore::open(&folder.join(FOLDER))?));
+        let store = Arc::new(Mutex::new(TextStore::open(folder)?));
         let (writes, queue) = async_channel::bounded(QUEUE);
         let written = Arc::clone(&store);
         thread::spawn(move || write_all(&written, &queue));
@@ -127,7 +125,7 @@
     }
 
     /// Keeps texts on this daemon's disk and returns whether they are durable.
-    async fn keep(&self, entries: Vec<TextEntry>) -> bool {
+    pub async fn keep(&self, entries: Vec<TextEntry>) -> bool {
         let Some(disk) = self.disk.get() else {
             return false;
         };
@@ -144,7 +142,7 @@
     }
 
     /// Reads a text from memory or from this daemon's disk.
-    fn read(&self, key: &TextKey) -> Option<String> {
+    pub fn read(&self, key: &TextKey) -> Option<String> {
         if let Some(text) = self.cache().texts.get(key) {
             return Some(text.to_string());
         }
@@ -156,8 +154,16 @@
         })
     }
 
-    /// Forgets the texts of jobs that the table no longer holds.
-    fn forget(&self, job: &str) {
+    /// Returns the names of a job's texts on this daemon's disk, by item and digest.
+    pub fn keys_of(&self, job: &str) -> Vec<TextKey> {
+        let disk = self.disk.get();
+        disk.map_or_else(Vec::new, |disk| {
+            lock(&disk.store).of_job(job).cloned().collect()
+        })
+    }
+
+    /// Forgets the texts of a job.
+    pub fn forget(&self, job: &str) {
         if let Some(disk) = self.disk.get()
             && let Err(error) = lock(&disk.store).forget(job)
         {
@@ -217,6 +223,10 @@
     let texts = &core.stores.texts;
     match call {
         TextCall::Complete => TextReply::Kept(missing(core).is_empty()),
+        TextCall::KeepPartial { job, partial } => {
+            TextReply::Kept(partials::keep_here(core, job, partial).await)
+        }
+        TextCall::ReadPartials(job) => TextReply::Partials(partials::held_here(core, &job)),
         TextCall::Keep(entries) => TextReply::Kept(texts.keep(entries).await),
         TextCall::Read(keys) => {
             let found = keys.into_iter().filter_map(|key| {
@@ -425,5 +435,6 @@
     for job in gone.unwrap_or_default() {
         checked.remove(&job);
         texts.forget(&job);
+        core.stores.partials.forget(&job);
     }
 }
--- a/crates/dandelion-protocol/src/batch.rs
+++ b/crates/dandelion-protocol/src/batch.rs
@@ -110,6 +110,19 @@
     pub text: String,
 }
 
+/// Output of an item that is not finished, kept so that another daemon can go on with it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Partial {
+    /// Item.
+    pub item: String,
+    /// Data of the events so far, separated by line feeds.
+    pub text: String,
+    /// Number of the last event.
+    pub last: u64,
+    /// Versions of the weights that made it.
+    pub versions: Vec<u64>,
+}
+
 /// A call between daemons that keep texts.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -118,6 +131,15 @@
     Keep(Vec<TextEntry>),
     /// Reads texts.
     Read(Vec<TextKey>),
+    /// Keeps the unfinished output of an item.
+    KeepPartial {
+        /// Job.
+        job: String,
+        /// Output.
+        partial: Partial,
+    },
+    /// Reads the unfinished outputs of a job.
+    ReadPartials(String),
     /// Asks whether every text that should be here is.
     Complete,
 }
@@ -130,6 +152,8 @@
     Kept(bool),
     /// Those that are held here.
     Read(Vec<TextEntry>),
+    /// Unfinished outputs.
+    Partials(Vec<Partial>),
 }
 
 /// Results from a position on.
--- a/crates/dandelion-telemetry/src/logging/queue.rs
+++ b/crates/dandelion-telemetry/src/logging/queue.rs
@@ -27,6 +27,9 @@
 /// Lines that may wait for the stream: a few seconds of a busy daemon.
 const QUEUE_LINES: usize = 4_096;
 
+/// Lines that are written at once.
+const BATCH_LINES: usize = 256;
+
 /// Lines a second of one kind at level info or below; refusals and failures have their own.
 const INFO_BUDGET: u64 = 100;
 
@@ -164,7 +167,7 @@
 {
     while let Ok(first) = queue.recv() {
         let mut bytes = first;
-        while let Ok(next) = queue.try_recv() {
+        for next in queue.try_iter().take(BATCH_LINES - 1) {
             bytes.extend_from_slice(&next);
         }
         // Nobody reads the log any more; there is no other place to tell of it.
