Loads of weights shared fairly by models, silence of a run noticed

Loads went to the engine that lagged most whatever the model, an engine that loaded one model took no run of any, and one refusal after a load that lasted longer than expected passed the engine over for all models.

Ruled out: slots (a quarter taken on average), slower engines under load (an event each 49 ms with and without a load), pauses of runs by loads (longest pause 78 against 70 ms).

Now the model with the smallest part of its step on its newest version loads first, on engines too old for the step; a load holds up only its own model; the time of a load is learnt; an engine of unknown version gets one run that tells; a run's silence is reported after 300 ms and acted upon at once. Runs and jobs are logged with what they waited for (931 to 933); the budget of a kind of line is 200 a second because up to 140 items end in one.

--- a/crates/dandelion-batch/src/scheduler/job.rs
+++ b/crates/dandelion-batch/src/scheduler/job.rs
@@ -115,6 +115,11 @@
         }
     }
 
+    /// Returns the model whose weights the job is about.
+    pub fn model(&self) -> Option<&str> {
+        self.items.first()?.model.as_deref()
+    }
+
     /// Returns whether every item is done.
     pub fn is_done(&self) -> bool {
         self.items.iter().all(|i| i.state == ItemState::Done)
--- a/crates/dandelion-batch/src/scheduler/machine.rs
+++ b/crates/dandelion-batch/src/scheduler/machine.rs
@@ -16,7 +16,9 @@
 use crate::scheduler::job::ItemState;
 use crate::scheduler::job::Job;
 use crate::scheduler::order;
+use crate::scheduler::order::LoadTime;
 use crate::scheduler::order::Named;
+use crate::scheduler::order::Need;
 use crate::scheduler::place;
 
 /// Pause before an item that no engine ran is sent again.
@@ -31,6 +33,7 @@
     job: String,
     item: usize,
     engine: UpstreamId,
+    model: Option<String>,
     tokens: u64,
 }
 
@@ -41,6 +44,9 @@
     engines: BTreeMap<UpstreamId, Engine>,
     named: BTreeMap<String, Named>,
     runs: BTreeMap<RunId, Run>,
+    /// Items of the largest step of each model.
+    steps: BTreeMap<String, usize>,
+    load_time: LoadTime,
     last_run: u64,
 }
 
@@ -66,6 +72,10 @@
             Event::Opened { job, open, service } => {
                 if !self.jobs.contains_key(&job.id) {
                     let opened = Job::open(now, job, &open, service);
+                    if let Some(model) = opened.model() {
+                        let step = self.steps.entry(model.to_owned()).or_insert(0);
+                        *step = (*step).max(opened.items.len());
+                    }
                     self.jobs.insert(job.id.clone(), opened);
                 }
             }
@@ -83,13 +93,12 @@
                     *known = fresh;
                 }
             }
-            Event::Began(run) => {
-                let engine = self.runs.get(&run).map(|r| &r.engine);
-                if let Some(engine) = engine.and_then(|id| self.engines.get_mut(id)) {
-                    engine.succeed();
-                }
+            Event::Began(run) => self.begin_run(run),
+            Event::Progress { run, speed } => {
+                self.progress(now, run, speed.pace(), actions);
+                // A pace frees no slot.
+                return;
             }
-            Event::Progress { run, speed } => self.progress(now, run, speed.pace(), actions),
             Event::RunEnded { run, outcome } => self.end_run(now, run, &outcome, actions),
             Event::OrderEnded {
                 engine,
@@ -98,7 +107,8 @@
                 outcome,
             } => {
                 if let Some(engine) = self.engines.get_mut(engine) {
-                    order::settle(now, engine, model, version, outcome);
+                    let load = (model, version);
+                    order::settle(now, engine, load, outcome, &mut self.load_time);
                 }
             }
             Event::Tick => (),
@@ -110,18 +120,39 @@
         for engine in self.engines.values_mut() {
             engine.finish_load(now);
         }
-        let pressed = self.jobs.values().any(Job::is_waiting);
-        let loads = order::choose(now, &mut self.engines, &self.named, pressed);
-        let pure = self.jobs.values().any(|job| job.pure);
+        let needs = self.needs();
+        let loads = order::choose(now, &mut self.engines, &self.named, &needs);
         actions.extend(loads.into_iter().map(|load| Action::Order {
+            keep: !needs.get(&load.model).is_some_and(|need| need.pure),
             engine: load.engine,
             model: load.model,
             version: load.version,
-            keep: !pure,
         }));
         self.place(now, actions);
     }
 
+    /// Returns what the jobs of each model ask of the engines.
+    fn needs(&self) -> BTreeMap<String, Need> {
+        let steps = self.steps.iter();
+        let mut needs: BTreeMap<String, Need> = steps
+            .map(|(model, items)| {
+                let need = Need {
+                    items: *items,
+                    ..Need::default()
+                };
+                (model.clone(), need)
+            })
+            .collect();
+        for job in self.jobs.values() {
+            if let Some(need) = job.model().and_then(|model| needs.get_mut(model)) {
+                need.pressed |= job.is_waiting();
+                need.pure |= job.pure;
+                need.oldest = need.oldest.max(Some(job.min_version));
+            }
+        }
+        needs
+    }
+
     fn place(&mut self, now: Millis, actions: &mut Vec<Action>) {
         if !self.engines.values().any(|e| e.is_free(now)) {
             return;
@@ -152,11 +183,12 @@
         self.last_run += 1;
         let run = RunId(self.last_run);
         let tokens = item.tokens;
+        let model = item.model.clone();
         let group = item.group;
         job.groups[group].engine = Some(life.id.clone());
         job.items[index].state = ItemState::Running(run);
         if let Some(engine) = self.engines.get_mut(&life.id) {
-            engine.start(tokens);
+            engine.start(model.as_deref(), tokens);
         }
         self.runs.insert(
             run,
@@ -164,6 +196,7 @@
                 job: id.to_owned(),
                 item: index,
                 engine: life.id.clone(),
+                model,
                 tokens,
             },
         );
@@ -175,6 +208,21 @@
         });
     }
 
+    /// Notes that a run made its first event: the engine works, and its version is new enough.
+    fn begin_run(&mut self, run: RunId) {
+        let Some(run) = self.runs.get(&run) else {
+            return;
+        };
+        let Some(engine) = self.engines.get_mut(&run.engine) else {
+            return;
+        };
+        engine.succeed();
+        if let (Some(model), Some(job)) = (&run.model, self.jobs.get(&run.job)) {
+            let known = engine.versions.entry(model.clone()).or_insert(1);
+            *known = (*known).max(job.min_version);
+        }
+    }
+
     /// Takes the pace of a run in, and moves the run if it is slow.
     fn progress(&mut self, now: Millis, run: RunId, pace: f64, actions: &mut Vec<Action>) {
         let Some(under) = self.runs.get(&run) else {
@@ -258,7 +306,7 @@
             return;
         };
         if let Some(engine) = self.engines.get_mut(&ended.engine) {
-            engine.end(ended.tokens);
+            engine.end(ended.model.as_deref(), ended.tokens);
         }
         self.note_engine(now, &ended, outcome);
         let Some(job) = self.jobs.get_mut(&ended.job) else {
@@ -295,10 +343,7 @@
     }
 
     fn note_engine(&mut self, now: Millis, ended: &Run, outcome: &RunOutcome) {
-        let model = self
-            .jobs
-            .get(&ended.job)
-            .and_then(|job| job.items[ended.item].model.clone());
+        let model = ended.model.clone();
         let Some(engine) = self.engines.get_mut(&ended.engine) else {
             return;
         };
@@ -317,7 +362,14 @@
                     engine.versions.insert(model.clone(), *version);
                 }
             }
-            RunOutcome::Refused | RunOutcome::Mistaken => engine.refuse(now),
+            RunOutcome::Refused => {
+                let taken = model.and_then(|model| engine.extend_load(now, &model));
+                match taken {
+                    Some(taken) => self.load_time.exceed(taken),
+                    None => engine.refuse(now),
+                }
+            }
+            RunOutcome::Mistaken => engine.refuse(now),
             RunOutcome::Broken { .. } => engine.fail(now),
             RunOutcome::Failed | RunOutcome::Impossible | RunOutcome::Moved => (),
         }
--- a/crates/dandelion-batch/src/scheduler/place.rs
+++ b/crates/dandelion-batch/src/scheduler/place.rs
@@ -38,7 +38,7 @@
         engine.life.service == *service
             && engine.is_free(now)
             && engine.has_room(item.tokens)
-            && engine.may_serve(item.model.as_deref(), job.min_version)
+            && engine.may_serve(now, item.model.as_deref(), job.min_version)
     };
     let holder = job.groups[item.group].engine.as_ref();
     let cost = |engine: &Engine| {
@@ -86,7 +86,7 @@
         job.service.as_ref() == Some(&engine.life.service)
             && engine.is_free(now)
             && engine.has_room(item.tokens)
-            && engine.may_serve(item.model.as_deref(), job.min_version)
+            && engine.may_serve(now, item.model.as_deref(), job.min_version)
             && engine.pace(now).is_some_and(|p| p <= usual * FAIR_FACTOR)
     };
     !job.pure && job.resumable && pace > usual * SLOW_FACTOR && engines.values().any(takes_over)
--- a/crates/dandelion-daemon/src/stores/run.rs
+++ b/crates/dandelion-daemon/src/stores/run.rs
@@ -1,9 +1,11 @@
 //! One run of a batch item at an engine.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
+use async_std::future::timeout;
 use dandelion_batch::scheduler::RunOutcome;
 use dandelion_batch::scheduler::Speed;
 use dandelion_net::http::client;
@@ -26,8 +28,12 @@
 const RUN_LIMIT: Duration = Duration::from_secs(30);
 
 /// Time without a byte after which a run is broken off: engines send an event each few tens of
-/// milliseconds, and pause for a second at most while they load weights.
-const QUIET_LIMIT: Duration = Duration::from_millis(1_500);
+/// milliseconds, slow ones each few hundred.
+const QUIET_LIMIT: Duration = Duration::from_secs(1);
+
+/// Time after which a run's speed is reported though few events came or none: six to eight usual
+/// gaps between two events.
+const REPORT_PERIOD: Duration = Duration::from_millis(300);
 
 /// Time between two copies of a run's output: what a change of the daemon in charge can cost.
 const CHECKPOINT_PERIOD: Duration = Duration::from_millis(1_200);
@@ -106,6 +112,8 @@
     pub outcome: RunOutcome,
     /// Output.
     pub output: Output,
+    /// Longest time between two pieces of the answer.
+    pub pause: Duration,
 }
 
 impl ItemRun {
@@ -115,16 +123,23 @@
         W: RunWatch,
     {
         let mut output = self.output.clone();
+        let mut pause = Duration::ZERO;
         let sent = self.send(core).await;
-        let mut exchange = match sent {
-            Ok(exchange) => exchange,
-            Err(outcome) => return Ended { outcome, output },
-        };
-        let outcome = match self.refusal(&mut exchange).await {
-            Some(outcome) => outcome,
-            None => self.read(&mut exchange, &mut output, watch).await,
+        let outcome = match sent {
+            Ok(mut exchange) => match self.refusal(&mut exchange).await {
+                Some(outcome) => outcome,
+                None => {
+                    self.read(&mut exchange, &mut output, &mut pause, watch)
+                        .await
+                }
+            },
+            Err(outcome) => outcome,
         };
-        Ended { outcome, output }
+        Ended {
+            outcome,
+            output,
+            pause,
+        }
     }
 
     async fn send(&self, core: &Handle) -> Result<Exchange, RunOutcome> {
@@ -193,7 +208,13 @@
         })
     }
 
-    async fn read<W>(&self, exchange: &mut Exchange, output: &mut Output, watch: W) -> RunOutcome
+    async fn read<W>(
+        &self,
+        exchange: &mut Exchange,
+        output: &mut Output,
+        pause: &mut Duration,
+        watch: W,
+    ) -> RunOutcome
     where
         W: RunWatch,
     {
@@ -208,8 +229,11 @@
             events: 0,
             reported: None,
             checkpoint: Instant::now(),
+            pause: Duration::ZERO,
         };
-        reading.read(exchange, output).await
+        let outcome = reading.read(exchange, output).await;
+        *pause = reading.pause;
+        outcome
     }
 }
 
@@ -224,6 +248,8 @@
     reported: Option<(u64, Instant)>,
     /// When the output was copied last.
     checkpoint: Instant,
+    /// Longest time between two pieces.
+    pause: Duration,
 }
 
 impl<W> Reading<'_, W>
@@ -234,7 +260,10 @@
         let broken = RunOutcome::Broken { reached: true };
         let mut reader = EventReader::default();
         loop {
-            let piece = match exchange.chunk().await {
+            let Some(piece) = self.next_piece(exchange).await else {
+                return RunOutcome::Moved;
+            };
+            let piece = match piece {
                 Ok(Some(piece)) => piece,
                 Ok(None) => break,
                 Err(error) => {
@@ -268,6 +297,27 @@
         }
     }
 
+    /// Waits for the next piece of the answer and reports silence meanwhile; returns nothing if the
+    /// run is to be moved.
+    async fn next_piece(
+        &mut self,
+        exchange: &mut Exchange,
+    ) -> Option<Result<Option<Vec<u8>>, SendError>> {
+        let asked = Instant::now();
+        let mut next = pin!(exchange.chunk());
+        loop {
+            let piece = timeout(REPORT_PERIOD, next.as_mut()).await;
+            self.pause = self.pause.max(asked.elapsed());
+            if let Ok(piece) = piece {
+                return Some(piece);
+            }
+            self.report();
+            if self.watch.is_moved() {
+                return None;
+            }
+        }
+    }
+
     /// Takes one event in; returns an outcome if the run must end.
     fn take(&mut self, event: &StreamEvent, output: &mut Output) -> Option<RunOutcome> {
         self.version = event.version.or(self.version);
@@ -299,8 +349,12 @@
 
     fn report(&mut self) {
         let now = Instant::now();
+        if self.first.is_none() {
+            return;
+        }
         let (events, at) = *self.reported.get_or_insert((self.events, now));
-        if self.events < events + REPORT_EVENTS {
+        let few = self.events < events + REPORT_EVENTS;
+        if few && now.duration_since(at) < REPORT_PERIOD {
             return;
         }
         self.reported = Some((self.events, now));
--- a/crates/dandelion-daemon/src/stores/runner.rs
+++ b/crates/dandelion-daemon/src/stores/runner.rs
@@ -32,6 +32,7 @@
 use dandelion_protocol::config::Role;
 use dandelion_protocol::ids::ServiceId;
 use dandelion_protocol::ids::Term;
+use dandelion_protocol::ids::UpstreamId;
 use dandelion_protocol::lives::UpstreamLife;
 use dandelion_protocol::mesh::MeshMessage;
 use dandelion_protocol::plan::RoutePlan;
@@ -85,6 +86,8 @@
 /// What is kept of an open job.
 struct Open {
     job: Arc<BatchJob>,
+    /// When this daemon took it up.
+    since: Millis,
     /// Output of items that broke off, by place.
     partial: HashMap<usize, Output>,
 }
@@ -93,6 +96,8 @@
 struct Under {
     job: String,
     item: usize,
+    engine: UpstreamId,
+    started: Millis,
     abort: AbortHandle,
     moved: Arc<AtomicBool>,
 }
@@ -227,6 +232,14 @@
         match event {
             StoreEvent::Submitted(job) => self.adopt_job(&job, BTreeMap::new()),
             StoreEvent::Ended(job) => {
+                if let Some(open) = self.open.get(&job) {
+                    event!(
+                        LogEvent::JobClosed,
+                        job = job,
+                        open_ms = (clock::boot_now().0.saturating_sub(open.since.0)),
+                        term = self.term
+                    );
+                }
                 self.handle(Event::Ended(&job));
                 self.open.remove(&job);
                 self.core.stores.partials.forget(&job);
@@ -294,9 +307,19 @@
             id.to_owned(),
             Open {
                 job: Arc::clone(&job),
+                since: clock::boot_now(),
                 partial,
             },
         );
+        event!(
+            LogEvent::JobOpened,
+            job = id,
+            items = job.items.len(),
+            open = open.iter().filter(|open| **open).count(),
+            wanted = job.wanted,
+            min_version = job.min_version,
+            term = self.term
+        );
         self.handle(Event::Opened {
             job: &job,
             open,
@@ -378,9 +401,11 @@
             Action::Cancel(run) => {
                 if let Some(under) = self.runs.remove(&run) {
                     under.abort.abort();
-                    let output = Output::default();
-                    let outcome = RunOutcome::Broken { reached: false };
-                    let ended = Ended { outcome, output };
+                    let ended = Ended {
+                        outcome: RunOutcome::Broken { reached: false },
+                        output: Output::default(),
+                        pause: Duration::ZERO,
+                    };
                     // The queue holds a note of every run that can be under way.
                     let _full = self.notes.try_send(Note::Ended(run, ended));
                 }
@@ -427,6 +452,7 @@
             item: open.job.items[item].id.clone(),
             job: job.clone(),
         };
+        let engine = item_run.engine.id.clone();
         let work = async move {
             let ended = item_run.run(&core, watch).await;
             // The runner of an earlier term is gone.
@@ -436,6 +462,8 @@
         let under = Under {
             job,
             item,
+            engine,
+            started: clock::boot_now(),
             abort,
             moved,
         };
@@ -463,6 +491,17 @@
                 item: id,
                 digest: digest(&ended.output.text),
             };
+            event!(
+                LogEvent::RunFinished,
+                job = under.job,
+                item = key.item,
+                run = run.0,
+                upstream = under.engine,
+                waited_ms = (under.started.0.saturating_sub(open.since.0)),
+                ran_ms = (clock::boot_now().0.saturating_sub(under.started.0)),
+                pause_ms = ended.pause.as_millis(),
+                events = ended.output.last.unwrap_or(0)
+            );
             self.finish(key, ended.output.clone());
             return;
         }
@@ -471,6 +510,9 @@
             job = under.job,
             item = id,
             run = run.0,
+            upstream = under.engine,
+            ran_ms = (clock::boot_now().0.saturating_sub(under.started.0)),
+            pause_ms = ended.pause.as_millis(),
             reason = format!("{:?}", ended.outcome),
             events = ended.output.last.unwrap_or(0)
         );
--- a/crates/dandelion-telemetry/src/events/catalogue.rs
+++ b/crates/dandelion-telemetry/src/events/catalogue.rs
@@ -241,4 +241,10 @@
         "An order to load a version was not accepted." "none; it is repeated";
     930 Info StoresFounded "stores_founded"
         "The group that stores batch jobs was founded." "none";
+    931 Info JobOpened "job_opened"
+        "The daemon in charge began to run a batch job." "none";
+    932 Info JobClosed "job_closed"
+        "The daemon in charge stopped running a batch job, because its owner ended it." "none";
+    933 Info RunFinished "run_finished"
+        "A run made an item's whole output; it is listed once enough disks have it." "none";
 }
--- a/crates/dandelion-telemetry/src/logging/queue.rs
+++ b/crates/dandelion-telemetry/src/logging/queue.rs
@@ -31,7 +31,7 @@
 const BATCH_LINES: usize = 256;
 
 /// Lines a second of one kind at level info or below; refusals and failures have their own.
-const INFO_BUDGET: u64 = 100;
+const INFO_BUDGET: u64 = 200;
 
 /// Lines a second of one kind at level warn or error.
 const WARN_BUDGET: u64 = 400;
