Texts read from near holders in short answers; no more copies than needed

Ruled out: bodies of jobs (0.4 MB), the log of the group, the cache of texts (bounded at 6 MB), free memory kept by the allocator (trimming gave back 18 MB of 138).

Now the store in charge answers with positions and names; the entry reads the texts from a holder in its own zone, 64 KB a call.

Test: tests/holders.rs (short_answers needs the new split).

--- /dev/null
+++ b/crates/dandelion-batch/tests/holders.rs
@@ -0,0 +1,107 @@
+//! Holders of texts and their readers.
+
+use dandelion_batch::holders::Wanted;
+use dandelion_batch::holders::calls;
+use dandelion_batch::holders::rank;
+use dandelion_batch::holders::read_order;
+use dandelion_protocol::batch::TextKey;
+use dandelion_protocol::config::Member;
+use dandelion_protocol::config::Role;
+use dandelion_protocol::ids::Incarnation;
+use dandelion_protocol::ids::ZoneId;
+
+fn stores(zones: &[&str], each: usize) -> Vec<Member> {
+    let mut stores = Vec::new();
+    for zone in zones {
+        for n in 0..each {
+            stores.push(member(&format!("{zone}-{n}"), zone));
+        }
+    }
+    stores
+}
+
+fn member(id: &str, zone: &str) -> Member {
+    Member {
+        id: id.parse().unwrap(),
+        zone: zone.parse().unwrap(),
+        address: "10.0.0.1:1".to_owned(),
+        incarnation: Incarnation(1),
+        leaving: false,
+        role: Role::Store,
+        host: String::new(),
+    }
+}
+
+fn wanted(lengths: &[u64]) -> Vec<Wanted> {
+    let texts = lengths.iter().enumerate();
+    let texts = texts.map(|(n, length)| Wanted {
+        key: TextKey {
+            job: "j".to_owned(),
+            item: n.to_string(),
+            digest: 1,
+        },
+        length: *length,
+    });
+    texts.collect()
+}
+
+#[test]
+fn distinct_zones() {
+    let stores = stores(&["a", "b", "c", "d"], 3);
+    for job in 0..50 {
+        let ranked = rank(&stores, &format!("job-{job}"));
+        assert_eq!(ranked.len(), stores.len());
+        let mut zones: Vec<&ZoneId> = ranked[..3].iter().map(|m| &m.zone).collect();
+        zones.sort();
+        zones.dedup();
+        assert_eq!(zones.len(), 3, "three copies are in three zones");
+    }
+}
+
+#[test]
+fn even_share() {
+    let stores = stores(&["a", "b", "c", "d"], 3);
+    let held = |store: &Member| {
+        let jobs = (0..400).map(|job| format!("job-{job}"));
+        jobs.filter(|job| rank(&stores, job)[..3].iter().any(|m| m.id == store.id))
+            .count()
+    };
+    for store in &stores {
+        let count = held(store);
+        assert!((60..=140).contains(&count), "{}: {count} of 400", store.id);
+    }
+}
+
+/// A reader that waits for its page asks in its own zone first, and the one in charge before those
+/// that should hold nothing.
+#[test]
+fn near_reader() {
+    let stores = stores(&["a", "b", "c", "d"], 3);
+    for job in 0..50 {
+        let job = format!("job-{job}");
+        let ranked = rank(&stores, &job);
+        let (holder, charged) = (ranked[1], ranked[9]);
+        let order = read_order(&stores, &job, 3, &holder.zone, Some(&charged.id));
+        assert_eq!(order.len(), stores.len());
+        assert_eq!(order[0].id, holder.id);
+        assert_eq!(order[3].id, charged.id);
+    }
+}
+
+/// No answer is long, whatever the page: a connection's buffers keep the size of the longest one.
+#[test]
+fn short_answers() {
+    let texts = wanted(&[9_000; 84]);
+    let calls = calls(&texts);
+    assert!(calls.iter().all(|call| call.len() <= 7));
+    let keys: Vec<&TextKey> = calls.iter().flatten().collect();
+    assert_eq!(keys, texts.iter().map(|w| &w.key).collect::<Vec<_>>());
+}
+
+#[test]
+fn long_text() {
+    let texts = wanted(&[10, 100_000, 10, 20]);
+    let counts: Vec<usize> = calls(&texts).iter().map(Vec::len).collect();
+    assert_eq!(counts, [1, 1, 2]);
+    assert!(calls(&[]).is_empty());
+}
--- a/crates/dandelion-daemon/src/gateway/jobs.rs
+++ b/crates/dandelion-daemon/src/gateway/jobs.rs
@@ -25,6 +25,7 @@
 
 use crate::core::Handle;
 use crate::gateway::answer;
+use crate::stores;
 
 /// Longest wait for one store daemon beside the wait that the reader asks for.
 const ASK_LIMIT: Duration = Duration::from_millis(900);
@@ -142,7 +143,17 @@
     };
     let ends = matches!(call, BatchCall::End { .. });
     match ask(core, call, wait).await {
-        Outcome::Replied(BatchReply::Page(page)) => answer::json(200, form::encode_page(&page)),
+        Outcome::Replied(BatchReply::Page(page)) => {
+            let charged = core.gateway.jobs_leader();
+            let page = stores::read_results(core, job, page, charged.as_ref()).await;
+            page.map_or_else(
+                || {
+                    refused(job, "texts_out_of_reach");
+                    answer::not_run(answer::COME_BACK)
+                },
+                |page| answer::json(200, form::encode_page(&page)),
+            )
+        }
         Outcome::Replied(BatchReply::Body(bytes)) => {
             let mut response = answer::status(200);
             response.set_body(bytes);
--- a/crates/dandelion-daemon/src/stores/mod.rs
+++ b/crates/dandelion-daemon/src/stores/mod.rs
@@ -14,4 +14,5 @@
 pub use runner::run_jobs;
 pub use service::answer;
 pub use texts::answer_texts;
+pub use texts::read_results;
 pub use texts::run_repair;
--- a/crates/dandelion-daemon/src/stores/partials.rs
+++ b/crates/dandelion-daemon/src/stores/partials.rs
@@ -18,6 +18,9 @@
 use crate::core::Handle;
 use crate::stores::texts;
 
+/// Daemons that may hold an unfinished output beside the one in charge: one of them is another.
+const PARTIAL_COPIES: usize = 2;
+
 /// Longest wait for another daemon to take an unfinished output.
 const KEEP_LIMIT: Duration = Duration::from_secs(1);
 
@@ -28,7 +31,7 @@
 pub fn keep(core: &Handle, job: String, partial: Partial) {
     let view = core.control.view();
     let own = &core.identity.daemon;
-    let holders = texts::holders(&view, &job, 1);
+    let holders = texts::holders(&view, &job, PARTIAL_COPIES);
     let other = holders.into_iter().find(|holder| holder != own);
     let core = core.clone();
     task::spawn(async move {
--- a/crates/dandelion-daemon/src/stores/service.rs
+++ b/crates/dandelion-daemon/src/stores/service.rs
@@ -7,11 +7,8 @@
 use dandelion_batch::table::BatchCommand;
 use dandelion_net::clock;
 use dandelion_protocol::batch::BatchCall;
-use dandelion_protocol::batch::BatchPage;
 use dandelion_protocol::batch::BatchReply;
-use dandelion_protocol::batch::BatchResult;
-use dandelion_protocol::batch::Listed;
-use dandelion_protocol::batch::TextKey;
+use dandelion_protocol::batch::ListedPage;
 use dandelion_protocol::control::ProposeError;
 use dandelion_protocol::ids::DaemonId;
 use dandelion_protocol::ids::TeamId;
@@ -106,55 +103,26 @@
     Some(found.unwrap_or(BatchReply::Unknown))
 }
 
-/// What the table says of a page.
-struct Found {
-    total: u64,
-    listed: Vec<Listed>,
-}
-
 async fn read(core: &Handle, job: &str, team: &TeamId, after: u64, wait: Millis) -> BatchReply {
     let until = clock::boot_now() + wait;
     loop {
-        let mut found = None;
         let looked = look(core, |table| {
             let stored = table.of_team(job, team)?;
-            found = Some(Found {
-                total: stored.job.items.len() as u64,
-                listed: stored.page(after).to_vec(),
-            });
-            Some(BatchReply::Done)
+            let total = stored.job.items.len() as u64;
+            let listed = stored.page(after).to_vec();
+            Some(BatchReply::Page(ListedPage {
+                total,
+                next: after.min(total) + listed.len() as u64,
+                listed,
+            }))
         });
-        let found = match (looked, found) {
-            (None, _) => return not_in_charge(core),
-            (Some(_), None) => return BatchReply::Unknown,
-            (Some(_), Some(found)) => found,
+        let Some(reply) = looked else {
+            return not_in_charge(core);
         };
-        let waits = found.listed.is_empty() && after < found.total;
+        let waits = matches!(&reply, BatchReply::Page(page) if page.listed.is_empty() && after < page.total);
         if !waits || clock::boot_now() >= until {
-            return page(core, job, after, found).await;
+            return reply;
         }
         task::sleep(WAIT_PAUSE).await;
     }
 }
-
-/// Adds the texts to what the table says of a page.
-async fn page(core: &Handle, job: &str, after: u64, found: Found) -> BatchReply {
-    let keys = found.listed.iter().filter_map(|l| texts::key_of(job, l));
-    let keys: Vec<TextKey> = keys.collect();
-    let Some(texts) = texts::collect(core, &keys).await else {
-        log::warn!("texts of batch job {job} cannot be had now");
-        return BatchReply::Unsure;
-    };
-    let next = after.min(found.total) + found.listed.len() as u64;
-    let mut texts = texts.into_iter();
-    let results = found.listed.into_iter().map(|listed| BatchResult {
-        text: listed.text.and_then(|_| texts.next()),
-        id: listed.id,
-        versions: listed.versions,
-    });
-    BatchReply::Page(BatchPage {
-        total: found.total,
-        next,
-        results: results.collect(),
-    })
-}
--- /dev/null
+++ b/crates/dandelion-daemon/src/stores/texts/fetch.rs
@@ -0,0 +1,99 @@
+//! Reads texts from the store daemons that hold them.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use dandelion_batch::holders::Wanted;
+use dandelion_batch::holders::calls;
+use dandelion_batch::holders::read_order;
+use dandelion_protocol::batch::BatchPage;
+use dandelion_protocol::batch::BatchResult;
+use dandelion_protocol::batch::ListedPage;
+use dandelion_protocol::batch::TextCall;
+use dandelion_protocol::batch::TextEntry;
+use dandelion_protocol::batch::TextKey;
+use dandelion_protocol::batch::TextReply;
+use dandelion_protocol::ids::DaemonId;
+use dandelion_protocol::mesh::CallBody;
+use dandelion_protocol::mesh::ReplyBody;
+use futures::future::join_all;
+
+use crate::core::Handle;
+use crate::stores::texts::key_of;
+
+/// Longest wait for a store daemon to give texts.
+const READ_LIMIT: Duration = Duration::from_millis(400);
+
+/// Adds the texts to what the daemon in charge says of a job's results; nothing if one cannot be
+/// had now. Holders in the reader's own zone are asked first.
+pub async fn read_results(
+    core: &Handle,
+    job: &str,
+    page: ListedPage,
+    charged: Option<&DaemonId>,
+) -> Option<BatchPage> {
+    let wanted = page.listed.iter().filter_map(|listed| {
+        Some(Wanted {
+            key: key_of(job, listed)?,
+            length: listed.text?.length,
+        })
+    });
+    let view = core.control.view();
+    let copies = core.settings.gateway.tolerate + 1;
+    let zone = &core.identity.zone;
+    let stores = read_order(view.stores(), job, copies, zone, charged);
+    let stores: Vec<DaemonId> = stores.into_iter().map(|m| m.id.clone()).collect();
+    let entries = fetch(core, wanted.collect(), &stores).await;
+    let mut texts: HashMap<TextKey, String> = entries
+        .into_iter()
+        .map(|entry| (entry.key, entry.text))
+        .collect();
+    let mut results = Vec::with_capacity(page.listed.len());
+    for listed in page.listed {
+        let text = match key_of(job, &listed) {
+            Some(key) => Some(texts.remove(&key)?),
+            None => None,
+        };
+        results.push(BatchResult {
+            id: listed.id,
+            text,
+            versions: listed.versions,
+        });
+    }
+    Some(BatchPage {
+        total: page.total,
+        results,
+        next: page.next,
+    })
+}
+
+/// Asks store daemons for texts, one after the other, until all are found.
+pub async fn fetch(core: &Handle, mut missing: Vec<Wanted>, stores: &[DaemonId]) -> Vec<TextEntry> {
+    let mut found = Vec::new();
+    for store in stores {
+        if missing.is_empty() {
+            break;
+        }
+        let asked = calls(&missing).into_iter();
+        let answers = join_all(asked.map(|keys| ask(core, store, keys))).await;
+        let entries: Vec<TextEntry> = answers.into_iter().flatten().collect();
+        missing.retain(|wanted| !entries.iter().any(|entry| entry.key == wanted.key));
+        found.extend(entries);
+    }
+    found
+}
+
+async fn ask(core: &Handle, store: &DaemonId, keys: Vec<TextKey>) -> Vec<TextEntry> {
+    let Some(mesh) = core.mesh() else {
+        return Vec::new();
+    };
+    let call = CallBody::Texts(TextCall::Read(keys));
+    match mesh.call(store, call, READ_LIMIT).await {
+        Ok(ReplyBody::Texts(TextReply::Read(entries))) => entries,
+        Ok(_) => Vec::new(),
+        Err(error) => {
+            log::debug!("texts cannot be read at {store}: {error:?}");
+            Vec::new()
+        }
+    }
+}
--- /dev/null
+++ b/crates/dandelion-daemon/src/stores/texts/mod.rs
@@ -0,0 +1,51 @@
+//! Texts of results: kept on the disks of several store daemons, read from any of them.
+
+mod fetch;
+mod repair;
+mod spread;
+mod store;
+
+use dandelion_protocol::batch::Listed;
+use dandelion_protocol::batch::TextCall;
+use dandelion_protocol::batch::TextEntry;
+use dandelion_protocol::batch::TextKey;
+use dandelion_protocol::batch::TextReply;
+
+pub use fetch::read_results;
+pub use repair::are_spread;
+pub use repair::run_repair;
+pub use spread::holders;
+pub use spread::spread;
+pub use store::Texts;
+
+use crate::core::Handle;
+use crate::stores::partials;
+
+/// Returns the name of a result's text, if it has one.
+pub fn key_of(job: &str, result: &Listed) -> Option<TextKey> {
+    Some(TextKey {
+        job: job.to_owned(),
+        item: result.id.clone(),
+        digest: result.text?.digest,
+    })
+}
+
+/// Answers a call of another store daemon.
+pub async fn answer_texts(core: &Handle, call: TextCall) -> TextReply {
+    let texts = &core.stores.texts;
+    match call {
+        TextCall::Complete => TextReply::Kept(repair::missing(core).is_empty()),
+        TextCall::KeepPartial { job, partial } => {
+            TextReply::Kept(partials::keep_here(core, job, partial).await)
+        }
+        TextCall::ReadPartials(job) => TextReply::Partials(partials::held_here(core, &job)),
+        TextCall::Keep(entries) => TextReply::Kept(texts.keep(entries).await),
+        TextCall::Read(keys) => {
+            let found = keys.into_iter().filter_map(|key| {
+                let text = texts.read(&key)?;
+                Some(TextEntry { key, text })
+            });
+            TextReply::Read(found.collect())
+        }
+    }
+}
--- /dev/null
+++ b/crates/dandelion-daemon/src/stores/texts/store.rs
@@ -0,0 +1,182 @@
+//! Texts on this daemon's disk, the newest also in memory.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::io;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::OnceLock;
+use std::thread;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use dandelion_batch::TextStore;
+use dandelion_batch::texts::Written;
+use dandelion_protocol::batch::TextEntry;
+use dandelion_protocol::batch::TextKey;
+use dandelion_telemetry::Event;
+use dandelion_telemetry::event;
+use futures::channel::oneshot;
+
+/// Writes that may wait for the disk.
+const QUEUE: usize = 1_024;
+
+/// Writes that are made durable by one sync.
+const BATCH: usize = 256;
+
+/// Bytes of texts held in memory for readers that follow closely.
+const CACHE_BYTES: usize = 6 * 1024 * 1024;
+
+struct Write {
+    entries: Vec<TextEntry>,
+    done: oneshot::Sender<bool>,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Cache {
+    texts: HashMap<TextKey, Arc<str>>,
+    order: VecDeque<TextKey>,
+    bytes: usize,
+}
+
+impl Cache {
+    pub(super) fn put(&mut self, entry: &TextEntry) {
+        let text: Arc<str> = entry.text.as_str().into();
+        self.bytes += text.len();
+        if let Some(former) = self.texts.insert(entry.key.clone(), text) {
+            self.bytes -= former.len();
+            return;
+        }
+        self.order.push_back(entry.key.clone());
+        while self.bytes > CACHE_BYTES {
+            let Some(oldest) = self.order.pop_front() else {
+                return;
+            };
+            if let Some(text) = self.texts.remove(&oldest) {
+                self.bytes -= text.len();
+            }
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Disk {
+    store: Arc<Mutex<TextStore>>,
+    writes: Sender<Write>,
+}
+
+/// Texts as one daemon sees them; on a daemon without a store folder it stays empty.
+#[derive(Debug, Default)]
+pub struct Texts {
+    disk: OnceLock<Disk>,
+    cache: Mutex<Cache>,
+    /// Positions of each job up to which no text is missing here.
+    pub(super) checked: Mutex<BTreeMap<String, usize>>,
+}
+
+fn lock(store: &Mutex<TextStore>) -> MutexGuard<'_, TextStore> {
+    store.lock().expect("no holder of this lock panics")
+}
+
+impl Texts {
+    /// Opens the folder and starts the thread that writes to it.
+    pub fn open(&self, folder: &Path) -> io::Result<()> {
+        let store = Arc::new(Mutex::new(TextStore::open(folder)?));
+        let (writes, queue) = async_channel::bounded(QUEUE);
+        let written = Arc::clone(&store);
+        thread::spawn(move || write_all(&written, &queue));
+        let _first = self.disk.set(Disk { store, writes });
+        Ok(())
+    }
+
+    pub(super) fn cache(&self) -> MutexGuard<'_, Cache> {
+        self.cache.lock().expect("no holder of this lock panics")
+    }
+
+    /// Keeps texts on this daemon's disk and returns whether they are durable.
+    pub async fn keep(&self, entries: Vec<TextEntry>) -> bool {
+        let Some(disk) = self.disk.get() else {
+            return false;
+        };
+        let (done, kept) = oneshot::channel();
+        if disk.writes.send(Write { entries, done }).await.is_err() {
+            return false;
+        }
+        kept.await.unwrap_or(false)
+    }
+
+    pub(super) fn has(&self, key: &TextKey) -> bool {
+        let disk = self.disk.get();
+        disk.is_some_and(|disk| lock(&disk.store).has(key))
+    }
+
+    /// Reads a text from memory or from this daemon's disk.
+    pub fn read(&self, key: &TextKey) -> Option<String> {
+        if let Some(text) = self.cache().texts.get(key) {
+            return Some(text.to_string());
+        }
+        let disk = self.disk.get()?;
+        let read = lock(&disk.store).read(key);
+        read.unwrap_or_else(|error| {
+            event!(Event::StorageFailed, error = error);
+            None
+        })
+    }
+
+    /// Returns the names of a job's texts on this daemon's disk, by item and digest.
+    pub fn keys_of(&self, job: &str) -> Vec<TextKey> {
+        let disk = self.disk.get();
+        disk.map_or_else(Vec::new, |disk| {
+            lock(&disk.store).of_job(job).cloned().collect()
+        })
+    }
+
+    /// Forgets the texts of a job.
+    pub fn forget(&self, job: &str) {
+        if let Some(disk) = self.disk.get()
+            && let Err(error) = lock(&disk.store).forget(job)
+        {
+            event!(Event::StorageFailed, error = error);
+        }
+    }
+}
+
+/// Writes what is queued, many writes with one sync, until the process ends.
+fn write_all(store: &Mutex<TextStore>, queue: &Receiver<Write>) {
+    while let Ok(first) = queue.recv_blocking() {
+        let mut batch = vec![first];
+        while batch.len() < BATCH {
+            match queue.try_recv() {
+                Ok(write) => batch.push(write),
+                Err(_) => break,
+            }
+        }
+        let kept = write_batch(store, &batch).inspect_err(|error| {
+            event!(Event::StorageFailed, error = error);
+        });
+        for write in batch {
+            // The one who asked may have given up.
+            let _gone = write.done.send(kept.is_ok());
+        }
+    }
+}
+
+fn write_batch(store: &Mutex<TextStore>, batch: &[Write]) -> io::Result<()> {
+    let written: io::Result<Vec<Written>> = {
+        let mut store = lock(store);
+        let entries = batch.iter().map(|write| store.write(&write.entries));
+        entries.collect()
+    };
+    let written = written?;
+    for records in &written {
+        records.sync()?;
+    }
+    let mut store = lock(store);
+    for records in written {
+        store.commit(records);
+    }
+    Ok(())
+}
--- a/crates/dandelion-protocol/src/batch.rs
+++ b/crates/dandelion-protocol/src/batch.rs
@@ -60,7 +60,7 @@
 }
 
 /// Result of one item.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BatchResult {
     /// Item.
     pub id: String,
@@ -156,8 +156,20 @@
     Partials(Vec<Partial>),
 }
 
-/// Results from a position on.
+/// What the daemon in charge says of the results from a position on; their texts are read from the
+/// daemons that hold them.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListedPage {
+    /// Items of the job.
+    pub total: u64,
+    /// Results at consecutive positions.
+    pub listed: Vec<Listed>,
+    /// Position after the last of them.
+    pub next: u64,
+}
+
+/// Results from a position on, with their texts.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BatchPage {
     /// Items of the job.
     pub total: u64,
@@ -211,7 +223,7 @@
     /// Kept or ended, and on the disks that it needs.
     Done,
     /// Results.
-    Page(BatchPage),
+    Page(ListedPage),
     /// Body of an item.
     Body(#[serde(with = "serde_bytes")] Vec<u8>),
     /// Not yet; ask again.
