--- /dev/null
+++ b/crates/dandelion-daemon/src/stores/runner/adopt.rs
@@ -0,0 +1,125 @@
+//! Takes jobs of the table over, and lets those go that were kept for long enough.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use async_std::task;
+use dandelion_batch::BatchTable;
+use dandelion_batch::scheduler::Event;
+use dandelion_batch::table::BatchCommand;
+use dandelion_net::clock;
+use dandelion_protocol::batch::Partial;
+use dandelion_protocol::time::Millis;
+use dandelion_telemetry::Event as LogEvent;
+use dandelion_telemetry::event;
+use futures::future::join_all;
+
+use crate::stores::partials;
+use crate::stores::run::Output;
+use crate::stores::runner::Open;
+use crate::stores::runner::Runner;
+
+/// Time for which a job is kept after this daemon first saw it.
+const RETENTION: Millis = Millis(150_000);
+
+impl Runner {
+    /// Takes over every open job of the table.
+    pub(super) async fn adopt(&mut self) {
+        let replica = self.core.stores.replica();
+        let ids = replica.and_then(|r| {
+            r.read::<BatchTable, _, _>(|table| {
+                let open = table.jobs().iter().filter(|(_, stored)| !stored.ended);
+                open.map(|(id, _)| id.clone()).collect::<Vec<_>>()
+            })
+        });
+        let ids = ids.unwrap_or_default();
+        let collected = ids.iter().map(|id| partials::collect(&self.core, id));
+        let collected = join_all(collected).await;
+        for (id, partials) in ids.iter().zip(collected) {
+            self.adopt_job(id, partials);
+        }
+    }
+
+    /// Takes over a job of the table, unless it is ended.
+    pub(super) fn adopt_job(&mut self, id: &str, mut partials: BTreeMap<String, Partial>) {
+        if self.open.contains_key(id) {
+            return;
+        }
+        let replica = self.core.stores.replica();
+        let found = replica.and_then(|r| {
+            r.look::<BatchTable, _, _>(|table| {
+                let stored = table.jobs().get(id).filter(|stored| !stored.ended)?;
+                let items = 0..stored.job.items.len();
+                let open: Vec<bool> = items.map(|item| stored.is_open(item)).collect();
+                Some((stored.job.clone(), open))
+            })
+        });
+        let Some(found) = found else {
+            // The disk of the replica is stalled.
+            self.put_off.push(id.to_owned());
+            return;
+        };
+        let Some((job, open)) = found else {
+            return;
+        };
+        let job = Arc::new(job);
+        let service = self.service_of(&job);
+        let items = job.items.iter().enumerate();
+        let partial = items.filter_map(|(at, item)| {
+            let partial = partials.remove(&item.id).filter(|_| job.resumable)?;
+            Some((at, Output::from_partial(partial)))
+        });
+        let partial: HashMap<usize, Output> = partial.collect();
+        self.open.insert(
+            id.to_owned(),
+            Open {
+                job: Arc::clone(&job),
+                since: clock::boot_now(),
+                partial,
+            },
+        );
+        event!(
+            LogEvent::JobOpened,
+            job = id,
+            items = job.items.len(),
+            open = open.iter().filter(|open| **open).count(),
+            wanted = job.wanted,
+            min_version = job.min_version,
+            term = self.term
+        );
+        self.handle(Event::Opened {
+            job: &job,
+            open,
+            service,
+        });
+    }
+
+    /// Forgets jobs that were kept for long enough.
+    pub(super) fn expire(&mut self) {
+        let now = clock::boot_now();
+        let replica = self.core.stores.replica();
+        let due: Vec<String> = replica
+            .and_then(|r| {
+                r.look::<BatchTable, _, _>(|table| {
+                    let seen = &mut self.seen;
+                    let ids = table.jobs().keys();
+                    let old = ids.filter(|id| {
+                        let first = seen.entry((*id).clone()).or_insert(now);
+                        *first + RETENTION < now
+                    });
+                    old.cloned().collect()
+                })
+            })
+            .unwrap_or_default();
+        for job in due {
+            self.seen.remove(&job);
+            let core = self.core.clone();
+            task::spawn(async move {
+                if let Err(error) = core.stores.change(&BatchCommand::Forget { job }).await {
+                    log::debug!("a batch job is not forgotten yet: {error}");
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/dandelion-daemon/src/stores/runner/view.rs
@@ -0,0 +1,68 @@
+//! Tells the scheduler what the replicated state of the cell says.
+
+use std::sync::Arc;
+
+use dandelion_batch::scheduler::Event;
+use dandelion_protocol::batch::BatchJob;
+use dandelion_protocol::ids::ServiceId;
+use dandelion_protocol::lives::UpstreamLife;
+use dandelion_protocol::plan::RoutePlan;
+
+use crate::control::View;
+use crate::stores::runner::Runner;
+
+impl Runner {
+    pub(super) fn service_of(&self, job: &BatchJob) -> Option<ServiceId> {
+        service_of(self.view.plan.as_deref()?, job)
+    }
+
+    /// Tells the scheduler what has changed in the replicated state of the cell.
+    pub(super) fn refresh(&mut self) {
+        let view = self.core.control.view();
+        if view.revision == self.view.revision {
+            return;
+        }
+        let former = std::mem::replace(&mut self.view, view);
+        let view = Arc::clone(&self.view);
+        let planned = version_of(&former) != version_of(&view);
+        if planned || !Arc::ptr_eq(&former.lives, &view.lives) {
+            let engines = engines(&view);
+            self.handle(Event::Engines(&engines));
+        }
+        if planned {
+            let routed = self.open.iter();
+            let routed: Vec<(String, Option<ServiceId>)> = routed
+                .map(|(id, open)| (id.clone(), self.service_of(&open.job)))
+                .collect();
+            for (job, service) in routed {
+                self.handle(Event::Routed { job: &job, service });
+            }
+        }
+        for (model, version) in view.versions.iter() {
+            let version = *version;
+            self.handle(Event::Named { model, version });
+        }
+    }
+}
+
+fn version_of(view: &View) -> Option<u64> {
+    view.plan.as_ref().map(|plan| plan.version)
+}
+
+/// Returns the service that takes most of a job's route.
+fn service_of(plan: &RoutePlan, job: &BatchJob) -> Option<ServiceId> {
+    let route = plan.route(&job.host, &job.path)?;
+    let shares = route.shares.iter().filter(|s| s.weight > 0);
+    shares.max_by_key(|s| s.weight).map(|s| s.service.clone())
+}
+
+/// Returns the engines with the tokens that each holds in memory.
+fn engines(view: &View) -> Vec<(UpstreamLife, Option<u64>)> {
+    let memory = |life: &UpstreamLife| {
+        let service = view.plan.as_ref().and_then(|p| p.service(&life.service));
+        service.and_then(|s| s.memory)
+    };
+    let lives = view.lives.iter();
+    let engines = lives.filter_map(|life| Some((life.clone(), Some(memory(life)?))));
+    engines.collect()
+}
