--- a/crates/dandelion-daemon/src/stores/runner/results.rs
+++ b/crates/dandelion-daemon/src/stores/runner/results.rs
@@ -29,6 +29,7 @@
 const SPREAD_PAUSE: Duration = Duration::from_millis(50);
 
 impl Runner {
+    /// Takes the end of a run in.
     pub(super) fn end_run(&mut self, run: RunId, ended: Ended) {
         if let Some(under) = self.runs.remove(&run) {
             self.keep_output(&under, &ended, run);
@@ -39,6 +40,7 @@
         });
     }
 
+    /// Keeps what a run made: a whole output is listed, a broken one is gone on from.
     pub(super) fn keep_output(&mut self, under: &Under, ended: &Ended, run: RunId) {
         let Some(open) = self.open.get_mut(&under.job) else {
             return;
@@ -108,6 +110,7 @@
         });
     }
 
+    /// Lists an item as given up.
     pub(super) fn give_up(&self, job: &str, item: usize) {
         let Some(open) = self.open.get(job) else {
             return;
--- a/crates/dandelion-daemon/src/stores/runner/start.rs
+++ b/crates/dandelion-daemon/src/stores/runner/start.rs
@@ -64,6 +64,7 @@
 }
 
 impl Runner {
+    /// Starts a run of an item, from where its last one broke off.
     pub(super) fn start(&mut self, run: RunId, job: String, item: usize, engine: UpstreamLife) {
         let Some(open) = self.open.get_mut(&job) else {
             return;
@@ -104,6 +105,7 @@
         self.runs.insert(run, under);
     }
 
+    /// Orders an engine to load a version.
     pub(super) fn order(&self, load: Load) {
         let core = self.core.clone();
         let notes = self.notes.clone();
--- a/crates/dandelion-daemon/src/stores/runner/view.rs
+++ b/crates/dandelion-daemon/src/stores/runner/view.rs
@@ -12,6 +12,7 @@
 use crate::stores::runner::Runner;
 
 impl Runner {
+    /// Returns the service that takes most of a job's route now.
     pub(super) fn service_of(&self, job: &BatchJob) -> Option<ServiceId> {
         service_of(self.view.plan.as_deref()?, job)
     }
