A stalled disk never counts as holding a text

Since readers give up on a stalled disk, a text whose disk did not tell counted as held: it was passed over by all later looks for missing texts, and a store that was asked while stalled said that it held everything, upon which another one that was being emptied could have gone with the last copy but one. Ending a job also waited for the disk in the task that drives all runs.

Now a look that the disk does not answer tells nothing: texts are looked for later, a store is not complete until it is certain. Texts are forgotten by the thread that writes. Jobs taken over late keep their unfinished outputs. Stand-ins for slow disks are bounded by the number of copies; failed ones are still replaced.

Test silent_disk fails with the former reading (an unsure disk taken as holding) and passes now; lacking_texts beside it.

--- a/crates/dandelion-batch/src/holders.rs
+++ b/crates/dandelion-batch/src/holders.rs
@@ -4,6 +4,7 @@
 //! is on the disks of as many zones as must outlive a loss, and is read in the reader's own zone
 //! where one of them is there.
 
+use dandelion_protocol::batch::Listed;
 use dandelion_protocol::batch::TextKey;
 use dandelion_protocol::config::Member;
 use dandelion_protocol::ids::DaemonId;
@@ -79,3 +80,50 @@
     }
     calls
 }
+
+/// Returns the name of a result's text, if it has one.
+pub fn key_of(job: &str, result: &Listed) -> Option<TextKey> {
+    Some(TextKey {
+        job: job.to_owned(),
+        item: result.id.clone(),
+        digest: result.text?.digest,
+    })
+}
+
+/// What a disk holds of the texts that it should hold.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Survey {
+    /// Position up to which no text is missing.
+    pub held: usize,
+    /// Texts that are missing, as far as was looked.
+    pub lacking: Vec<Wanted>,
+}
+
+/// Looks for a job's texts on a disk, from a position on and until `most` bytes are missing. Nothing
+/// if the disk does not tell of one: a text counts as held only if the disk says so.
+pub fn survey<H>(job: &str, results: &[Listed], from: usize, most: u64, holds: H) -> Option<Survey>
+where
+    H: Fn(&TextKey) -> Option<bool>,
+{
+    let mut survey = Survey {
+        held: from,
+        lacking: Vec::new(),
+    };
+    let mut bytes = 0;
+    for (at, result) in results.iter().enumerate().skip(from) {
+        if let Some(key) = key_of(job, result)
+            && !holds(&key)?
+        {
+            let length = result.text.map_or(0, |text| text.length);
+            survey.lacking.push(Wanted { key, length });
+            bytes += length;
+        }
+        if survey.lacking.is_empty() {
+            survey.held = at + 1;
+        }
+        if bytes >= most {
+            break;
+        }
+    }
+    Some(survey)
+}
--- a/crates/dandelion-batch/tests/holders.rs
+++ b/crates/dandelion-batch/tests/holders.rs
@@ -4,7 +4,10 @@
 use dandelion_batch::holders::calls;
 use dandelion_batch::holders::rank;
 use dandelion_batch::holders::read_order;
+use dandelion_batch::holders::survey;
+use dandelion_protocol::batch::Listed;
 use dandelion_protocol::batch::TextKey;
+use dandelion_protocol::batch::TextRef;
 use dandelion_protocol::config::Member;
 use dandelion_protocol::config::Role;
 use dandelion_protocol::ids::Incarnation;
@@ -105,3 +108,37 @@
     assert_eq!(counts, [1, 1, 2]);
     assert!(calls(&[]).is_empty());
 }
+
+fn listed(count: u64) -> Vec<Listed> {
+    let results = (0..count).map(|n| Listed {
+        id: n.to_string(),
+        text: Some(TextRef {
+            length: 100,
+            digest: n,
+        }),
+        versions: vec![1],
+    });
+    results.collect()
+}
+
+#[test]
+fn lacking_texts() {
+    let results = listed(6);
+    let holds = |key: &TextKey| Some(key.digest != 2 && key.digest != 4);
+    let found = survey("j", &results, 1, 1_000, holds).unwrap();
+    assert_eq!(found.held, 2);
+    let items: Vec<&str> = found.lacking.iter().map(|w| w.key.item.as_str()).collect();
+    assert_eq!(items, ["2", "4"]);
+    let first = survey("j", &results, 1, 100, holds).unwrap();
+    assert_eq!(first.lacking.len(), 1);
+}
+
+/// A disk that does not tell holds nothing for certain: a store that is emptied must not go, and a
+/// text must not be passed over by later looks.
+#[test]
+fn silent_disk() {
+    let results = listed(3);
+    let holds = |key: &TextKey| (key.digest != 1).then_some(true);
+    assert_eq!(survey("j", &results, 0, 1_000, holds), None);
+    assert_eq!(survey("j", &results, 2, 1_000, holds).unwrap().held, 3);
+}
--- a/crates/dandelion-daemon/src/stores/runner/adopt.rs
+++ b/crates/dandelion-daemon/src/stores/runner/adopt.rs
@@ -57,7 +57,7 @@
         });
         let Some(found) = found else {
             // The disk of the replica is stalled.
-            self.put_off.push(id.to_owned());
+            self.put_off.insert(id.to_owned(), partials);
             return;
         };
         let Some((job, open)) = found else {
--- a/crates/dandelion-daemon/src/stores/runner/mod.rs
+++ b/crates/dandelion-daemon/src/stores/runner/mod.rs
@@ -26,6 +26,7 @@
 use dandelion_batch::scheduler::Speed;
 use dandelion_net::clock;
 use dandelion_protocol::batch::BatchJob;
+use dandelion_protocol::batch::Partial;
 use dandelion_protocol::config::Role;
 use dandelion_protocol::ids::Term;
 use dandelion_protocol::ids::UpstreamId;
@@ -91,8 +92,8 @@
     open: BTreeMap<String, Open>,
     runs: BTreeMap<RunId, Under>,
     seen: BTreeMap<String, Millis>,
-    /// Jobs that are to be taken over once the table can be read.
-    put_off: Vec<String>,
+    /// Jobs that are to be taken over once the table can be read, with unfinished outputs by item.
+    put_off: BTreeMap<String, BTreeMap<String, Partial>>,
     view: Arc<View>,
     notes: Sender<Note>,
     told: Millis,
@@ -131,7 +132,7 @@
             open: BTreeMap::new(),
             runs: BTreeMap::new(),
             seen: BTreeMap::new(),
-            put_off: Vec::new(),
+            put_off: BTreeMap::new(),
             view: Arc::default(),
             notes,
             told: Millis::ZERO,
@@ -166,8 +167,8 @@
                 self.handle(Event::Tick);
             }
         }
-        for job in std::mem::take(&mut self.put_off) {
-            self.adopt_job(&job, BTreeMap::new());
+        for (job, partials) in std::mem::take(&mut self.put_off) {
+            self.adopt_job(&job, partials);
         }
         while let Ok(note) = notes.try_recv() {
             self.take_note(note);
--- a/crates/dandelion-daemon/src/stores/texts/fetch.rs
+++ b/crates/dandelion-daemon/src/stores/texts/fetch.rs
@@ -5,6 +5,7 @@
 
 use dandelion_batch::holders::Wanted;
 use dandelion_batch::holders::calls;
+use dandelion_batch::holders::key_of;
 use dandelion_batch::holders::read_order;
 use dandelion_protocol::batch::BatchPage;
 use dandelion_protocol::batch::BatchResult;
@@ -19,7 +20,6 @@
 use futures::future::join_all;
 
 use crate::core::Handle;
-use crate::stores::texts::key_of;
 
 /// Longest wait for a store daemon to give texts.
 const READ_LIMIT: Duration = Duration::from_millis(400);
--- a/crates/dandelion-daemon/src/stores/texts/mod.rs
+++ b/crates/dandelion-daemon/src/stores/texts/mod.rs
@@ -5,10 +5,8 @@
 mod spread;
 mod store;
 
-use dandelion_protocol::batch::Listed;
 use dandelion_protocol::batch::TextCall;
 use dandelion_protocol::batch::TextEntry;
-use dandelion_protocol::batch::TextKey;
 use dandelion_protocol::batch::TextReply;
 
 pub use fetch::read_results;
@@ -21,20 +19,11 @@
 use crate::core::Handle;
 use crate::stores::partials;
 
-/// Returns the name of a result's text, if it has one.
-pub fn key_of(job: &str, result: &Listed) -> Option<TextKey> {
-    Some(TextKey {
-        job: job.to_owned(),
-        item: result.id.clone(),
-        digest: result.text?.digest,
-    })
-}
-
 /// Answers a call of another store daemon.
 pub async fn answer_texts(core: &Handle, call: TextCall) -> TextReply {
     let texts = &core.stores.texts;
     match call {
-        TextCall::Complete => TextReply::Kept(repair::missing(core).is_empty()),
+        TextCall::Complete => TextReply::Kept(repair::is_complete(core)),
         TextCall::KeepPartial { job, partial } => {
             TextReply::Kept(partials::keep_here(core, job, partial).await)
         }
--- a/crates/dandelion-daemon/src/stores/texts/repair.rs
+++ b/crates/dandelion-daemon/src/stores/texts/repair.rs
@@ -5,6 +5,7 @@
 use async_std::task;
 use dandelion_batch::BatchTable;
 use dandelion_batch::holders::Wanted;
+use dandelion_batch::holders::survey;
 use dandelion_protocol::batch::TextCall;
 use dandelion_protocol::batch::TextReply;
 use dandelion_protocol::config::Role;
@@ -14,7 +15,6 @@
 
 use crate::core::Handle;
 use crate::stores::texts::fetch::fetch;
-use crate::stores::texts::key_of;
 use crate::stores::texts::spread::holders;
 
 /// Longest wait for another daemon to say whether it holds all that it should.
@@ -39,7 +39,12 @@
             return false;
         }
     }
-    missing(core).is_empty()
+    is_complete(core)
+}
+
+/// Returns whether this daemon certainly holds all texts that it should.
+pub(super) fn is_complete(core: &Handle) -> bool {
+    missing(core).is_some_and(|missing| missing.is_empty())
 }
 
 /// Fetches texts that should be here and are not, and forgets those of jobs that are gone, until
@@ -48,11 +53,7 @@
     loop {
         task::sleep(REPAIR_PERIOD).await;
         forget_gone(&core);
-        loop {
-            let missing = missing(&core);
-            if missing.is_empty() {
-                break;
-            }
+        while let Some(missing) = missing(&core).filter(|missing| !missing.is_empty()) {
             let wanted = missing.len();
             let view = core.control.view();
             let stores = view.members.iter().filter(|m| m.role == Role::Store);
@@ -67,41 +68,41 @@
     }
 }
 
-/// Returns listed texts that this daemon should hold and lacks, as many as are asked for at once.
-pub(super) fn missing(core: &Handle) -> Vec<Wanted> {
+/// Returns listed texts that this daemon should hold and lacks, as many as are asked for at once;
+/// nothing while a stalled disk does not tell.
+fn missing(core: &Handle) -> Option<Vec<Wanted>> {
+    let Some(replica) = core.stores.replica() else {
+        // It does not belong to the group yet and should hold nothing.
+        return Some(Vec::new());
+    };
     let copies = core.settings.gateway.tolerate + 1;
     let view = core.control.view();
     let texts = &core.stores.texts;
     let own = &core.identity.daemon;
     let mut checked = texts.checked.lock().expect("no holder panics");
-    let mut missing = Vec::new();
-    let mut bytes = 0;
-    let replica = core.stores.replica();
-    replica.and_then(|r| {
-        r.look::<BatchTable, _, _>(|table| {
-            for (job, stored) in table.jobs() {
-                let from = checked.get(job).copied().unwrap_or(0);
-                if from >= stored.results.len() || !holders(&view, job, copies).contains(own) {
-                    continue;
-                }
-                let mut whole = true;
-                for (at, result) in stored.results.iter().enumerate().skip(from) {
-                    let key = key_of(job, result);
-                    let lacks = key.filter(|key| texts.lacks(key));
-                    whole &= lacks.is_none();
-                    if whole {
-                        checked.insert(job.clone(), at + 1);
-                    }
-                    let length = result.text.map_or(0, |text| text.length);
-                    missing.extend(lacks.map(|key| Wanted { key, length }));
-                    bytes += length;
-                    if !whole && bytes >= REPAIR_BYTES {
-                        return;
-                    }
-                }
+    let looked = replica.look::<BatchTable, _, _>(|table| {
+        let mut missing = Vec::new();
+        let mut left = REPAIR_BYTES;
+        for (job, stored) in table.jobs() {
+            let from = checked.get(job).copied().unwrap_or(0);
+            let whole = from >= stored.results.len();
+            if whole || left == 0 || !holders(&view, job, copies).contains(own) {
+                continue;
             }
-        })
+            let survey = survey(job, &stored.results, from, left, |key| texts.holds(key))?;
+            if survey.held > from {
+                checked.insert(job.clone(), survey.held);
+            }
+            let bytes: u64 = survey.lacking.iter().map(|w| w.length).sum();
+            left = left.saturating_sub(bytes);
+            missing.extend(survey.lacking);
+        }
+        Some(missing)
     });
+    let missing = looked.flatten();
+    if missing.is_none() {
+        log::warn!("a disk of this daemon is stalled; its texts are looked for later");
+    }
     missing
 }
 
--- a/crates/dandelion-daemon/src/stores/texts/spread.rs
+++ b/crates/dandelion-daemon/src/stores/texts/spread.rs
@@ -31,8 +31,9 @@
     ranked.map(|m| m.id.clone()).collect()
 }
 
-/// Keeps a text on as many disks as must outlive a loss; returns whether they all have it. A disk
-/// that fails or is slow is made good by the next one in rank.
+/// Keeps a text on as many disks as must outlive a loss; returns whether they all have it. The next
+/// one in rank stands in for a disk that fails, and for at most as many slow ones as copies are
+/// needed: where all are slow, more writes make none faster.
 pub async fn spread(core: &Handle, entry: TextEntry) -> bool {
     let copies = core.settings.gateway.tolerate + 1;
     let view = core.control.view();
@@ -49,14 +50,22 @@
             .map(|holder| keep_at(core.clone(), holder, entry.clone()))
             .collect();
         let mut kept = 0;
+        let mut hedges = copies;
         while kept < copies {
-            let written = match timeout(HEDGE_AFTER, writes.next()).await {
-                Ok(Some(written)) => written,
+            let stands_in = match timeout(HEDGE_AFTER, writes.next()).await {
+                Ok(Some(true)) => {
+                    kept += 1;
+                    false
+                }
                 Ok(None) if next.len() == 0 => return,
-                Ok(None) | Err(_) => false,
+                Ok(Some(false) | None) => true,
+                Err(_slow) if hedges == 0 => false,
+                Err(_slow) => {
+                    hedges -= 1;
+                    true
+                }
             };
-            kept += usize::from(written);
-            if !written && let Some(holder) = next.next() {
+            if stands_in && let Some(holder) = next.next() {
                 writes.push(keep_at(core.clone(), holder, entry.clone()));
             }
         }
--- a/crates/dandelion-daemon/src/stores/texts/store.rs
+++ b/crates/dandelion-daemon/src/stores/texts/store.rs
@@ -31,6 +31,13 @@
 /// Bytes of texts held in memory for readers that follow closely.
 const CACHE_BYTES: usize = 6 * 1024 * 1024;
 
+/// What the writing thread does.
+enum Work {
+    Write(Write),
+    /// Forget the texts of a job.
+    Forget(String),
+}
+
 struct Write {
     entries: Vec<TextEntry>,
     done: oneshot::Sender<bool>,
@@ -66,7 +73,7 @@
 #[derive(Debug)]
 struct Disk {
     store: Arc<PatientLock<TextStore>>,
-    writes: Sender<Write>,
+    work: Sender<Work>,
 }
 
 /// Texts as one daemon sees them; on a daemon without a store folder it stays empty.
@@ -82,10 +89,10 @@
     /// Opens the folder and starts the thread that writes to it.
     pub fn open(&self, folder: &Path) -> io::Result<()> {
         let store = Arc::new(PatientLock::new(TextStore::open(folder)?));
-        let (writes, queue) = async_channel::bounded(QUEUE);
+        let (work, queue) = async_channel::bounded(QUEUE);
         let written = Arc::clone(&store);
-        thread::spawn(move || write_all(&written, &queue));
-        let _first = self.disk.set(Disk { store, writes });
+        thread::spawn(move || work_all(&written, &queue));
+        let _first = self.disk.set(Disk { store, work });
         Ok(())
     }
 
@@ -99,17 +106,21 @@
             return false;
         };
         let (done, kept) = oneshot::channel();
-        if disk.writes.send(Write { entries, done }).await.is_err() {
+        if disk
+            .work
+            .send(Work::Write(Write { entries, done }))
+            .await
+            .is_err()
+        {
             return false;
         }
         kept.await.unwrap_or(false)
     }
 
-    /// Returns whether a text is missing on this daemon's disk; one that is stalled does not tell.
-    pub(super) fn lacks(&self, key: &TextKey) -> bool {
-        let disk = self.disk.get();
-        let has = disk.and_then(|disk| disk.store.look(|store| store.has(key)));
-        has == Some(false)
+    /// Returns whether this daemon's disk holds a text; one that is stalled does not tell.
+    pub(super) fn holds(&self, key: &TextKey) -> Option<bool> {
+        let disk = self.disk.get()?;
+        disk.store.look(|store| store.has(key))
     }
 
     /// Reads a text from memory or from this daemon's disk.
@@ -130,28 +141,36 @@
         let of_job = |store: &TextStore| store.of_job(job).cloned().collect();
         let disk = self.disk.get();
         disk.and_then(|disk| disk.store.look(of_job))
-            .unwrap_or_default()
+            .unwrap_or_else(|| {
+                log::warn!("the disk is stalled; what it holds of batch job {job} is not used");
+                Vec::new()
+            })
     }
 
-    /// Forgets the texts of a job.
+    /// Has the texts of a job forgotten, without waiting for the disk. One that finds the queue full
+    /// is made good once the job is gone from the table.
     pub fn forget(&self, job: &str) {
         if let Some(disk) = self.disk.get()
-            && let Err(error) = disk.store.hold().forget(job)
+            && disk.work.try_send(Work::Forget(job.to_owned())).is_err()
         {
-            event!(Event::StorageFailed, error = error);
+            log::warn!("the queue of writes is full; texts of batch job {job} are forgotten later");
         }
     }
 }
 
-/// Writes what is queued, many writes with one sync, until the process ends.
-fn write_all(store: &PatientLock<TextStore>, queue: &Receiver<Write>) {
+/// Does what is queued, many writes with one sync, until the process ends.
+fn work_all(store: &PatientLock<TextStore>, queue: &Receiver<Work>) {
     while let Ok(first) = queue.recv_blocking() {
-        let mut batch = vec![first];
-        while batch.len() < BATCH {
-            match queue.try_recv() {
-                Ok(write) => batch.push(write),
-                Err(_) => break,
+        let mut next = Some(first);
+        let mut batch = Vec::new();
+        let mut gone = Vec::new();
+        while let Some(work) = next {
+            match work {
+                Work::Write(write) => batch.push(write),
+                Work::Forget(job) => gone.push(job),
             }
+            let full = batch.len() + gone.len() >= BATCH;
+            next = (!full).then(|| queue.try_recv().ok()).flatten();
         }
         let kept = write_batch(store, &batch).inspect_err(|error| {
             event!(Event::StorageFailed, error = error);
@@ -160,6 +179,11 @@
             // The one who asked may have given up.
             let _gone = write.done.send(kept.is_ok());
         }
+        for job in gone {
+            if let Err(error) = store.hold().forget(&job) {
+                event!(Event::StorageFailed, error = error);
+            }
+        }
     }
 }
 
