Log runs that were interrupted, with the content's fingerprint

Event 915 run_interrupted names the fingerprint, the upstream's incarnation, the cause and whether the upstream still accepts connections. No decision changes.

--- a/crates/dandelion-daemon/src/gateway/forward.rs
+++ b/crates/dandelion-daemon/src/gateway/forward.rs
@@ -6,6 +6,7 @@
 use dandelion_net::clock;
 use dandelion_net::http::body;
 use dandelion_net::http::client;
+use dandelion_net::http::client::Cause;
 use dandelion_net::http::client::Exchange;
 use dandelion_net::http::client::SendError;
 use dandelion_net::http::client::SendOptions;
@@ -13,6 +14,7 @@
 use dandelion_platform::headers;
 use dandelion_platform::headers::CallerHeaders;
 use dandelion_platform::headers::Forwarding;
+use dandelion_protocol::ids::ServiceId;
 use dandelion_protocol::ids::TeamId;
 use dandelion_protocol::ids::UpstreamId;
 use dandelion_protocol::incarnations::UpstreamIncarnation;
@@ -23,6 +25,7 @@
 use dandelion_protocol::usage::Class;
 use dandelion_protocol::usage::Counts;
 use dandelion_route::pick::Ending;
+use dandelion_route::ticket::Fingerprint;
 use dandelion_telemetry::Event;
 use dandelion_telemetry::event;
 use http_types::Body;
@@ -200,7 +203,7 @@
             }
             Err(SendError::Unknown(cause)) => {
                 in_flight.ending = Ending::Failed;
-                log::debug!("request {} at {}: {cause}", self.id, upstream.id);
+                self.log_interruption(upstream, &cause).await;
                 return Attempt::Failed(None);
             }
         };
@@ -250,7 +253,8 @@
             Ok(body) => body,
             Err(error) => {
                 in_flight.ending = Ending::Failed;
-                log::debug!("request {} at {}: {error}", self.id, in_flight.upstream.id);
+                let upstream = in_flight.upstream;
+                self.log_interruption(upstream, error.cause()).await;
                 return Attempt::Failed(None);
             }
         };
@@ -279,6 +283,26 @@
         Attempt::Answer(response)
     }
 
+    /// Logs a run without a complete answer, and whether the upstream still accepts connections.
+    async fn log_interruption(&self, upstream: &UpstreamIncarnation, cause: &Cause) {
+        let accepts = self.core.gateway.client.accepts(upstream.address).await;
+        event!(
+            Event::RunInterrupted,
+            request = self.id,
+            route = self.route.name,
+            upstream = upstream.id,
+            born = upstream.born.0,
+            fingerprint = format!("{:016x}", self.fingerprint(&upstream.service).0),
+            accepts = accepts,
+            reason = cause
+        );
+    }
+
+    /// Returns the fingerprint of the content, which is the same for all copies of the request.
+    fn fingerprint(&self, service: &ServiceId) -> Fingerprint {
+        Fingerprint::of(self.team, service, &self.method, &self.target, &self.body)
+    }
+
     /// Relays a stream as it arrives. If it is interrupted, the connection to the caller is reset.
     fn stream(mut exchange: Exchange, in_flight: &mut InFlight<'_>) -> Attempt {
         in_flight.ending = Ending::Answered(Millis(in_flight.started.elapsed().as_millis() as u64));
--- a/crates/dandelion-load/src/scenarios/quarantine.rs
+++ b/crates/dandelion-load/src/scenarios/quarantine.rs
@@ -77,6 +77,9 @@
 const INNOCENT_CALLERS: usize = 6;
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Event of a run that got no complete answer.
+const INTERRUPTED: &str = "run_interrupted";
+
 /// Time after the third ended upstream from which further runs count as late.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Late runs of one content that are allowed.
@@ -172,6 +175,8 @@
     let counts = join_all(innocents).await;
     shared.stop_upstreams.store(true, Ordering::SeqCst);
     join_all(upstreams).await;
+    let logs: Vec<String> = (CONTROL..DAEMONS).map(|i| cluster.log(i)).collect();
+    let interruptions = count_interruptions(&logs);
     let over = |p: &Phase| p.late.saturating_sub(LATE_RUNS);
     Ok(json!({
         "scenario": "quarantine",
@@ -180,6 +185,7 @@
         "upstreams_ended": phases.iter().map(|p| p.runs).collect::<Vec<_>>(),
         "late_runs": phases.iter().map(|p| p.late).collect::<Vec<_>>(),
         "late_runs_over_bound": phases.iter().map(over).sum::<usize>(),
+        "interruptions_logged": interruptions,
         "innocents_ok": counts.iter().map(|c| c.0).sum::<u64>(),
         "innocents_refused": counts.iter().map(|c| c.1).sum::<u64>(),
     }))
@@ -204,6 +210,22 @@
     }
 }
 
+/// Counts the logged interruptions of the contents that were interrupted most often, by fingerprint.
+fn count_interruptions(logs: &[String]) -> Vec<usize> {
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    let lines = logs.iter().flat_map(|log| log.lines());
+    for line in lines.filter(|line| line.contains(INTERRUPTED)) {
+        let fields = line.split("fingerprint=").nth(1);
+        if let Some(fingerprint) = fields.and_then(|rest| rest.split_whitespace().next()) {
+            *counts.entry(fingerprint).or_default() += 1;
+        }
+    }
+    let mut counts: Vec<usize> = counts.into_values().collect();
+    counts.sort_by_key(|count| std::cmp::Reverse(*count));
+    counts.truncate(CONTENTS);
+    counts
+}
+
 /// Disturbs the daemons in a way that depends on the phase: kills and restarts an entry, kills and
 /// restarts a control daemon, or pauses a control daemon and an entry.
 async fn disturb(cluster: &mut Cluster, seed: u64, phase: usize) -> anyhow::Result<()> {
@@ -356,7 +378,7 @@
     let path = fixtures::report_path(upstream);
     for control in &shared.control {
         let body = fixtures::report(upstream, sequence);
-        let sent = shared.call(*control, "POST", &path, &[], body);
+        let sent = Box::pin(shared.call(*control, "POST", &path, &[], body));
         // A control daemon may be paused; the next report follows soon.
         if timeout(REPORT_INTERVAL, sent).await == Ok(Some(200)) {
             return;
--- a/crates/dandelion-net/src/http/client/send.rs
+++ b/crates/dandelion-net/src/http/client/send.rs
@@ -127,6 +127,13 @@
         matches!(answered, Ok(Ok(Some(head))) if check_response(&head, false).is_ok())
     }
 
+    /// Returns whether `address` accepts a new connection. A process that has ended, or whose VM
+    /// can't be reached, does not.
+    pub async fn accepts(&self, address: SocketAddr) -> bool {
+        let connected = timeout(self.options.connect_time, TcpStream::connect(address)).await;
+        matches!(connected, Ok(Ok(_)))
+    }
+
     /// Drops every idle connection to `address`.
     pub fn close_idle(&self, address: SocketAddr) {
         self.pool.purge(address);
--- a/crates/dandelion-telemetry/src/events/catalogue.rs
+++ b/crates/dandelion-telemetry/src/events/catalogue.rs
@@ -220,6 +220,9 @@
         "A request was refused without being run." "See the reason.";
     914 Warn RequestFailed "request_failed"
         "A request may have run, but no complete answer can be returned." "See the reason; check the upstream.";
+    915 Warn RunInterrupted "run_interrupted"
+        "An upstream that was sent a request gave no complete answer; the line says whether it still accepts connections."
+        "If several lines have one fingerprint, the request may be what ends the upstreams.";
 
     921 Info JobAccepted "job_accepted"
         "A batch job was stored; its items will run." "none";
