Bound the upstreams that one content can end, cell-wide

Cause: the gateway, which serves the route plan, kept nothing of a content after its request. The quarantine of dandelion-route was built into the other request path only, and counts in the memory of single daemons. Class: a bound on a content that any entry may receive was left to each attempt.

Fix: the count lives in a replicated table that every entry with a lease has. A content under which an upstream ended (its connection failed and its address takes no new one, or its incarnation was replaced later) is recorded before its caller is answered. From then on each run is a trial that the table grants, one at a time for a content and one at a time for an upstream; a trial counts as failed when its upstream ended and when its outcome is never reported, so lost entries don't loosen the bound. Two failed trials, or one after three ended upstreams, block the content; its copies are refused at once as not run. After an hour one trial decides again. An answer clears it. Upstreams that end at the same time without a trial block nothing. A trial is never resent by the client on a second connection.

--- a/crates/dandelion-daemon/src/control/feed.rs
+++ b/crates/dandelion-daemon/src/control/feed.rs
@@ -72,6 +72,9 @@
     if !Arc::ptr_eq(&view.incarnations, &previous.incarnations) {
         let known = |id: &UpstreamId| view.incarnations.iter().any(|u| u.id == *id);
         core.gateway.picker().retain_known(known);
+        core.gateway
+            .quarantine
+            .update_upstreams(core, previous, view);
     }
     if view.members != previous.members {
         update_members(core, previous, view);
--- a/crates/dandelion-daemon/src/control/view.rs
+++ b/crates/dandelion-daemon/src/control/view.rs
@@ -8,6 +8,7 @@
 use dandelion_control::tables::ConfigTable;
 use dandelion_control::tables::MembersTable;
 use dandelion_control::tables::PlanTable;
+use dandelion_control::tables::QuarantineTable;
 use dandelion_control::tables::StoresTable;
 use dandelion_control::tables::UpstreamsTable;
 use dandelion_control::tables::VersionsTable;
@@ -22,6 +23,7 @@
 use dandelion_protocol::ids::ZoneId;
 use dandelion_protocol::incarnations::UpstreamIncarnation;
 use dandelion_protocol::plan::RoutePlan;
+use dandelion_protocol::quarantine::Suspicion;
 use dandelion_route::ownership;
 
 /// Maximum number of daemons in a small cell.
@@ -52,6 +54,10 @@
     pub retiring: Arc<[DaemonId]>,
     /// Revision of the last change of `incarnations`.
     pub incarnations_revision: Revision,
+    /// Contents that are suspected of ending upstreams, by fingerprint.
+    pub quarantine: Arc<BTreeMap<u64, Suspicion>>,
+    /// Revision of the last change of `quarantine`.
+    pub quarantine_revision: Revision,
 }
 
 impl View {
@@ -77,6 +83,13 @@
             let table = tables.table::<UpstreamsTable>();
             Arc::new(table.map_or_else(Vec::new, |t| t.incarnations().cloned().collect()))
         };
+        let quarantine_revision = last_revision::<QuarantineTable>(tables);
+        let quarantine = if quarantine_revision == previous.quarantine_revision {
+            Arc::clone(&previous.quarantine)
+        } else {
+            let table = tables.table::<QuarantineTable>();
+            Arc::new(table.map_or_else(BTreeMap::new, |t| t.contents().clone()))
+        };
         let versions = tables.table::<VersionsTable>();
         let stores = tables.table::<StoresTable>();
         let plan = tables.table::<PlanTable>();
@@ -94,6 +107,8 @@
             founders: stores.map_or_else(Arc::default, |s| s.founders().into()),
             retiring: stores.map_or_else(Arc::default, |s| s.retiring().into()),
             incarnations_revision,
+            quarantine,
+            quarantine_revision,
         }
     }
 
--- a/crates/dandelion-daemon/src/gateway/forward.rs
+++ b/crates/dandelion-daemon/src/gateway/forward.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use async_std::task;
 use dandelion_net::clock;
 use dandelion_net::http::body;
 use dandelion_net::http::client;
-use dandelion_net::http::client::Cause;
 use dandelion_net::http::client::Exchange;
 use dandelion_net::http::client::SendError;
 use dandelion_net::http::client::SendOptions;
@@ -14,7 +14,6 @@
 use dandelion_platform::headers;
 use dandelion_platform::headers::CallerHeaders;
 use dandelion_platform::headers::Forwarding;
-use dandelion_protocol::ids::ServiceId;
 use dandelion_protocol::ids::TeamId;
 use dandelion_protocol::ids::UpstreamId;
 use dandelion_protocol::incarnations::UpstreamIncarnation;
@@ -35,6 +34,11 @@
 
 use crate::core::Handle;
 use crate::gateway::answer;
+use crate::gateway::quarantine::ContentRun;
+use crate::gateway::quarantine::Denied;
+use crate::gateway::quarantine::Held;
+use crate::gateway::quarantine::Permit;
+use crate::gateway::quarantine::Standing;
 
 /// Longest answer of an upstream that is not a stream, in bytes.
 const MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
@@ -49,6 +53,10 @@
 /// Shortest timeout of one attempt of an idempotent request.
 const MIN_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Pause before a suspected content asks again for an upstream without another trial; most requests
+/// are answered within a few of these.
+const TRIAL_POLL: Duration = Duration::from_millis(20);
+
 /// Chunks of a stream that can be queued for the caller.
 const STREAM_CHUNKS: usize = 16;
 
@@ -63,9 +71,18 @@
     target: String,
     headers: Vec<Header>,
     body: Vec<u8>,
+    /// Fingerprint of the content, which is the same for all copies of the request.
+    content: Fingerprint,
     deadline: Instant,
 }
 
+/// An upstream that was chosen for an attempt, and the permit to run the content there.
+struct Placed {
+    upstream: UpstreamIncarnation,
+    permit: Permit,
+    in_flight: InFlight,
+}
+
 /// Outcome of one attempt.
 enum Attempt {
     /// The answer for the caller.
@@ -96,13 +113,17 @@
         Some(query) => format!("{}?{query}", url.path()),
         None => url.path().to_owned(),
     };
+    let host = caller.host.to_ascii_lowercase();
+    let method = request.method().to_string();
+    let content = Fingerprint::of(team, &host, &method, &target, &body);
     let call = Call {
         core,
         route,
         team,
         id: caller.attempt.as_deref().unwrap_or("-"),
         host: &caller.host,
-        method: request.method().to_string(),
+        content,
+        method,
         target,
         headers: end_to_end_headers(&request),
         body,
@@ -127,11 +148,14 @@
         let mut refusals = 0;
         let mut failure = None;
         while runs < self.route.attempts && refusals < MAX_REFUSALS {
-            let Some(upstream) = self.pick(&tried) else {
-                break;
+            let placed = match self.place(&tried).await {
+                Ok(placed) => placed,
+                Err(Some(held)) if runs == 0 => return self.refuse_held(&held),
+                Err(_) => break,
             };
+            let upstream = placed.upstream.clone();
             tried.push(upstream.id.clone());
-            match self.attempt(&upstream).await {
+            match self.attempt(placed).await {
                 Attempt::Answer(response) => return response,
                 Attempt::NotRun => {
                     refusals += 1;
@@ -153,41 +177,148 @@
         self.give_up(runs, refusals, failure)
     }
 
+    /// Chooses an upstream and gets the permit to run the content there. Fails with what holds the
+    /// content, or with nothing if there is no upstream left.
+    async fn place(&self, tried: &[UpstreamId]) -> Result<Placed, Option<Held>> {
+        let quarantine = &self.core.gateway.quarantine;
+        loop {
+            let permit = match quarantine.check(self.core, self.content) {
+                Standing::Clear => {
+                    return self
+                        .pick(tried)
+                        .map(|u| self.placed(u, Permit::Free))
+                        .ok_or(None);
+                }
+                Standing::Blocked(held) => return Err(Some(held)),
+                Standing::Suspected => self.place_trial(tried).await?,
+            };
+            if let Some(placed) = permit {
+                return Ok(placed);
+            }
+            if Instant::now() + TRIAL_POLL >= self.deadline {
+                return Err(None);
+            }
+            task::sleep(TRIAL_POLL).await;
+        }
+    }
+
+    /// Asks for a trial on an upstream that runs no other trial; returns none if there is no such
+    /// upstream now.
+    async fn place_trial(&self, tried: &[UpstreamId]) -> Result<Option<Placed>, Option<Held>> {
+        let busy = self.trial_upstreams();
+        let mut excluded = tried.to_vec();
+        excluded.extend(busy.iter().cloned());
+        let Some(upstream) = self.pick_from(&excluded) else {
+            let occupied = self.pick_from(tried).map(|u| self.placed(u, Permit::Free));
+            return if occupied.is_some() {
+                Ok(None)
+            } else {
+                Err(None)
+            };
+        };
+        let placed = self.placed(upstream, Permit::Free);
+        let remaining = self.deadline.saturating_duration_since(Instant::now());
+        let quarantine = &self.core.gateway.quarantine;
+        let id = &placed.upstream.id;
+        match quarantine
+            .begin_trial(self.core, self.content, id, remaining)
+            .await
+        {
+            Ok(permit) => {
+                event!(
+                    Event::TrialBegun,
+                    request = self.id,
+                    route = self.route.name,
+                    fingerprint = format!("{:016x}", self.content.0),
+                    upstream = id,
+                    cleared = !permit.is_trial()
+                );
+                Ok(Some(Placed { permit, ..placed }))
+            }
+            Err(Denied::Occupied) => Ok(None),
+            Err(Denied::Held(held)) => Err(Some(held)),
+        }
+    }
+
+    fn placed(&self, upstream: UpstreamIncarnation, permit: Permit) -> Placed {
+        let in_flight = InFlight {
+            core: self.core.clone(),
+            upstream: upstream.clone(),
+            started: Instant::now(),
+            ending: Ending::Abandoned,
+        };
+        Placed {
+            upstream,
+            permit,
+            in_flight,
+        }
+    }
+
+    /// Returns the upstreams that run trials.
+    fn trial_upstreams(&self) -> Vec<UpstreamId> {
+        let view = self.core.control.view();
+        let now = clock::wall_now();
+        let trials = view.quarantine.values().filter_map(|s| s.trial.as_ref());
+        let running = trials.filter(|trial| now < trial.expires);
+        running.map(|trial| trial.upstream.clone()).collect()
+    }
+
+    fn refuse_held(&self, held: &Held) -> Response {
+        event!(
+            Event::RequestRefused,
+            request = self.id,
+            route = self.route.name,
+            reason = held.reason,
+            fingerprint = format!("{:016x}", self.content.0),
+            retry_ms = held.retry.0
+        );
+        answer::not_run(held.retry)
+    }
+
     fn is_repeatable(&self) -> bool {
         self.route.kind == RouteKind::Idempotent
     }
 
+    /// Chooses an upstream that was not tried, one without a trial if possible.
     fn pick(&self, tried: &[UpstreamId]) -> Option<UpstreamIncarnation> {
+        let mut excluded = self.trial_upstreams();
+        if excluded.is_empty() {
+            return self.pick_from(tried);
+        }
+        excluded.extend_from_slice(tried);
+        self.pick_from(&excluded).or_else(|| self.pick_from(tried))
+    }
+
+    fn pick_from(&self, excluded: &[UpstreamId]) -> Option<UpstreamIncarnation> {
         let service = self.route.pick(rand::rng().random())?;
         let view = self.core.control.view();
         let zone = &self.core.identity.zone;
         let mut picker = self.core.gateway.picker();
         let now = clock::boot_now();
-        let chosen = picker.pick(now, view.incarnations.iter(), service, zone, tried);
+        let chosen = picker.pick(now, view.incarnations.iter(), service, zone, excluded);
         chosen.cloned()
     }
 
-    async fn attempt(&self, upstream: &UpstreamIncarnation) -> Attempt {
-        let mut in_flight = InFlight {
-            core: self.core,
-            upstream,
-            started: Instant::now(),
-            ending: Ending::Abandoned,
-        };
-        let attempt = self.send(upstream, &mut in_flight).await;
+    async fn attempt(&self, placed: Placed) -> Attempt {
+        let mut in_flight = placed.in_flight;
+        let run = ContentRun::begin(self.core, self.content, &placed.upstream, placed.permit);
+        let attempt = self.send(run, &mut in_flight).await;
         if matches!(attempt, Attempt::NotRun) && in_flight.ending == Ending::Abandoned {
             in_flight.ending = Ending::Refused;
         }
         attempt
     }
 
-    async fn send(&self, upstream: &UpstreamIncarnation, in_flight: &mut InFlight<'_>) -> Attempt {
+    async fn send(&self, run: ContentRun, in_flight: &mut InFlight) -> Attempt {
+        let upstream = &in_flight.upstream;
         let options = SendOptions {
             deadline: self.attempt_deadline(),
             progress: self.deadline.saturating_duration_since(Instant::now()),
-            idempotent: self.is_repeatable(),
+            // A trial is sent once, even if its connection closes early.
+            idempotent: self.is_repeatable() && !run.permit().is_trial(),
         };
         let Some(request) = self.request(upstream) else {
+            run.not_run();
             return Attempt::Failed(Some(answer::status(400)));
         };
         let sent = self
@@ -199,16 +330,18 @@
             Ok(exchange) => exchange,
             Err(SendError::NotSent(_)) => {
                 in_flight.ending = Ending::Failed;
+                run.not_run();
                 return Attempt::NotRun;
             }
             Err(SendError::Unknown(cause)) => {
                 in_flight.ending = Ending::Failed;
-                self.log_interruption(upstream, &cause).await;
+                run.interrupted(self.id, &self.route.name, &cause).await;
                 return Attempt::Failed(None);
             }
         };
         if exchange.header(headers::NOT_RUN).is_some() {
             in_flight.ending = Ending::Refused;
+            run.not_run();
             return Attempt::NotRun;
         }
         if exchange
@@ -220,9 +353,9 @@
         }
         self.record_usage();
         if self.route.kind == RouteKind::Stream {
-            return Self::stream(exchange, in_flight);
+            return self.stream(exchange, run, in_flight);
         }
-        self.read_answer(exchange, in_flight).await
+        self.read_answer(exchange, run, in_flight).await
     }
 
     /// Deadline of an attempt that starts now: the request's own, or an earlier one if the request
@@ -248,13 +381,18 @@
         built.inspect_err(|cause| log::warn!("{cause}")).ok()
     }
 
-    async fn read_answer(&self, mut exchange: Exchange, in_flight: &mut InFlight<'_>) -> Attempt {
+    async fn read_answer(
+        &self,
+        mut exchange: Exchange,
+        run: ContentRun,
+        in_flight: &mut InFlight,
+    ) -> Attempt {
         let body = match exchange.read_all(MAX_ANSWER_BYTES).await {
             Ok(body) => body,
             Err(error) => {
                 in_flight.ending = Ending::Failed;
-                let upstream = in_flight.upstream;
-                self.log_interruption(upstream, error.cause()).await;
+                let cause = error.cause();
+                run.interrupted(self.id, &self.route.name, cause).await;
                 return Attempt::Failed(None);
             }
         };
@@ -265,6 +403,7 @@
             in_flight.ending = Ending::Failed;
             return Attempt::Failed(None);
         }
+        run.answered();
         let response = answer::relayed(status, exchange.headers(), Body::from_bytes(body));
         if status >= 500 {
             in_flight.ending = Ending::Failed;
@@ -283,41 +422,30 @@
         Attempt::Answer(response)
     }
 
-    /// Logs a run without a complete answer, and whether the upstream still accepts connections.
-    async fn log_interruption(&self, upstream: &UpstreamIncarnation, cause: &Cause) {
-        let accepts = self.core.gateway.client.accepts(upstream.address).await;
-        event!(
-            Event::RunInterrupted,
-            request = self.id,
-            route = self.route.name,
-            upstream = upstream.id,
-            born = upstream.born.0,
-            fingerprint = format!("{:016x}", self.fingerprint(&upstream.service).0),
-            accepts = accepts,
-            reason = cause
-        );
-    }
-
-    /// Returns the fingerprint of the content, which is the same for all copies of the request.
-    fn fingerprint(&self, service: &ServiceId) -> Fingerprint {
-        Fingerprint::of(self.team, service, &self.method, &self.target, &self.body)
-    }
-
     /// Relays a stream as it arrives. If it is interrupted, the connection to the caller is reset.
-    fn stream(mut exchange: Exchange, in_flight: &mut InFlight<'_>) -> Attempt {
+    fn stream(&self, mut exchange: Exchange, run: ContentRun, in_flight: &mut InFlight) -> Attempt {
         in_flight.ending = Ending::Answered(Millis(in_flight.started.elapsed().as_millis() as u64));
         let (sender, body) = body::channel(STREAM_CHUNKS);
         let response = answer::relayed(exchange.status(), exchange.headers(), body);
-        async_std::task::spawn(async move {
-            while let Ok(Some(chunk)) = exchange.chunk().await {
-                if sender.send(chunk).await.is_err() {
-                    return;
+        let (id, route) = (self.id.to_owned(), self.route.name.clone());
+        task::spawn(async move {
+            loop {
+                match exchange.chunk().await {
+                    Ok(Some(chunk)) => {
+                        if sender.send(chunk).await.is_err() {
+                            return;
+                        }
+                    }
+                    Ok(None) => break,
+                    Err(error) => {
+                        run.interrupted(&id, &route, error.cause()).await;
+                        return;
+                    }
                 }
             }
-            if matches!(exchange.chunk().await, Ok(None)) {
-                // The caller may have disconnected after the last chunk.
-                let _gone = sender.finish().await;
-            }
+            run.answered();
+            // The caller may have disconnected after the last chunk.
+            let _gone = sender.finish().await;
         });
         Attempt::Answer(response)
     }
@@ -374,16 +502,16 @@
 
 /// A request in flight at an upstream. Dropping it reports the end to the picker of upstreams,
 /// also if the caller disconnects.
-struct InFlight<'a> {
-    core: &'a Handle,
-    upstream: &'a UpstreamIncarnation,
+struct InFlight {
+    core: Handle,
+    upstream: UpstreamIncarnation,
     started: Instant,
     ending: Ending,
 }
 
-impl Drop for InFlight<'_> {
+impl Drop for InFlight {
     fn drop(&mut self) {
         let mut picker = self.core.gateway.picker();
-        picker.end(clock::boot_now(), self.upstream, self.ending);
+        picker.end(clock::boot_now(), &self.upstream, self.ending);
     }
 }
--- a/crates/dandelion-daemon/src/gateway/state.rs
+++ b/crates/dandelion-daemon/src/gateway/state.rs
@@ -13,6 +13,8 @@
 use dandelion_protocol::time::WallMillis;
 use dandelion_route::pick::Picker;
 
+use crate::gateway::quarantine::Quarantine;
+
 /// Longest time to open a connection to an upstream; zones are a few milliseconds apart.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -36,6 +38,8 @@
 pub struct Gateway {
     /// HTTP client with the connections to upstreams.
     pub client: Client,
+    /// Contents that may end upstreams, as far as this entry knows.
+    pub quarantine: Quarantine,
     picker: Mutex<Picker>,
     last_reports: Mutex<BTreeMap<UpstreamId, LastReport>>,
     jobs_leader: Mutex<Option<DaemonId>>,
@@ -51,6 +55,7 @@
         };
         Self {
             client: Client::new(options),
+            quarantine: Quarantine::default(),
             picker: Mutex::default(),
             last_reports: Mutex::default(),
             jobs_leader: Mutex::default(),
--- a/crates/dandelion-daemon/src/serve/prepare.rs
+++ b/crates/dandelion-daemon/src/serve/prepare.rs
@@ -166,7 +166,7 @@
 fn content_fingerprint(request: &ServeRequest) -> Fingerprint {
     Fingerprint::of(
         request.team.as_ref(),
-        &request.service,
+        request.service.as_str(),
         &request.method,
         &request.path,
         &request.body,
--- a/crates/dandelion-protocol/src/lib.rs
+++ b/crates/dandelion-protocol/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod mesh;
 pub mod outcome;
 pub mod plan;
+pub mod quarantine;
 pub mod rollout;
 pub mod time;
 pub mod upstream;
--- a/crates/dandelion-route/src/ticket.rs
+++ b/crates/dandelion-route/src/ticket.rs
@@ -1,6 +1,5 @@
 //! Identifiers and sizes of requests on their way to an upstream.
 
-use dandelion_protocol::ids::ServiceId;
 use dandelion_protocol::ids::TeamId;
 use serde::Deserialize;
 use serde::Serialize;
@@ -16,25 +15,26 @@
 )]
 pub struct Ticket(pub u64);
 
-/// Hash of a request's content: team, service, method, target and body.
+/// Hash of a request's content: team, service or host, method, target and body.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
 )]
 pub struct Fingerprint(pub u64);
 
 impl Fingerprint {
-    /// Hashes a request. Method and target are included because requests without a body would
-    /// otherwise all have the same fingerprint.
+    /// Hashes a request for `receiver`, which is the service or the host that it is sent to. Method
+    /// and target are included because requests without a body would otherwise all have the same
+    /// fingerprint.
     pub fn of(
         team: Option<&TeamId>,
-        service: &ServiceId,
+        receiver: &str,
         method: &str,
         target: &str,
         body: &[u8],
     ) -> Self {
         let mut hasher = Xxh3::new();
         let team = team.map_or("", TeamId::as_str);
-        for part in [team, service.as_str(), method, target] {
+        for part in [team, receiver, method, target] {
             hasher.update(&(part.len() as u64).to_le_bytes());
             hasher.update(part.as_bytes());
         }
--- a/crates/dandelion-telemetry/src/events/catalogue.rs
+++ b/crates/dandelion-telemetry/src/events/catalogue.rs
@@ -223,6 +223,11 @@
     915 Warn RunInterrupted "run_interrupted"
         "An upstream that was sent a request gave no complete answer; the line says whether it still accepts connections."
         "If several lines have one fingerprint, the request may be what ends the upstreams.";
+    916 Warn ContentJudged "content_judged"
+        "What is known of a content that may end upstreams changed: an upstream ended under it, a trial was released, or an upstream answered it."
+        "If it is blocked, find out why the content ends upstreams; it is tried again after an hour.";
+    917 Info TrialBegun "trial_begun"
+        "A content under which an upstream ended runs again; no other copy runs meanwhile." "none";
 
     921 Info JobAccepted "job_accepted"
         "A batch job was stored; its items will run." "none";
