Place an item again when its run was cancelled after it had finished

Cause: when an engine disappeared, the scheduler asked to cancel its runs and kept waiting for their ends. The I/O layer dropped the run with its output and queued an end of its own, behind the end that the run may already have queued. If that was a complete answer, the scheduler marked the item as done although its result had just been dropped, and never placed it again. Class: two owners of one outcome, each relying on the other to keep it.

Fix: a cancel is final in the scheduler. The item waits for another run at once, later messages of the cancelled run are ignored on both sides. Engines are compared by incarnation, so that runs on one that was replaced under its name are cancelled too, and their ends neither free slots of the new incarnation nor pause it.

Event 934 run_cancelled shows it in the logs.

--- a/crates/dandelion-batch/src/scheduler/event.rs
+++ b/crates/dandelion-batch/src/scheduler/event.rs
@@ -147,7 +147,7 @@
         /// Engine to run it on.
         engine: UpstreamIncarnation,
     },
-    /// Abort a run.
+    /// Abort a run and drop what it has generated or still generates; its end is not expected.
     Cancel(RunId),
     /// Abort a run but keep its output, so that a faster engine can resume it.
     Move(RunId),
--- a/crates/dandelion-batch/src/scheduler/machine.rs
+++ b/crates/dandelion-batch/src/scheduler/machine.rs
@@ -32,7 +32,7 @@
 struct Run {
     job: String,
     item: usize,
-    engine: UpstreamId,
+    engine: UpstreamIncarnation,
     model: Option<String>,
     tokens: u64,
 }
@@ -81,7 +81,7 @@
             }
             Event::Routed { job, service } => self.set_service(job, service),
             Event::Ended(job) => self.end_job(job, actions),
-            Event::Engines(lives) => self.update_engines(lives, actions),
+            Event::Engines(lives) => self.update_engines(now, lives, actions),
             Event::Reported(report) => self.update_versions(report),
             Event::Named { model, version } => {
                 let named = TargetVersion {
@@ -196,7 +196,7 @@
             Run {
                 job: id.to_owned(),
                 item: index,
-                engine: life.id.clone(),
+                engine: life.clone(),
                 model,
                 tokens,
             },
@@ -215,7 +215,7 @@
         let Some(run) = self.runs.get(&run) else {
             return;
         };
-        let Some(engine) = self.engines.get_mut(&run.engine) else {
+        let Some(engine) = engine_of(&mut self.engines, &run.engine) else {
             return;
         };
         engine.record_success();
@@ -236,7 +236,7 @@
         let Some(active) = self.runs.get(&run) else {
             return;
         };
-        if let Some(engine) = self.engines.get_mut(&active.engine) {
+        if let Some(engine) = engine_of(&mut self.engines, &active.engine) {
             engine.record_interval(now, interval);
         }
         let Some(job) = self.jobs.get(&active.job) else {
@@ -260,15 +260,41 @@
         };
         for item in &job.items {
             if let ItemState::Running(run) = item.state {
+                self.remove_run(run);
                 actions.push(Action::Cancel(run));
             }
         }
     }
 
+    /// Removes a run from the counts of its engine.
+    fn remove_run(&mut self, run: RunId) -> Option<Run> {
+        let ended = self.runs.remove(&run)?;
+        if let Some(engine) = engine_of(&mut self.engines, &ended.engine) {
+            engine.remove_run(ended.model.as_deref(), ended.tokens);
+        }
+        Some(ended)
+    }
+
+    /// Cancels a run and lets its item wait for another one. What the run still reports is ignored:
+    /// its result may have been dropped.
+    fn cancel_run(&mut self, now: Millis, run: RunId, actions: &mut Vec<Action>) {
+        actions.push(Action::Cancel(run));
+        let Some(ended) = self.remove_run(run) else {
+            return;
+        };
+        let job = self.jobs.get_mut(&ended.job);
+        let item = job.and_then(|job| job.items.get_mut(ended.item));
+        if let Some(item) = item.filter(|item| item.state == ItemState::Running(run)) {
+            item.avoid = Some(ended.engine.id);
+            item.state = ItemState::Waiting(now);
+        }
+    }
+
     /// Replaces the known engines. The state of an engine survives as long as its incarnation; runs
-    /// on engines that are gone are cancelled.
+    /// on incarnations that are gone are cancelled.
     fn update_engines(
         &mut self,
+        now: Millis,
         lives: &[(UpstreamIncarnation, Option<u64>)],
         actions: &mut Vec<Action>,
     ) {
@@ -283,11 +309,11 @@
             engine.memory = memory;
             self.engines.insert(life.id.clone(), engine);
         }
-        let lost = |id: &UpstreamId| !lives.iter().any(|(life, _)| life.id == *id);
-        for (run, started) in &self.runs {
-            if lost(&started.engine) {
-                actions.push(Action::Cancel(*run));
-            }
+        let is_lost = |run: &Run| find_engine(&self.engines, &run.engine).is_none();
+        let lost = self.runs.iter().filter(|(_, run)| is_lost(run));
+        let lost: Vec<RunId> = lost.map(|(id, _)| *id).collect();
+        for run in lost {
+            self.cancel_run(now, run, actions);
         }
     }
 
@@ -317,12 +343,9 @@
         outcome: &RunOutcome,
         actions: &mut Vec<Action>,
     ) {
-        let Some(ended) = self.runs.remove(&run) else {
+        let Some(ended) = self.remove_run(run) else {
             return;
         };
-        if let Some(engine) = self.engines.get_mut(&ended.engine) {
-            engine.remove_run(ended.model.as_deref(), ended.tokens);
-        }
         self.apply_outcome(now, &ended, outcome);
         let Some(job) = self.jobs.get_mut(&ended.job) else {
             return;
@@ -332,7 +355,7 @@
         if item.state != ItemState::Running(run) {
             return;
         }
-        item.avoid = Some(ended.engine.clone());
+        item.avoid = Some(ended.engine.id.clone());
         item.state = match outcome {
             RunOutcome::Finished { .. } | RunOutcome::Impossible => ItemState::Done,
             RunOutcome::Failed => {
@@ -360,7 +383,7 @@
     /// Updates the state of an engine from the outcome of a run.
     fn apply_outcome(&mut self, now: Millis, ended: &Run, outcome: &RunOutcome) {
         let model = ended.model.clone();
-        let Some(engine) = self.engines.get_mut(&ended.engine) else {
+        let Some(engine) = engine_of(&mut self.engines, &ended.engine) else {
             return;
         };
         match outcome {
@@ -391,3 +414,21 @@
         }
     }
 }
+
+/// Returns the state of an incarnation, or none if it is gone.
+fn find_engine<'a>(
+    engines: &'a BTreeMap<UpstreamId, Engine>,
+    life: &UpstreamIncarnation,
+) -> Option<&'a Engine> {
+    let engine = engines.get(&life.id);
+    engine.filter(|engine| engine.life.born == life.born)
+}
+
+/// Returns the state of an incarnation to be changed, or none if it is gone.
+fn engine_of<'a>(
+    engines: &'a mut BTreeMap<UpstreamId, Engine>,
+    life: &UpstreamIncarnation,
+) -> Option<&'a mut Engine> {
+    let engine = engines.get_mut(&life.id);
+    engine.filter(|engine| engine.life.born == life.born)
+}
--- a/crates/dandelion-daemon/src/stores/runner/mod.rs
+++ b/crates/dandelion-daemon/src/stores/runner/mod.rs
@@ -22,7 +22,6 @@
 use dandelion_batch::scheduler::Event;
 use dandelion_batch::scheduler::OrderOutcome;
 use dandelion_batch::scheduler::RunId;
-use dandelion_batch::scheduler::RunOutcome;
 use dandelion_batch::scheduler::Speed;
 use dandelion_net::clock;
 use dandelion_protocol::batch::BatchJob;
@@ -263,13 +262,12 @@
             Action::Cancel(run) => {
                 if let Some(active) = self.runs.remove(&run) {
                     active.abort.abort();
-                    let ended = RunEnd {
-                        outcome: RunOutcome::Broken { reached: false },
-                        output: Output::default(),
-                        max_gap: Duration::ZERO,
-                    };
-                    // The queue has room for the end of every run that can be in progress.
-                    let _full = self.messages.try_send(TaskMessage::Ended(run, ended));
+                    event!(
+                        LogEvent::RunCancelled,
+                        job = active.job,
+                        run = run.0,
+                        upstream = active.engine
+                    );
                 }
             }
             Action::Move(run) => {
--- a/crates/dandelion-daemon/src/stores/runner/results.rs
+++ b/crates/dandelion-daemon/src/stores/runner/results.rs
@@ -29,11 +29,13 @@
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
 impl Runner {
-    /// Handles the end of a run: saves its output and notifies the scheduler.
+    /// Handles the end of a run: saves its output and notifies the scheduler. The end of a cancelled
+    /// run is ignored.
     pub(super) fn end_run(&mut self, run: RunId, ended: RunEnd) {
-        if let Some(active) = self.runs.remove(&run) {
-            self.save_output(&active, &ended, run);
-        }
+        let Some(active) = self.runs.remove(&run) else {
+            return;
+        };
+        self.save_output(&active, &ended, run);
         self.handle(Event::RunEnded {
             run,
             outcome: ended.outcome,
--- a/crates/dandelion-telemetry/src/events/catalogue.rs
+++ b/crates/dandelion-telemetry/src/events/catalogue.rs
@@ -255,4 +255,6 @@
         "The leader of the store group stopped running a batch job, because its owner ended it." "none";
     933 Info RunFinished "run_finished"
         "A run generated an item's complete output; it is listed once enough disks have it." "none";
+    934 Info RunCancelled "run_cancelled"
+        "A run was cancelled, because its engine is gone or its job was ended; an open item waits for another run." "none";
 }
