Tell an answer's head without end from a lost connection

Cause: the client gave up a head of over 8 KB as if the upstream had closed the connection. For that an idempotent request is sent again on a fresh connection, so such an upstream was asked twice, and the error told operators to look for a crash.

Fix: the cause is HeadError::TooLong, which is never sent again. Evidence: tests/endless_answers.rs, endless_head_not_resent: before, Closed("file too large") and three requests instead of two.

--- a/crates/dandelion-fakes/src/raw/script.rs
+++ b/crates/dandelion-fakes/src/raw/script.rs
@@ -9,6 +9,8 @@
     Write(Vec<u8>),
     /// Writes bytes one at a time with a pause after each.
     Trickle(Vec<u8>, Duration),
+    /// Writes bytes again and again until the peer closes the connection.
+    Repeat(Vec<u8>),
     /// Sleeps.
     Pause(Duration),
     /// Sends nothing more but keeps the connection open until the peer closes it.
--- a/crates/dandelion-fakes/src/raw/server.rs
+++ b/crates/dandelion-fakes/src/raw/server.rs
@@ -112,6 +112,9 @@
 async fn run_step(step: &Step, stream: &mut TcpStream) -> io::Result<bool> {
     match step {
         Step::Write(bytes) => stream.write_all(bytes).await?,
+        Step::Repeat(bytes) => loop {
+            stream.write_all(bytes).await?;
+        },
         Step::Trickle(bytes, pause) => trickle(stream, bytes, *pause).await?,
         Step::Pause(duration) => task::sleep(*duration).await,
         Step::Hang => discard_input(stream).await?,
--- a/crates/dandelion-net/src/http/client/send.rs
+++ b/crates/dandelion-net/src/http/client/send.rs
@@ -18,6 +18,7 @@
 use crate::http::client::exchange::Exchange;
 use crate::http::client::exchange::Origin;
 use crate::http::client::pool::Pool;
+use crate::http::head::HeadError;
 use crate::http::head::REQUEST_ID;
 use crate::http::head::check_response;
 use crate::http::wire::BufferedConnection;
@@ -203,7 +204,7 @@
             .await
             .map_err(timeout_cause)?;
         let head = head
-            .map_err(|error| Cause::Closed(error.to_string()))?
+            .map_err(|error| head_cause(&error))?
             .ok_or_else(|| Cause::Closed("closed before the answer's head".to_owned()))?;
         let checked = check_response(&head, encoded.bodiless)?;
         check_id(encoded.id.as_deref(), checked.id.as_deref())?;
@@ -292,6 +293,15 @@
     Ok(())
 }
 
+/// Distinguishes bytes that are no head from a lost connection, after which an idempotent request is
+/// sent again.
+fn head_cause(error: &io::Error) -> Cause {
+    match error.kind() {
+        io::ErrorKind::FileTooLarge => Cause::Head(HeadError::TooLong),
+        _ => closed_cause(error),
+    }
+}
+
 fn closed_cause(error: &io::Error) -> Cause {
     Cause::Closed(error.to_string())
 }
--- a/crates/dandelion-net/src/http/head.rs
+++ b/crates/dandelion-net/src/http/head.rs
@@ -39,6 +39,9 @@
 /// Why a head was refused.
 #[derive(Debug, Clone, Error, PartialEq, Eq)]
 pub enum HeadError {
+    /// No empty line within the longest allowed head.
+    #[error("the head does not end within the allowed length; send fewer or shorter headers")]
+    TooLong,
     /// Not an HTTP/1.1 head.
     #[error("the head is not valid HTTP/1.1 ({0}); send a well-formed HTTP/1.1 message")]
     Malformed(String),
--- /dev/null
+++ b/crates/dandelion-net/tests/endless_answers.rs
@@ -0,0 +1,59 @@
+//! Bytes that never end, in the head or the body of an answer, are given up within fixed limits of
+//! memory and are not requested again.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use async_std::task::block_on;
+use dandelion_fakes::raw::RawServer;
+use dandelion_fakes::raw::Step;
+use dandelion_fakes::raw::with_length;
+use dandelion_net::http::HeadError;
+use dandelion_net::http::client::Cause;
+use dandelion_net::http::client::Client;
+use dandelion_net::http::client::ClientOptions;
+use dandelion_net::http::client::SendError;
+use dandelion_net::http::client::SendOptions;
+use dandelion_net::http::client::request;
+
+const LIMIT: usize = 256 * 1024;
+
+async fn fetch(client: &Client, server: &RawServer) -> Result<usize, SendError> {
+    let request = request(server.local_addr(), "GET", "/x", &[], Vec::new()).unwrap();
+    let options = SendOptions {
+        deadline: Instant::now() + Duration::from_secs(20),
+        progress: Duration::from_secs(10),
+        idempotent: true,
+    };
+    let mut exchange = client.send(server.local_addr(), request, &options).await?;
+    exchange.read_all(LIMIT).await.map(|body| body.len())
+}
+
+/// Fetches twice on one connection: a short answer, then one of `script`. Returns the second result
+/// and the number of requests that the server received.
+fn run(script: Vec<Step>) -> (Result<usize, SendError>, usize) {
+    block_on(async {
+        let short = vec![Step::Write(with_length(4, "good"))];
+        let server = RawServer::bind(vec![short, script]).await.unwrap();
+        let client = Client::new(ClientOptions::default());
+        assert_eq!(fetch(&client, &server).await, Ok(4));
+        let result = fetch(&client, &server).await;
+        assert_eq!(client.idle_count(server.local_addr()), 0);
+        (result, server.requests())
+    })
+}
+
+#[test]
+fn endless_head_not_resent() {
+    for bytes in [&b"x"[..], b"x-filler: y\r\n", b"\n"] {
+        let (result, requests) = run(vec![
+            Step::Write(b"HTTP/1.1 200 OK\r\n".to_vec()),
+            Step::Repeat(bytes.to_vec()),
+        ]);
+        let Err(SendError::Unknown(Cause::Head(error))) = result else {
+            panic!("{result:?}");
+        };
+        assert_eq!(error, HeadError::TooLong);
+        assert_eq!(requests, 2, "an answer without end was requested again");
+    }
+}
