Bound what is kept of answers that never end

Class: readers limited one answer by its deadline or by a size that only a few answers at a time can have.

Found at each place that reads from an upstream, with a test first: - gateway: an answer could take 32 MB, so four endless ones ended an entry of 110 MB. Long answers now share 32 MB; the first 64 KB of each are not counted, so short answers are read beside them (body_buffers). Within their limits already: probes, orders, loads of weights, the platform's answers, the meter's lines and the tracker of resumed streams. Streams on streaming routes are passed on with a bounded buffer until the request's deadline.

--- a/crates/dandelion-daemon/src/gateway/forward.rs
+++ b/crates/dandelion-daemon/src/gateway/forward.rs
@@ -5,6 +5,7 @@
 
 use async_std::task;
 use dandelion_net::clock;
+use dandelion_net::http::BodyBuffer;
 use dandelion_net::http::body;
 use dandelion_net::http::client;
 use dandelion_net::http::client::Exchange;
@@ -27,7 +28,6 @@
 use dandelion_route::ticket::Fingerprint;
 use dandelion_telemetry::Event;
 use dandelion_telemetry::event;
-use http_types::Body;
 use http_types::Request;
 use http_types::Response;
 use rand::Rng;
@@ -387,15 +387,13 @@
         run: ContentRun,
         in_flight: &mut InFlight,
     ) -> Attempt {
-        let body = match exchange.read_all(MAX_ANSWER_BYTES).await {
-            Ok(body) => body,
-            Err(error) => {
-                in_flight.ending = Ending::Failed;
-                let cause = error.cause();
-                run.interrupted(self.id, &self.route.name, cause).await;
-                return Attempt::Failed(None);
-            }
-        };
+        let mut body = BodyBuffer::within(MAX_ANSWER_BYTES, &self.core.gateway.buffers);
+        if let Err(error) = exchange.read_into(&mut body).await {
+            in_flight.ending = Ending::Failed;
+            let cause = error.cause();
+            run.interrupted(self.id, &self.route.name, cause).await;
+            return Attempt::Failed(None);
+        }
         let status = exchange.status();
         let sealed = exchange.header(headers::SEAL).is_some();
         let encoded = exchange.header("content-encoding").is_some();
@@ -404,7 +402,7 @@
             return Attempt::Failed(None);
         }
         run.answered();
-        let response = answer::relayed(status, exchange.headers(), Body::from_bytes(body));
+        let response = answer::relayed(status, exchange.headers(), body.into_body());
         if status >= 500 {
             in_flight.ending = Ending::Failed;
             return Attempt::Failed(Some(response));
--- a/crates/dandelion-daemon/src/gateway/state.rs
+++ b/crates/dandelion-daemon/src/gateway/state.rs
@@ -5,6 +5,7 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
+use dandelion_net::http::BufferBudget;
 use dandelion_net::http::client::Client;
 use dandelion_net::http::client::ClientOptions;
 use dandelion_protocol::ids::DaemonId;
@@ -24,6 +25,9 @@
 /// Most idle connections to one upstream.
 const MAX_IDLE: usize = 16;
 
+/// Memory for long answers of upstreams, in bytes, which are buffered until they are complete.
+const ANSWER_BYTES: usize = 32 * 1024 * 1024;
+
 /// When an upstream last reported to any control daemon, as far as this daemon knows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LastReport {
@@ -38,6 +42,8 @@
 pub struct Gateway {
     /// HTTP client with the connections to upstreams.
     pub client: Client,
+    /// Memory for answers that are buffered whole.
+    pub buffers: BufferBudget,
     /// Contents that may end upstreams, as far as this entry knows.
     pub quarantine: Quarantine,
     picker: Mutex<Picker>,
@@ -55,6 +61,7 @@
         };
         Self {
             client: Client::new(options),
+            buffers: BufferBudget::new(ANSWER_BYTES),
             quarantine: Quarantine::default(),
             picker: Mutex::default(),
             last_reports: Mutex::default(),
--- a/crates/dandelion-daemon/src/rollouts/generate.rs
+++ b/crates/dandelion-daemon/src/rollouts/generate.rs
@@ -134,7 +134,12 @@
                         return Err(Ran::Unknown);
                     }
                 }
-                Ok(ServePart::Chunk(bytes)) => self.report(&bytes),
+                Ok(ServePart::Chunk(bytes)) => {
+                    self.report(&bytes);
+                    if self.reader.is_broken() {
+                        return Err(Ran::Ran);
+                    }
+                }
                 Ok(ServePart::End { .. }) if self.reader.is_done() => return Ok(()),
                 Ok(ServePart::End { .. }) => return Err(Ran::Ran),
                 Ok(ServePart::Failed(refusal)) => return Err(refusal.ran),
--- a/crates/dandelion-daemon/src/rollouts/score.rs
+++ b/crates/dandelion-daemon/src/rollouts/score.rs
@@ -1,5 +1,6 @@
 //! Calls of a job's scoring service.
 
+use dandelion_net::http::BodyBuffer;
 use dandelion_protocol::ids::JobId;
 use dandelion_protocol::ids::ServiceId;
 use dandelion_protocol::ids::TeamId;
@@ -24,6 +25,9 @@
 /// Longest time that one call may take.
 const SCORE_TIMEOUT: Millis = Millis::from_secs(30);
 
+/// Longest answer of a scoring service, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1024;
+
 #[derive(Debug, Serialize)]
 struct ScoreBody<'a> {
     prompt: &'a str,
@@ -50,18 +54,18 @@
     let scorer = config.scorer.as_ref().ok_or(Ran::NotRun)?;
     let request = request(scorer, &config.team, call);
     let mut stream = serve::open(core, &request).map_err(|refusal| refusal.ran)?;
-    let mut body = Vec::new();
+    let mut body = BodyBuffer::new(MAX_ANSWER_BYTES);
     loop {
         match stream.next().await {
             Ok(ServePart::Head { status: 200, .. }) => (),
             Ok(ServePart::Head { .. }) => return Err(Ran::Ran),
-            Ok(ServePart::Chunk(bytes)) => body.extend_from_slice(&bytes),
+            Ok(ServePart::Chunk(bytes)) => body.push(&bytes).map_err(|_endless| Ran::Ran)?,
             Ok(ServePart::End { .. }) => break,
             Ok(ServePart::Failed(refusal)) => return Err(refusal.ran),
             Err(_) => return Err(Ran::Unknown),
         }
     }
-    let answer: Result<ScoreAnswer, _> = serde_json::from_slice(&body);
+    let answer: Result<ScoreAnswer, _> = serde_json::from_slice(&body.take());
     answer.map(|a| a.score).map_err(|_unreadable| Ran::Ran)
 }
 
--- a/crates/dandelion-daemon/src/rollouts/tokens.rs
+++ b/crates/dandelion-daemon/src/rollouts/tokens.rs
@@ -8,6 +8,9 @@
 /// Prefix of an event's data line.
 const DATA_PREFIX: &[u8] = b"data:";
 
+/// Longest incomplete line that is buffered, in bytes.
+const MAX_LINE_BYTES: usize = 256 * 1024;
+
 /// Data of one event: a token, or the end of the stream.
 #[derive(Debug, Deserialize)]
 struct TokenEvent {
@@ -30,6 +33,7 @@
     /// Bytes after the last complete line.
     buffer: Vec<u8>,
     done: bool,
+    broken: bool,
     tokens: u32,
 }
 
@@ -47,6 +51,10 @@
         for line in lines.split(|b| *b == b'\n') {
             self.read_line(line, &mut reports);
         }
+        if self.buffer.len() > MAX_LINE_BYTES {
+            self.buffer = Vec::new();
+            self.broken = true;
+        }
         reports
     }
 
@@ -84,6 +92,11 @@
         self.done
     }
 
+    /// Returns whether a line was too long to be one of an event stream.
+    pub fn is_broken(&self) -> bool {
+        self.broken
+    }
+
     /// Returns the number of tokens read.
     pub fn tokens(&self) -> u32 {
         self.tokens
--- a/crates/dandelion-daemon/src/serve/claim.rs
+++ b/crates/dandelion-daemon/src/serve/claim.rs
@@ -5,6 +5,7 @@
 
 use async_std::task;
 use dandelion_net::clock;
+use dandelion_net::http::BodyBuffer;
 use dandelion_protocol::mesh::ServePart;
 use dandelion_protocol::mesh::ServeRequest;
 use dandelion_protocol::outcome::Ran;
@@ -47,6 +48,9 @@
 /// Time after the request's timeout by which its attempt has certainly ended.
 const SETTLE_MARGIN: Millis = Millis::from_secs(5);
 
+/// Longest answer that is returned, in bytes; the table stores shorter ones only.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
 /// Runs the request at most once over all resends, whichever daemons receive them.
 pub async fn serve_once(
     core: &Handle,
@@ -120,14 +124,17 @@
     guard: &StreamGuard,
 ) -> Result<StoredAnswer, Refusal> {
     let head = entry::attempt(core, request, guard).await?;
-    collect(head).await
+    collect(core, head).await
 }
 
-async fn collect(mut head: AnswerHead) -> Result<StoredAnswer, Refusal> {
-    let mut body = Vec::new();
+async fn collect(core: &Handle, mut head: AnswerHead) -> Result<StoredAnswer, Refusal> {
+    let mut body = BodyBuffer::within(MAX_ANSWER_BYTES, &core.gateway.buffers);
     loop {
         match head.stream.next().await {
-            Ok(ServePart::Chunk(bytes)) => body.extend_from_slice(&bytes),
+            Ok(ServePart::Chunk(bytes)) => body.push(&bytes).map_err(|error| {
+                log::warn!("the answer of a claimed request is not stored: {error}");
+                unknown()
+            })?,
             Ok(ServePart::End { .. }) => break,
             Ok(ServePart::Failed(refusal)) => return Err(refusal.with_ran(Ran::Unknown)),
             Ok(ServePart::Head { .. }) | Err(_) => return Err(unknown()),
@@ -136,7 +143,7 @@
     Ok(StoredAnswer {
         status: head.status,
         headers: head.headers,
-        body,
+        body: body.take(),
     })
 }
 
--- a/crates/dandelion-daemon/src/stores/mod.rs
+++ b/crates/dandelion-daemon/src/stores/mod.rs
@@ -11,6 +11,8 @@
 pub use group::StoreEvent;
 pub use group::Stores;
 pub use group::run_group;
+pub use run::Output;
+pub use run::OutputTooLong;
 pub use runner::run_jobs;
 pub use service::answer;
 pub use texts::answer_texts;
--- a/crates/dandelion-daemon/src/stores/run.rs
+++ b/crates/dandelion-daemon/src/stores/run.rs
@@ -21,6 +21,7 @@
 use dandelion_protocol::incarnations::UpstreamIncarnation;
 use dandelion_protocol::time::Millis;
 use http_types::Request;
+use thiserror::Error;
 
 use crate::core::Handle;
 
@@ -42,9 +43,20 @@
 /// Events after which a run's speed is reported.
 const REPORT_EVENTS: u64 = 6;
 
+/// Longest output of an item, in bytes. What goes on beyond it is not the answer to a request.
+const MAX_OUTPUT_BYTES: usize = 4 * 1024 * 1024;
+
+/// Longest time to read an error answer, whose status is already known.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Longest error answer of an engine that is read, in bytes.
 const MAX_REFUSAL_BYTES: usize = 64 * 1024;
 
+/// An item's output does not end.
+#[derive(Debug, Clone, Copy, Error, PartialEq, Eq)]
+#[error("the output is longer than {MAX_OUTPUT_BYTES} bytes; check the engine")]
+pub struct OutputTooLong;
+
 /// Output that has been generated for an item so far.
 #[derive(Debug, Clone, Default)]
 pub struct Output {
@@ -66,12 +78,19 @@
         }
     }
 
-    fn push(&mut self, event: &StreamEvent) {
+    /// Appends an event. An output that would become too long is cleared, because a run that
+    /// continued it would not end either.
+    pub fn push(&mut self, event: &StreamEvent) -> Result<(), OutputTooLong> {
+        if self.text.len() + event.data.len() > MAX_OUTPUT_BYTES {
+            *self = Self::default();
+            return Err(OutputTooLong);
+        }
         if self.last.is_some() {
             self.text.push('\n');
         }
         self.text.push_str(&event.data);
         self.last = event.id.or(self.last);
+        Ok(())
     }
 
     fn add_version(&mut self, version: u64) {
@@ -199,7 +218,7 @@
         }
         let not_run = exchange.header(headers::NOT_RUN).is_some();
         // The connection can be reused only if the answer was read to its end.
-        let _read = exchange.read_all(MAX_REFUSAL_BYTES).await;
+        let _read = timeout(REFUSAL_TIMEOUT, exchange.read_all(MAX_REFUSAL_BYTES)).await;
         Some(match status {
             421 => RunOutcome::Mistaken,
             _ if not_run => RunOutcome::Refused,
@@ -346,7 +365,10 @@
         }
         self.events += 1;
         output.add_version(version);
-        output.push(event);
+        if let Err(error) = output.push(event) {
+            log::warn!("item {} at {}: {error}", self.run.id(), self.run.engine.id);
+            return Some(RunOutcome::Broken { reached: true });
+        }
         None
     }
 
--- a/crates/dandelion-daemon/tests/token_reader.rs
+++ b/crates/dandelion-daemon/tests/token_reader.rs
@@ -73,3 +73,15 @@
         .tests(500)
         .quickcheck(holds as fn(Vec<u8>) -> bool);
 }
+
+#[test]
+fn endless_line_not_buffered() {
+    let mut reader = TokenReader::default();
+    for _ in 0..1_000 {
+        assert!(reader.read(&[b'x'; 1024]).is_empty());
+        if reader.is_broken() {
+            return;
+        }
+    }
+    panic!("a line of 1,000 KiB is buffered");
+}
--- a/crates/dandelion-net/src/http/client/exchange.rs
+++ b/crates/dandelion-net/src/http/client/exchange.rs
@@ -12,6 +12,8 @@
 use http_types::Body;
 use http_types::Response;
 
+use crate::http::buffer::BodyBuffer;
+use crate::http::buffer::BufferError;
 use crate::http::client::error::Cause;
 use crate::http::client::error::SendError;
 use crate::http::client::send::Client;
@@ -53,6 +55,8 @@
     timer: StepTimer,
     close: bool,
     bytes: u64,
+    /// Length of the body, if the head announced it.
+    announced: Option<u64>,
     buffer: Vec<u8>,
 }
 
@@ -90,6 +94,10 @@
             timer,
             close: checked.close,
             bytes: 0,
+            announced: match checked.framing {
+                Framing::Counted(length) => Some(length),
+                Framing::Empty | Framing::Chunked => None,
+            },
             buffer: Vec::new(),
         };
         if checked.framing == Framing::Empty {
@@ -147,14 +155,24 @@
 
     /// Reads the rest of the body, at most `limit` bytes.
     pub async fn read_all(&mut self, limit: usize) -> Result<Vec<u8>, SendError> {
-        let mut all = Vec::new();
+        let mut buffer = BodyBuffer::new(limit);
+        self.read_into(&mut buffer).await?;
+        Ok(buffer.take())
+    }
+
+    /// Reads the rest of the body into a buffer.
+    pub async fn read_into(&mut self, buffer: &mut BodyBuffer) -> Result<(), SendError> {
+        let limit = buffer.limit();
+        if self.announced.is_some_and(|length| length > limit as u64) {
+            let error = BufferError::TooLong(limit);
+            return Err(self.fail(Cause::Body(error.to_string())));
+        }
         while let Some(piece) = self.chunk().await? {
-            if all.len() + piece.len() > limit {
-                return Err(self.fail(Cause::Body(format!("longer than {limit} bytes"))));
+            if let Err(error) = buffer.push(&piece) {
+                return Err(self.fail(Cause::Body(error.to_string())));
             }
-            all.extend_from_slice(&piece);
         }
-        Ok(all)
+        Ok(())
     }
 
     /// Returns whether the framing parser agrees with the decoder that the body has ended.
--- a/crates/dandelion-net/src/http/mod.rs
+++ b/crates/dandelion-net/src/http/mod.rs
@@ -1,12 +1,16 @@
 //! HTTP/1.1 with `async-h1`. Client and server verify the framing themselves by counting bytes.
 
 pub mod body;
+mod buffer;
 pub mod client;
 mod framing;
 mod head;
 pub mod server;
 mod wire;
 
+pub use buffer::BodyBuffer;
+pub use buffer::BufferBudget;
+pub use buffer::BufferError;
 pub use framing::FramingParser;
 pub use head::Framing;
 pub use head::HeadError;
--- a/crates/dandelion-net/tests/endless_answers.rs
+++ b/crates/dandelion-net/tests/endless_answers.rs
@@ -57,3 +57,28 @@
         assert_eq!(requests, 2, "an answer without end was requested again");
     }
 }
+
+#[test]
+fn endless_body_given_up() {
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let chunk = format!("1000\r\n{}\r\n", "x".repeat(4096));
+    let counted = "HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n";
+    for (head, piece) in [(head, chunk.as_str()), (counted, "x")] {
+        let (result, requests) = run(vec![
+            Step::Write(head.as_bytes().to_vec()),
+            Step::Repeat(piece.as_bytes().to_vec()),
+        ]);
+        let Err(SendError::Unknown(Cause::Body(_))) = result else {
+            panic!("{result:?}");
+        };
+        assert_eq!(requests, 2, "an answer without end was requested again");
+    }
+}
+
+#[test]
+fn announced_length_refused_unread() {
+    let (result, _) = run(vec![Step::Write(with_length(LIMIT + 1, "")), Step::Hang]);
+    let Err(SendError::Unknown(Cause::Body(_))) = result else {
+        panic!("{result:?}");
+    };
+}
