Keep the outcome of a first send when the second one fails unsent

A request that failed on a pooled connection is sent once more on a fresh one. If the second attempt failed before its first byte, because the deadline passed after connecting or the first write failed, the client reported not sent, although the first connection may have carried the request. The gateway then counted no run and told the caller that it had not run. A failed connect was handled, the attempt after it was not.

The combination now lies after both steps, so neither can miss it.

--- a/crates/dandelion-net/src/http/client/send.rs
+++ b/crates/dandelion-net/src/http/client/send.rs
@@ -107,13 +107,17 @@
                 done => return done,
             }
         }
-        let stream = match (self.connect(address, options).await, first_error) {
-            (Ok(stream), _) => stream,
-            // The pooled connection may have carried the request before it closed.
-            (Err(_), Some(SendError::Unknown(cause))) => return Err(SendError::Unknown(cause)),
-            (Err(error), _) => return Err(error),
+        let resent = match self.connect(address, options).await {
+            Ok(stream) => self.attempt(address, stream, &encoded, options).await,
+            Err(error) => Err(error),
         };
-        self.attempt(address, stream, &encoded, options).await
+        match (resent, first_error) {
+            // The pooled connection may have carried the request before it closed.
+            (Err(SendError::NotSent(_)), Some(SendError::Unknown(cause))) => {
+                Err(SendError::Unknown(cause))
+            }
+            (resent, _) => resent,
+        }
     }
 
     /// Returns whether `address` answers on a fresh connection, whatever the status.
