Kill all entries at once in scenario quarantine, and send bursts

The bound has to hold when every daemon that saw a crash is gone, and when copies reach all entries at the same moment. A fourth content covers the first; each content is now sent to all entries at once before it goes to one after the other.

--- a/crates/dandelion-load/src/scenarios/quarantine.rs
+++ b/crates/dandelion-load/src/scenarios/quarantine.rs
@@ -57,11 +57,11 @@
 const FATAL: &str = "/fatal";
 
 /// Contents that end upstreams; each is sent in a phase of its own.
-const CONTENTS: usize = 3;
+const CONTENTS: usize = 4;
 /// Time between two sends of a content; the sends go to the entries in turn.
 const SEND_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which a content is sent.
-const PHASE_TIME: Duration = Duration::from_secs(9);
+const PHASE_TIME: Duration = Duration::from_secs(8);
 /// Time into a phase at which daemons are killed or paused.
 const FAULT_DELAY: Duration = Duration::from_millis(700);
 /// Time for which a daemon stays down or paused.
@@ -226,8 +226,8 @@
     counts
 }
 
-/// Disturbs the daemons in a way that depends on the phase: kills and restarts an entry, kills and
-/// restarts a control daemon, or pauses a control daemon and an entry.
+/// Disturbs the daemons in a way that depends on the phase: kills and restarts an entry, a control
+/// daemon, or all entries, or pauses a control daemon and an entry.
 async fn disturb(cluster: &mut Cluster, seed: u64, phase: usize) -> anyhow::Result<()> {
     let pick = |count: usize| (seed as usize + phase) % count;
     let control = pick(CONTROL);
@@ -243,6 +243,16 @@
             task::sleep(FAULT_TIME).await;
             cluster.start(control)
         }
+        2 => {
+            for index in CONTROL..DAEMONS {
+                cluster.kill(index)?;
+            }
+            task::sleep(FAULT_TIME).await;
+            for index in CONTROL..DAEMONS {
+                cluster.start(index)?;
+            }
+            Ok(())
+        }
         _ => {
             cluster.pause(control)?;
             cluster.pause(entry)?;
@@ -290,16 +300,18 @@
     Ok(())
 }
 
-/// Sends a fatal content to the entries in turn; returns how often.
+/// Sends a fatal content to all entries at once, then to one after the other; returns how often.
 async fn send_repeatedly(shared: Arc<Shared>, path: String) -> usize {
     let until = Instant::now() + PHASE_TIME;
     let mut sends = Vec::new();
     while Instant::now() < until {
-        let (shared, path) = (Arc::clone(&shared), path.clone());
+        let (caller, path) = (Arc::clone(&shared), path.clone());
         let to = shared.entries[sends.len() % shared.entries.len()];
         // Every answer is a failure or a refusal.
-        sends.push(task::spawn(async move { shared.get(to, &path).await }));
-        task::sleep(SEND_INTERVAL).await;
+        sends.push(task::spawn(async move { caller.get(to, &path).await }));
+        if sends.len() >= shared.entries.len() {
+            task::sleep(SEND_INTERVAL).await;
+        }
     }
     let sent = sends.len();
     join_all(sends).await;
