Record the quarantine from a queue, and give unused trials back

Without a control leader each searches for one 20 times a second; and a change dropped at the limit left its content refused at that entry for good (not_recorded). Eight recorders now take changes from a queue of 1,024; a dropped one is no longer waited for. - A caller that disconnected while its trial was asked for left the grant behind, which counted as a failed trial. It is now given back. - A copy of a suspected content waited for a control leader until its deadline; it is now refused after 0.7 s.

--- a/crates/dandelion-daemon/src/gateway/mod.rs
+++ b/crates/dandelion-daemon/src/gateway/mod.rs
@@ -16,5 +16,7 @@
 pub use front::Front;
 pub use incarnations::record_report;
 pub use incarnations::run_expiry;
+pub use quarantine::Quarantine;
+pub use quarantine::RECORDERS;
 pub use ready::Ready;
 pub use state::Gateway;
--- a/crates/dandelion-daemon/src/gateway/quarantine.rs
+++ b/crates/dandelion-daemon/src/gateway/quarantine.rs
@@ -6,12 +6,14 @@
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
+use std::convert::Infallible;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_channel::TrySendError;
 use async_std::future::timeout;
 use async_std::task;
 use dandelion_control::tables::QuarantineCommand;
@@ -47,8 +49,15 @@
 /// the control leader.
 const TRIAL_MARGIN: Millis = Millis(4_000);
 
-/// Most changes that are proposed at the same time; further ones are dropped.
-const MAX_CHANGES: usize = 512;
+/// Most changes that wait to be recorded; further ones are dropped.
+const MAX_CHANGES: usize = 1_024;
+
+/// Changes that are recorded at the same time: few enough that looking for a new control leader
+/// costs little, whatever waits.
+pub const RECORDERS: usize = 8;
+
+/// Longest wait for the grant of a trial; covers most changes of the control leader.
+const GRANT_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Most contents whose suspicion may be missing in the view.
 const MAX_RECENT: usize = 1_024;
@@ -77,11 +86,31 @@
     watched: VecDeque<WatchedRun>,
 }
 
+/// A change of the quarantine that is to be recorded.
+#[derive(Debug)]
+struct Change {
+    command: QuarantineCommand,
+    /// Dropped once the change is recorded.
+    recorded: Sender<Infallible>,
+}
+
 /// State of the quarantine at one entry.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Quarantine {
     local: Mutex<Local>,
-    changes: AtomicUsize,
+    changes: Sender<Change>,
+    queue: Receiver<Change>,
+}
+
+impl Default for Quarantine {
+    fn default() -> Self {
+        let (changes, queue) = async_channel::bounded(MAX_CHANGES);
+        Self {
+            local: Mutex::default(),
+            changes,
+            queue,
+        }
+    }
 }
 
 /// How a run of a content was admitted.
@@ -127,6 +156,29 @@
     Held(Held),
 }
 
+/// A trial that was asked for. Dropping it gives the trial back.
+struct RequestedTrial {
+    core: Handle,
+    content: Fingerprint,
+    trial: Option<RequestId>,
+}
+
+impl RequestedTrial {
+    /// Keeps the trial, if it was granted.
+    fn keep(mut self) {
+        self.trial = None;
+    }
+}
+
+impl Drop for RequestedTrial {
+    fn drop(&mut self) {
+        if let Some(trial) = self.trial {
+            let quarantine = &self.core.gateway.quarantine;
+            quarantine.release(self.content, trial, false);
+        }
+    }
+}
+
 /// Why a content may not run now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Held {
@@ -171,13 +223,19 @@
             upstream: upstream.clone(),
             limit: Millis(remaining.as_millis() as u64) + TRIAL_MARGIN,
         };
+        // The grant may take effect although its answer is lost or no longer waited for.
+        let requested = RequestedTrial {
+            core: core.clone(),
+            content,
+            trial: Some(trial),
+        };
+        let limit = remaining.min(GRANT_TIMEOUT);
         let granted = core.propose_own::<QuarantineTable>(&command);
-        if let Ok(Ok(applied)) = timeout(remaining, granted).await {
-            return self.decide(content, trial, applied.reply);
-        }
-        // The grant may have taken effect although its answer was lost.
-        self.release(core, content, trial, false);
-        Err(Denied::Held(held("no_control_leader")))
+        let Ok(Ok(applied)) = timeout(limit, granted).await else {
+            return Err(Denied::Held(held("no_control_leader")));
+        };
+        requested.keep();
+        self.decide(content, trial, applied.reply)
     }
 
     fn decide(
@@ -228,7 +286,6 @@
     /// [`RECORD_TIMEOUT`] has passed; in that case it is recorded later.
     async fn suspect(
         &self,
-        core: &Handle,
         content: Fingerprint,
         upstream: EndedUpstream,
         trial: Option<RequestId>,
@@ -239,8 +296,8 @@
             upstream,
             trial,
         };
-        let recorded = self.propose(core, command);
-        if timeout(RECORD_TIMEOUT, recorded).await.is_err() {
+        let recorded = self.propose(command);
+        if timeout(RECORD_TIMEOUT, recorded.recv()).await.is_err() {
             log::warn!(
                 "content {:016x} is not recorded as suspected yet",
                 content.0
@@ -250,13 +307,13 @@
 
     /// Ends a trial whose upstream was neither seen to answer nor to end; `interrupted` says whether
     /// the upstream may have run it.
-    fn release(&self, core: &Handle, content: Fingerprint, trial: RequestId, interrupted: bool) {
+    fn release(&self, content: Fingerprint, trial: RequestId, interrupted: bool) {
         let command = QuarantineCommand::Release {
             content: content.0,
             trial,
             interrupted,
         };
-        drop(self.propose(core, command));
+        drop(self.propose(command));
     }
 
     /// Clears a content that an upstream answered, if it is suspected.
@@ -267,25 +324,34 @@
             || self.is_recent(content, view.revision);
         if suspected {
             let content = content.0;
-            drop(self.propose(core, QuarantineCommand::Pass { content }));
+            drop(self.propose(QuarantineCommand::Pass { content }));
         }
     }
 
-    /// Proposes a change in a task until it is acknowledged, and returns that task.
-    fn propose(&self, core: &Handle, command: QuarantineCommand) -> task::JoinHandle<()> {
-        if self.changes.fetch_add(1, Ordering::Relaxed) >= MAX_CHANGES {
-            self.changes.fetch_sub(1, Ordering::Relaxed);
-            log::warn!("too many changes of the quarantine wait; dropped {command:?}");
-            return task::spawn(async {});
+    /// Queues a change to be recorded. The returned channel is closed once it is.
+    fn propose(&self, command: QuarantineCommand) -> Receiver<Infallible> {
+        let (recorded, done) = async_channel::bounded(1);
+        if let Err(TrySendError::Full(change) | TrySendError::Closed(change)) =
+            self.changes.try_send(Change { command, recorded })
+        {
+            log::warn!(
+                "too many changes of the quarantine wait; dropped {:?}",
+                change.command
+            );
+            if let QuarantineCommand::Ended { content, .. } = change.command {
+                self.local().recent.remove(&Fingerprint(content));
+            }
+        }
+        done
+    }
+
+    /// Records queued changes one after the other until the process ends.
+    pub async fn run_recorder(core: Handle) {
+        let quarantine = &core.gateway.quarantine;
+        while let Ok(change) = quarantine.queue.recv().await {
+            quarantine.record(&core, &change.command).await;
+            drop(change.recorded);
         }
-        let core = core.clone();
-        task::spawn(async move {
-            core.gateway.quarantine.record(&core, &command).await;
-            core.gateway
-                .quarantine
-                .changes
-                .fetch_sub(1, Ordering::Relaxed);
-        })
     }
 
     async fn record(&self, core: &Handle, command: &QuarantineCommand) {
@@ -361,7 +427,7 @@
             task::spawn(async move {
                 let quarantine = &core.gateway.quarantine;
                 quarantine
-                    .suspect(&core, run.content, run.upstream, run.trial)
+                    .suspect(run.content, run.upstream, run.trial)
                     .await;
             });
         }
@@ -433,7 +499,7 @@
         self.settled = true;
         if let Permit::Trial(trial) = self.permit {
             let quarantine = &self.core.gateway.quarantine;
-            quarantine.release(&self.core, self.content, trial, false);
+            quarantine.release(self.content, trial, false);
         }
     }
 
@@ -471,13 +537,11 @@
         let view = self.core.control.view();
         let is_leaving = find(&view, &upstream).is_some_and(|u| !u.ready);
         if !accepts && !is_leaving {
-            quarantine
-                .suspect(&self.core, self.content, upstream, trial)
-                .await;
+            quarantine.suspect(self.content, upstream, trial).await;
             return;
         }
         if let Some(trial) = trial {
-            quarantine.release(&self.core, self.content, trial, !is_leaving);
+            quarantine.release(self.content, trial, !is_leaving);
         }
         if !is_leaving {
             quarantine.watch(WatchedRun {
--- a/crates/dandelion-daemon/src/run.rs
+++ b/crates/dandelion-daemon/src/run.rs
@@ -56,6 +56,7 @@
 use crate::gateway;
 use crate::gateway::ControlApi;
 use crate::gateway::Front;
+use crate::gateway::Quarantine;
 use crate::gateway::Ready;
 use crate::membership;
 use crate::metrics::DaemonMetrics;
@@ -390,6 +391,11 @@
     if core.control.replica().is_some() {
         task::spawn(gateway::run_expiry(core.clone()));
     }
+    if core.settings.gateway.front.is_some() {
+        for _ in 0..gateway::RECORDERS {
+            task::spawn(Quarantine::run_recorder(core.clone()));
+        }
+    }
     if core.settings.gateway.folder.is_some() {
         task::spawn(stores::run_group(core.clone()));
         task::spawn(stores::run_jobs(core.clone()));
