--- a/crates/dandelion-daemon/src/gateway/forward.rs
+++ b/crates/dandelion-daemon/src/gateway/forward.rs
@@ -4,7 +4,6 @@
 use std::time::Instant;
 
 use async_std::task;
-use dandelion_net::clock;
 use dandelion_net::http::BodyBuffer;
 use dandelion_net::http::body;
 use dandelion_net::http::client;
@@ -30,15 +29,13 @@
 use dandelion_telemetry::event;
 use http_types::Request;
 use http_types::Response;
-use rand::Rng;
 
 use crate::core::Handle;
 use crate::gateway::answer;
+use crate::gateway::place::InFlight;
+use crate::gateway::place::Placed;
 use crate::gateway::quarantine::ContentRun;
-use crate::gateway::quarantine::Denied;
 use crate::gateway::quarantine::Held;
-use crate::gateway::quarantine::Permit;
-use crate::gateway::quarantine::Standing;
 
 /// Longest answer of an upstream that is not a stream, in bytes.
 const MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
@@ -53,34 +50,23 @@
 /// Shortest timeout of one attempt of an idempotent request.
 const MIN_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Pause before a suspected content asks again for an upstream without another trial; most requests
-/// are answered within a few of these.
-const TRIAL_POLL: Duration = Duration::from_millis(20);
-
 /// Chunks of a stream that can be queued for the caller.
 const STREAM_CHUNKS: usize = 16;
 
 /// A caller's request and what is needed to forward it.
-struct Call<'a> {
-    core: &'a Handle,
-    route: &'a RouteRule,
-    team: Option<&'a TeamId>,
-    id: &'a str,
+pub(super) struct Call<'a> {
+    pub core: &'a Handle,
+    pub route: &'a RouteRule,
+    pub team: Option<&'a TeamId>,
+    pub id: &'a str,
     host: &'a str,
     method: String,
     target: String,
     headers: Vec<Header>,
     body: Vec<u8>,
     /// Fingerprint of the content, which is the same for all copies of the request.
-    content: Fingerprint,
-    deadline: Instant,
-}
-
-/// An upstream that was chosen for an attempt, and the permit to run the content there.
-struct Placed {
-    upstream: UpstreamIncarnation,
-    permit: Permit,
-    in_flight: InFlight,
+    pub content: Fingerprint,
+    pub deadline: Instant,
 }
 
 /// Outcome of one attempt.
@@ -177,92 +163,6 @@
         self.give_up(runs, refusals, failure)
     }
 
-    /// Chooses an upstream and gets the permit to run the content there. Fails with what holds the
-    /// content, or with nothing if there is no upstream left.
-    async fn place(&self, tried: &[UpstreamId]) -> Result<Placed, Option<Held>> {
-        let quarantine = &self.core.gateway.quarantine;
-        loop {
-            let permit = match quarantine.check(self.core, self.content) {
-                Standing::Clear => {
-                    return self
-                        .pick(tried)
-                        .map(|u| self.placed(u, Permit::Free))
-                        .ok_or(None);
-                }
-                Standing::Blocked(held) => return Err(Some(held)),
-                Standing::Suspected => self.place_trial(tried).await?,
-            };
-            if let Some(placed) = permit {
-                return Ok(placed);
-            }
-            if Instant::now() + TRIAL_POLL >= self.deadline {
-                return Err(None);
-            }
-            task::sleep(TRIAL_POLL).await;
-        }
-    }
-
-    /// Asks for a trial on an upstream that runs no other trial; returns none if there is no such
-    /// upstream now.
-    async fn place_trial(&self, tried: &[UpstreamId]) -> Result<Option<Placed>, Option<Held>> {
-        let busy = self.trial_upstreams();
-        let mut excluded = tried.to_vec();
-        excluded.extend(busy.iter().cloned());
-        let Some(upstream) = self.pick_from(&excluded) else {
-            let occupied = self.pick_from(tried).map(|u| self.placed(u, Permit::Free));
-            return if occupied.is_some() {
-                Ok(None)
-            } else {
-                Err(None)
-            };
-        };
-        let placed = self.placed(upstream, Permit::Free);
-        let remaining = self.deadline.saturating_duration_since(Instant::now());
-        let quarantine = &self.core.gateway.quarantine;
-        let id = &placed.upstream.id;
-        match quarantine
-            .begin_trial(self.core, self.content, id, remaining)
-            .await
-        {
-            Ok(permit) => {
-                event!(
-                    Event::TrialBegun,
-                    request = self.id,
-                    route = self.route.name,
-                    fingerprint = format!("{:016x}", self.content.0),
-                    upstream = id,
-                    cleared = !permit.is_trial()
-                );
-                Ok(Some(Placed { permit, ..placed }))
-            }
-            Err(Denied::Occupied) => Ok(None),
-            Err(Denied::Held(held)) => Err(Some(held)),
-        }
-    }
-
-    fn placed(&self, upstream: UpstreamIncarnation, permit: Permit) -> Placed {
-        let in_flight = InFlight {
-            core: self.core.clone(),
-            upstream: upstream.clone(),
-            started: Instant::now(),
-            ending: Ending::Abandoned,
-        };
-        Placed {
-            upstream,
-            permit,
-            in_flight,
-        }
-    }
-
-    /// Returns the upstreams that run trials.
-    fn trial_upstreams(&self) -> Vec<UpstreamId> {
-        let view = self.core.control.view();
-        let now = clock::wall_now();
-        let trials = view.quarantine.values().filter_map(|s| s.trial.as_ref());
-        let running = trials.filter(|trial| now < trial.expires);
-        running.map(|trial| trial.upstream.clone()).collect()
-    }
-
     fn refuse_held(&self, held: &Held) -> Response {
         event!(
             Event::RequestRefused,
@@ -279,26 +179,6 @@
         self.route.kind == RouteKind::Idempotent
     }
 
-    /// Chooses an upstream that was not tried, one without a trial if possible.
-    fn pick(&self, tried: &[UpstreamId]) -> Option<UpstreamIncarnation> {
-        let mut excluded = self.trial_upstreams();
-        if excluded.is_empty() {
-            return self.pick_from(tried);
-        }
-        excluded.extend_from_slice(tried);
-        self.pick_from(&excluded).or_else(|| self.pick_from(tried))
-    }
-
-    fn pick_from(&self, excluded: &[UpstreamId]) -> Option<UpstreamIncarnation> {
-        let service = self.route.pick(rand::rng().random())?;
-        let view = self.core.control.view();
-        let zone = &self.core.identity.zone;
-        let mut picker = self.core.gateway.picker();
-        let now = clock::boot_now();
-        let chosen = picker.pick(now, view.incarnations.iter(), service, zone, excluded);
-        chosen.cloned()
-    }
-
     async fn attempt(&self, placed: Placed) -> Attempt {
         let mut in_flight = placed.in_flight;
         let run = ContentRun::begin(self.core, self.content, &placed.upstream, placed.permit);
@@ -497,19 +377,3 @@
         })
     }
 }
-
-/// A request in flight at an upstream. Dropping it reports the end to the picker of upstreams,
-/// also if the caller disconnects.
-struct InFlight {
-    core: Handle,
-    upstream: UpstreamIncarnation,
-    started: Instant,
-    ending: Ending,
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        let mut picker = self.core.gateway.picker();
-        picker.end(clock::boot_now(), &self.upstream, self.ending);
-    }
-}
--- a/crates/dandelion-daemon/src/gateway/mod.rs
+++ b/crates/dandelion-daemon/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod front;
 mod incarnations;
 mod jobs;
+mod place;
 mod quarantine;
 mod ready;
 mod retire;
