Count requests on an added route in scenario quarantine

The scenario now fails below a quarter, as the rule does. It used to count innocent requests only until they were answered, up to 10 s, which a route served a tenth of the time passes.

--- a/crates/dandelion-load/src/checks.rs
+++ b/crates/dandelion-load/src/checks.rs
@@ -34,7 +34,11 @@
         "withdraw" => &["cut_off_served_after", "served_after", "streams_whole"],
         "drain" => &["cut"],
         "poison" => &["innocents_refused"],
-        "quarantine" => &["late_runs_over_bound", "innocents_refused"],
+        "quarantine" => &[
+            "added_routes_starved",
+            "innocents_refused",
+            "late_runs_over_bound",
+        ],
         "silent" => &["ejected_wrongly"],
         "charge" => &["reports_by_two", "tokens_doubled", "windows_differing"],
         "issuer" => &[
--- a/crates/dandelion-load/src/scenarios/quarantine.rs
+++ b/crates/dandelion-load/src/scenarios/quarantine.rs
@@ -55,6 +55,12 @@
 
 /// Path prefix of the contents that end the upstreams that run them.
 const FATAL: &str = "/fatal";
+/// Prefix of a route that a later version of the plan adds.
+const ADDED: &str = "/added/";
+/// Requests on the added route of which one must be answered at the first send, on average.
+const ADDED_PER_ANSWER: u64 = 4;
+/// Time between two requests on the added route; the requests go to the entries in turn.
+const ADDED_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Contents that end upstreams; each is sent in a phase of its own.
 const CONTENTS: usize = 4;
@@ -154,7 +160,7 @@
         stop_upstreams: AtomicBool::new(false),
         next_id: AtomicU64::new(1),
     });
-    put_plan(&shared).await?;
+    put_plan(&shared, 1, &[]).await?;
     let upstreams: Vec<_> = (0..UPSTREAMS)
         .map(|index| task::spawn(run_upstream(Arc::clone(&shared), index)))
         .collect();
@@ -162,6 +168,8 @@
     let innocents: Vec<_> = (0..INNOCENT_CALLERS)
         .map(|index| task::spawn(call_repeatedly(Arc::clone(&shared), seed, index)))
         .collect();
+    put_plan(&shared, 2, &[ADDED]).await?;
+    let added = task::spawn(call_added(Arc::clone(&shared), seed));
     let mut phases = Vec::new();
     for content in 0..CONTENTS {
         let path = format!("{FATAL}/{seed}/{content}");
@@ -173,6 +181,7 @@
     }
     shared.stop.store(true, Ordering::SeqCst);
     let counts = join_all(innocents).await;
+    let (added_ok, added_sent) = added.await;
     shared.stop_upstreams.store(true, Ordering::SeqCst);
     join_all(upstreams).await;
     let logs: Vec<String> = (CONTROL..DAEMONS).map(|i| cluster.log(i)).collect();
@@ -188,6 +197,9 @@
         "interruptions_logged": interruptions,
         "innocents_ok": counts.iter().map(|c| c.0).sum::<u64>(),
         "innocents_refused": counts.iter().map(|c| c.1).sum::<u64>(),
+        "added_ok": added_ok,
+        "added_sent": added_sent,
+        "added_routes_starved": u64::from(added_ok * ADDED_PER_ANSWER < added_sent),
     }))
 }
 
@@ -263,15 +275,16 @@
     }
 }
 
-async fn put_plan(shared: &Shared) -> anyhow::Result<()> {
+async fn put_plan(shared: &Shared, version: u64, prefixes: &[&str]) -> anyhow::Result<()> {
     let service: ServiceId = SERVICE.parse()?;
     let plan = fixtures::plan(&PlanFixture {
-        version: 1,
+        version,
         host: HOST,
         service: &service,
         key: KEY,
         attempts: ATTEMPTS,
         timeout: TIMEOUT,
+        prefixes,
     });
     let path = fixtures::REPLACE_PLAN_PATH;
     let until = Instant::now() + READY_TIMEOUT;
@@ -348,6 +361,23 @@
     false
 }
 
+/// Sends each request on the added route once, until `stop`. Returns how many were answered, and
+/// how many were sent.
+async fn call_added(shared: Arc<Shared>, seed: u64) -> (u64, u64) {
+    let mut sends = Vec::new();
+    while !shared.stop.load(Ordering::SeqCst) {
+        let (caller, number) = (Arc::clone(&shared), sends.len());
+        let to = shared.entries[number % shared.entries.len()];
+        let path = format!("{ADDED}{seed}/{number}");
+        sends.push(task::spawn(async move { caller.get(to, &path).await }));
+        task::sleep(ADDED_INTERVAL).await;
+    }
+    let sent = sends.len() as u64;
+    let answers = join_all(sends).await;
+    let answered = answers.iter().filter(|status| **status == Some(200));
+    (answered.count() as u64, sent)
+}
+
 /// Runs one upstream; after each end its next incarnation starts at the same address.
 async fn run_upstream(shared: Arc<Shared>, index: usize) -> anyhow::Result<()> {
     let low = u8::try_from(index)? + 1;
