Table of the limits that upstreams name, and buckets that grant permits

A limit holds for all daemons together, so neither a count of each daemon nor a fixed part of the limit bounds what an upstream gets or uses its room. The control leader grants permits from one token bucket for each upstream; limits are replicated, since only answers to some daemons name them. Nothing uses either yet.

The bound, by design: a bucket holds the requests of one second (one at least), a permit is used within 0.3 s, and its request arrives within as long again; so any 4 s see at most 5.6 times the limit and one, where 6 times and 5 are allowed. A new leader starts with empty buckets once the former lease covers all permits. Tests play random and pressing senders under changing leaders; they fail with full buckets after a takeover and with buckets of three seconds.

--- a/crates/dandelion-control/src/tables/mod.rs
+++ b/crates/dandelion-control/src/tables/mod.rs
@@ -3,6 +3,7 @@
 pub mod barrier;
 pub mod config;
 pub mod history;
+pub mod limits;
 pub mod members;
 pub mod plan;
 pub mod quarantine;
@@ -15,6 +16,7 @@
 pub use config::ConfigTable;
 pub use history::Change;
 pub use history::History;
+pub use limits::LimitsTable;
 pub use members::MembersTable;
 pub use plan::PlanTable;
 pub use plan::ReplacePlan;
--- a/crates/dandelion-protocol/src/lib.rs
+++ b/crates/dandelion-protocol/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fleet;
 pub mod ids;
 pub mod incarnations;
+pub mod limits;
 pub mod mesh;
 pub mod outcome;
 pub mod plan;
