Send callers' requests within the limits that upstreams name

Seen: an upstream of a plain service that names 1 request a second got 32 in 4 s, since each entry sent to it on its own and none read the limit.

An entry that learns of a limit from an answer sends to that upstream under permits from the next request on and records the limit, which all daemons with a lease have within 2 s. A request goes to an upstream with a permit left, else to the best one without a limit, else it is refused at once as not run, with the time until a permit as Retry-After. A permit is for one send: no resend on a fresh connection, and no probe after a silence (test unwanted_probe_sent fails with the probe). Events 918 to 920, counter permits_total, gauge limited_upstreams.

Ruled out: parts of the limit for each entry (with 65 entries and a limit of 1, none may send for a minute) and counts by each entry (no bound).

--- a/crates/dandelion-daemon/src/control/feed.rs
+++ b/crates/dandelion-daemon/src/control/feed.rs
@@ -76,6 +76,7 @@
             .quarantine
             .update_upstreams(core, previous, view);
     }
+    core.gateway.limits.update(previous, view);
     if view.members != previous.members {
         update_members(core, previous, view);
     }
--- a/crates/dandelion-daemon/src/control/propose.rs
+++ b/crates/dandelion-daemon/src/control/propose.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::time::Duration;
+use std::time::Instant;
 
 use async_std::task;
 use dandelion_kernel::Table;
@@ -139,6 +140,33 @@
         Err(failed)
     }
 
+    /// Calls one control daemon after the other, the leader first if it is known, until `accept`
+    /// returns something for a reply. Returns none if nothing is accepted within `limit`.
+    pub async fn call_leader<R, F>(
+        &self,
+        body: &CallBody,
+        limit: Duration,
+        mut accept: F,
+    ) -> Option<R>
+    where
+        F: FnMut(ReplyBody) -> Option<R>,
+    {
+        let mesh = self.mesh()?;
+        let until = Instant::now() + limit;
+        for target in self.candidates() {
+            let remaining = until.saturating_duration_since(Instant::now());
+            if remaining.is_zero() {
+                return None;
+            }
+            let reply = mesh.call(&target, body.clone(), remaining).await;
+            let accepted = reply.ok().and_then(&mut accept);
+            if accepted.is_some() {
+                return accepted;
+            }
+        }
+        None
+    }
+
     async fn propose_at(&self, to: &DaemonId, proposal: Proposal) -> Result<Answer, ProposeError> {
         if to == &self.identity.daemon {
             return self.propose_here(proposal).await;
--- a/crates/dandelion-daemon/src/control/view.rs
+++ b/crates/dandelion-daemon/src/control/view.rs
@@ -6,6 +6,7 @@
 
 use dandelion_control::keys::KeyIndex;
 use dandelion_control::tables::ConfigTable;
+use dandelion_control::tables::LimitsTable;
 use dandelion_control::tables::MembersTable;
 use dandelion_control::tables::PlanTable;
 use dandelion_control::tables::QuarantineTable;
@@ -22,6 +23,7 @@
 use dandelion_protocol::ids::UpstreamId;
 use dandelion_protocol::ids::ZoneId;
 use dandelion_protocol::incarnations::UpstreamIncarnation;
+use dandelion_protocol::limits::NamedLimit;
 use dandelion_protocol::plan::RoutePlan;
 use dandelion_protocol::quarantine::Suspicion;
 use dandelion_route::ownership;
@@ -58,6 +60,10 @@
     pub quarantine: Arc<BTreeMap<u64, Suspicion>>,
     /// Revision of the last change of `quarantine`.
     pub quarantine_revision: Revision,
+    /// Limits that upstreams have named, by upstream; those of ended incarnations may be among them.
+    pub limits: Arc<BTreeMap<UpstreamId, NamedLimit>>,
+    /// Revision of the last change of `limits`.
+    pub limits_revision: Revision,
 }
 
 impl View {
@@ -90,6 +96,13 @@
             let table = tables.table::<QuarantineTable>();
             Arc::new(table.map_or_else(BTreeMap::new, |t| t.contents().clone()))
         };
+        let limits_revision = last_revision::<LimitsTable>(tables);
+        let limits = if limits_revision == previous.limits_revision {
+            Arc::clone(&previous.limits)
+        } else {
+            let table = tables.table::<LimitsTable>();
+            Arc::new(table.map_or_else(BTreeMap::new, |t| t.limits().clone()))
+        };
         let versions = tables.table::<VersionsTable>();
         let stores = tables.table::<StoresTable>();
         let plan = tables.table::<PlanTable>();
@@ -109,6 +122,8 @@
             incarnations_revision,
             quarantine,
             quarantine_revision,
+            limits,
+            limits_revision,
         }
     }
 
--- a/crates/dandelion-daemon/src/duties/platform.rs
+++ b/crates/dandelion-daemon/src/duties/platform.rs
@@ -43,6 +43,7 @@
         deadline: Instant::now() + SEND_TIMEOUT,
         progress: SEND_TIMEOUT,
         idempotent: true,
+        probe: true,
     };
     let held = core.leader_term(LEASE_MARGIN);
     if held != Some(term) {
--- a/crates/dandelion-daemon/src/duties/weights.rs
+++ b/crates/dandelion-daemon/src/duties/weights.rs
@@ -299,6 +299,7 @@
         deadline: Instant::now() + timeout,
         progress: timeout,
         idempotent: true,
+        probe: true,
     };
     let mut exchange = core.client.send(address, request, &options).await.ok()?;
     let status = exchange.status();
--- /dev/null
+++ b/crates/dandelion-daemon/src/gateway/admit.rs
@@ -0,0 +1,196 @@
+//! Chooses the upstream of an attempt, with a permit if it names a limit.
+
+use std::sync::Arc;
+
+use dandelion_net::clock;
+use dandelion_protocol::ids::UpstreamId;
+use dandelion_protocol::incarnations::UpstreamIncarnation;
+use dandelion_protocol::limits::Grant;
+use dandelion_protocol::limits::LimitedUpstream;
+use dandelion_protocol::limits::PermitCall;
+use dandelion_protocol::limits::RatePermit;
+use dandelion_protocol::time::Millis;
+use dandelion_telemetry::Event;
+use dandelion_telemetry::event;
+use rand::Rng;
+
+use crate::control::View;
+use crate::gateway::answer::RETRY_DELAY;
+use crate::gateway::forward::Call;
+use crate::gateway::limits;
+use crate::gateway::limits::Asked;
+use crate::gateway::quarantine::Held;
+
+/// Longest delay after which a caller is asked to retry for want of permits. A caller comes back
+/// earlier than after a third of its remaining time anyway.
+const MAX_RETRY: Millis = Millis(1_000);
+
+/// An upstream that may get the request, and the permit to send it there if the upstream names a
+/// limit.
+pub(super) struct Admitted {
+    pub upstream: UpstreamIncarnation,
+    pub permit: Option<RatePermit>,
+}
+
+/// Why no upstream may get the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Shortage {
+    /// There is none that was not excluded.
+    NoUpstream,
+    /// All that there are name limits, and no permit is left.
+    Limited(Held),
+}
+
+/// Upstreams of a service by preference.
+struct Candidates {
+    /// Upstreams that name a limit, of those preferred to `open`.
+    limited: Vec<(UpstreamIncarnation, LimitedUpstream)>,
+    /// The best upstream that names none.
+    open: Option<UpstreamIncarnation>,
+}
+
+impl Call<'_> {
+    /// Chooses an upstream that is not excluded. One that names a limit is chosen if it has a permit
+    /// left; otherwise the best one without a limit.
+    pub(super) async fn admit(&self, excluded: &[UpstreamId]) -> Result<Admitted, Shortage> {
+        let view = self.core.control.view();
+        let mut candidates = self.candidates(&view, excluded);
+        if candidates.limited.is_empty() {
+            let open = candidates.open.take().ok_or(Shortage::NoUpstream)?;
+            return Ok(Admitted {
+                upstream: open,
+                permit: None,
+            });
+        }
+        let wait = match self.take_permit(&candidates).await {
+            Ok(admitted) => return Ok(admitted),
+            Err(wait) => wait,
+        };
+        match candidates.open {
+            Some(upstream) => Ok(Admitted {
+                upstream,
+                permit: None,
+            }),
+            None => Err(Shortage::Limited(Held {
+                reason: "upstreams_limited",
+                retry: retry_delay(wait, &candidates.limited),
+            })),
+        }
+    }
+
+    /// Returns whether there is an upstream that is not excluded.
+    pub(super) fn has_upstream(&self, excluded: &[UpstreamId]) -> bool {
+        let view = self.core.control.view();
+        let candidates = self.candidates(&view, excluded);
+        candidates.open.is_some() || !candidates.limited.is_empty()
+    }
+
+    fn candidates(&self, view: &Arc<View>, excluded: &[UpstreamId]) -> Candidates {
+        let mut candidates = Candidates {
+            limited: Vec::new(),
+            open: None,
+        };
+        let Some(service) = self.route.pick(rand::rng().random()) else {
+            return candidates;
+        };
+        let zone = &self.core.identity.zone;
+        let now = clock::boot_now();
+        let picker = self.core.gateway.picker();
+        let ranked = picker.rank(now, view.incarnations.iter(), service, zone, excluded);
+        for upstream in ranked {
+            let Some(limit) = self.core.gateway.limits.limit_of(view, upstream) else {
+                candidates.open = Some(upstream.clone());
+                break;
+            };
+            let id = upstream.id.clone();
+            let limited = LimitedUpstream { id, limit };
+            candidates.limited.push((upstream.clone(), limited));
+        }
+        candidates
+    }
+
+    /// Takes a permit of the first upstream that has one. Fails with the time until one may have.
+    async fn take_permit(&self, candidates: &Candidates) -> Result<Admitted, Millis> {
+        let now = clock::boot_now();
+        let waits = {
+            let known = self.core.gateway.limits.known();
+            let limited = candidates.limited.iter();
+            let waits = limited.map(|(upstream, _)| known.wait_for(now, &upstream.id));
+            waits.collect::<Vec<Millis>>()
+        };
+        let askable = candidates.limited.iter().zip(&waits);
+        let askable = askable.filter(|(_, wait)| **wait == Millis::ZERO);
+        let upstreams: Vec<LimitedUpstream> = askable.map(|((_, u), _)| u.clone()).collect();
+        let shortest = waits.iter().min().copied().unwrap_or_default();
+        if upstreams.is_empty() {
+            self.log_denied(candidates, "known_empty", shortest);
+            return Err(shortest);
+        }
+        let call = PermitCall {
+            upstreams,
+            count: 1,
+        };
+        match limits::ask(self.core, call).await {
+            Asked::Granted(grant, until) => self.admitted(candidates, &grant, until),
+            Asked::Denied(wait) => {
+                self.log_denied(candidates, "no_permit_left", wait);
+                Err(wait)
+            }
+            Asked::NoLeader => {
+                self.log_denied(candidates, "no_control_leader", RETRY_DELAY);
+                Err(RETRY_DELAY)
+            }
+        }
+    }
+
+    fn admitted(
+        &self,
+        candidates: &Candidates,
+        grant: &Grant,
+        until: Millis,
+    ) -> Result<Admitted, Millis> {
+        let mut limited = candidates.limited.iter();
+        let chosen = limited.find(|(upstream, _)| upstream.id == grant.upstream);
+        let Some((upstream, limited)) = chosen else {
+            log::warn!("a permit of {} was not asked for", grant.upstream);
+            return Err(RETRY_DELAY);
+        };
+        event!(
+            Event::PermitTaken,
+            request = self.id,
+            upstream = upstream.id,
+            permit = grant.first,
+            per_second = limited.limit.rate.per_second(),
+            count = grant.count
+        );
+        Ok(Admitted {
+            upstream: upstream.clone(),
+            permit: Some(RatePermit {
+                number: grant.first,
+                until,
+            }),
+        })
+    }
+
+    fn log_denied(&self, candidates: &Candidates, reason: &str, wait: Millis) {
+        event!(
+            Event::PermitDenied,
+            request = self.id,
+            route = self.route.name,
+            limited = candidates.limited.len(),
+            reason = reason,
+            wait_ms = wait.0,
+            elsewhere = candidates.open.is_some()
+        );
+    }
+}
+
+/// Returns the delay after which a caller may retry: when a permit is left again, and later by a
+/// random part of the time in which the upstreams have another one, so that callers that were refused
+/// together don't come back together.
+fn retry_delay(wait: Millis, limited: &[(UpstreamIncarnation, LimitedUpstream)]) -> Millis {
+    let rate: f64 = limited.iter().map(|(_, u)| u.limit.rate.per_second()).sum();
+    let interval = 1_000.0 / rate.max(1.0);
+    let spread = Millis((rand::rng().random::<f64>() * interval) as u64);
+    (wait + spread).max(RETRY_DELAY).min(MAX_RETRY)
+}
--- a/crates/dandelion-daemon/src/gateway/forward.rs
+++ b/crates/dandelion-daemon/src/gateway/forward.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use async_std::task;
+use dandelion_net::clock;
 use dandelion_net::http::BodyBuffer;
 use dandelion_net::http::body;
 use dandelion_net::http::client;
@@ -17,6 +18,7 @@
 use dandelion_protocol::ids::TeamId;
 use dandelion_protocol::ids::UpstreamId;
 use dandelion_protocol::incarnations::UpstreamIncarnation;
+use dandelion_protocol::limits::RatePermit;
 use dandelion_protocol::mesh::Header;
 use dandelion_protocol::plan::RouteKind;
 use dandelion_protocol::plan::RouteRule;
@@ -32,6 +34,7 @@
 
 use crate::core::Handle;
 use crate::gateway::answer;
+use crate::gateway::limits;
 use crate::gateway::place::InFlight;
 use crate::gateway::place::Placed;
 use crate::gateway::quarantine::ContentRun;
@@ -182,20 +185,30 @@
     async fn attempt(&self, placed: Placed) -> Attempt {
         let mut in_flight = placed.in_flight;
         let run = ContentRun::begin(self.core, self.content, &placed.upstream, placed.permit);
-        let attempt = self.send(run, &mut in_flight).await;
+        let attempt = self.send(run, &mut in_flight, placed.rate_permit).await;
         if matches!(attempt, Attempt::NotRun) && in_flight.ending == Ending::Abandoned {
             in_flight.ending = Ending::Refused;
         }
         attempt
     }
 
-    async fn send(&self, run: ContentRun, in_flight: &mut InFlight) -> Attempt {
+    async fn send(
+        &self,
+        run: ContentRun,
+        in_flight: &mut InFlight,
+        rate_permit: Option<RatePermit>,
+    ) -> Attempt {
         let upstream = &in_flight.upstream;
+        if rate_permit.is_some_and(|permit| clock::boot_now() > permit.until) {
+            run.not_run();
+            return Attempt::NotRun;
+        }
         let options = SendOptions {
             deadline: self.attempt_deadline(),
             progress: self.deadline.saturating_duration_since(Instant::now()),
-            // A trial is sent once, even if its connection closes early.
-            idempotent: self.is_repeatable() && !run.permit().is_trial(),
+            // A trial or a permit is for one send, even if the connection closes early.
+            idempotent: self.is_repeatable() && !run.permit().is_trial() && rate_permit.is_none(),
+            probe: rate_permit.is_none(),
         };
         let Some(request) = self.request(upstream) else {
             run.not_run();
@@ -219,15 +232,18 @@
                 return Attempt::Failed(None);
             }
         };
+        let is_mismatched = exchange
+            .header(headers::ATTEMPT)
+            .is_some_and(|id| id != self.id);
+        if !is_mismatched {
+            limits::observe(self.core, upstream, &exchange, rate_permit, self.id);
+        }
         if exchange.header(headers::NOT_RUN).is_some() {
             in_flight.ending = Ending::Refused;
             run.not_run();
             return Attempt::NotRun;
         }
-        if exchange
-            .header(headers::ATTEMPT)
-            .is_some_and(|id| id != self.id)
-        {
+        if is_mismatched {
             in_flight.ending = Ending::Failed;
             return Attempt::Failed(None);
         }
--- a/crates/dandelion-daemon/src/gateway/mod.rs
+++ b/crates/dandelion-daemon/src/gateway/mod.rs
@@ -1,12 +1,14 @@
 //! Traffic under the route plan: requests of callers, probes of the load balancer, and calls of
 //! operators, upstreams and trainers to the control daemons.
 
+mod admit;
 mod answer;
 mod control;
 mod forward;
 mod front;
 mod incarnations;
 mod jobs;
+pub mod limits;
 mod place;
 mod quarantine;
 mod ready;
@@ -17,6 +19,7 @@
 pub use front::Front;
 pub use incarnations::record_report;
 pub use incarnations::run_expiry;
+pub use limits::Limits;
 pub use quarantine::Quarantine;
 pub use quarantine::RECORDERS;
 pub use ready::Ready;
--- a/crates/dandelion-daemon/src/gateway/place.rs
+++ b/crates/dandelion-daemon/src/gateway/place.rs
@@ -7,12 +7,14 @@
 use dandelion_net::clock;
 use dandelion_protocol::ids::UpstreamId;
 use dandelion_protocol::incarnations::UpstreamIncarnation;
+use dandelion_protocol::limits::RatePermit;
 use dandelion_route::pick::Ending;
 use dandelion_telemetry::Event;
 use dandelion_telemetry::event;
-use rand::Rng;
 
 use crate::core::Handle;
+use crate::gateway::admit::Admitted;
+use crate::gateway::admit::Shortage;
 use crate::gateway::forward::Call;
 use crate::gateway::quarantine::Denied;
 use crate::gateway::quarantine::Held;
@@ -23,30 +25,33 @@
 /// are answered within a few of these.
 const TRIAL_POLL: Duration = Duration::from_millis(20);
 
-/// An upstream that was chosen for an attempt, and the permit to run the content there.
+/// An upstream that was chosen for an attempt, and the permits to run the content there.
 pub(super) struct Placed {
     pub upstream: UpstreamIncarnation,
+    /// How the quarantine admits the content.
     pub permit: Permit,
+    /// Permit of an upstream that names a limit.
+    pub rate_permit: Option<RatePermit>,
     pub in_flight: InFlight,
 }
 
 impl Call<'_> {
-    /// Chooses an upstream and gets the permit to run the content there. Fails with what holds the
-    /// content, or with nothing if there is no upstream left.
+    /// Chooses an upstream and gets the permits to run the content there. Fails with what holds the
+    /// request, or with nothing if there is no upstream left.
     pub(super) async fn place(&self, tried: &[UpstreamId]) -> Result<Placed, Option<Held>> {
         let quarantine = &self.core.gateway.quarantine;
         loop {
-            let permit = match quarantine.check(self.core, self.content) {
+            let placed = match quarantine.check(self.core, self.content) {
                 Standing::Clear => {
-                    return self
-                        .pick(tried)
-                        .map(|u| self.placed(u, Permit::Free))
-                        .ok_or(None);
+                    let admitted = self.admit_clear(tried).await;
+                    return admitted
+                        .map(|admitted| self.placed(admitted))
+                        .map_err(held_by);
                 }
                 Standing::Blocked(held) => return Err(Some(held)),
                 Standing::Suspected => self.place_trial(tried).await?,
             };
-            if let Some(placed) = permit {
+            if let Some(placed) = placed {
                 return Ok(placed);
             }
             if Instant::now() + TRIAL_POLL >= self.deadline {
@@ -56,21 +61,29 @@
         }
     }
 
+    /// Chooses an upstream that was not tried, one without a trial if possible.
+    async fn admit_clear(&self, tried: &[UpstreamId]) -> Result<Admitted, Shortage> {
+        let mut excluded = self.trial_upstreams();
+        if excluded.is_empty() {
+            return self.admit(tried).await;
+        }
+        excluded.extend_from_slice(tried);
+        match self.admit(&excluded).await {
+            Ok(admitted) => Ok(admitted),
+            Err(_) => self.admit(tried).await,
+        }
+    }
+
     /// Asks for a trial on an upstream that runs no other trial; returns none if there is no such
     /// upstream now.
     async fn place_trial(&self, tried: &[UpstreamId]) -> Result<Option<Placed>, Option<Held>> {
-        let busy = self.trial_upstreams();
-        let mut excluded = tried.to_vec();
-        excluded.extend(busy.iter().cloned());
-        let Some(upstream) = self.pick_from(&excluded) else {
-            let occupied = self.pick_from(tried).map(|u| self.placed(u, Permit::Free));
-            return if occupied.is_some() {
-                Ok(None)
-            } else {
-                Err(None)
-            };
+        let mut excluded = self.trial_upstreams();
+        excluded.extend_from_slice(tried);
+        let placed = match self.admit(&excluded).await {
+            Ok(admitted) => self.placed(admitted),
+            Err(Shortage::NoUpstream) if self.has_upstream(tried) => return Ok(None),
+            Err(shortage) => return Err(held_by(shortage)),
         };
-        let placed = self.placed(upstream, Permit::Free);
         let remaining = self.deadline.saturating_duration_since(Instant::now());
         let quarantine = &self.core.gateway.quarantine;
         let id = &placed.upstream.id;
@@ -94,7 +107,9 @@
         }
     }
 
-    fn placed(&self, upstream: UpstreamIncarnation, permit: Permit) -> Placed {
+    fn placed(&self, admitted: Admitted) -> Placed {
+        let Admitted { upstream, permit } = admitted;
+        self.core.gateway.picker().begin(&upstream);
         let in_flight = InFlight {
             core: self.core.clone(),
             upstream: upstream.clone(),
@@ -103,7 +118,8 @@
         };
         Placed {
             upstream,
-            permit,
+            permit: Permit::Free,
+            rate_permit: permit,
             in_flight,
         }
     }
@@ -116,25 +132,13 @@
         let running = trials.filter(|trial| now < trial.expires);
         running.map(|trial| trial.upstream.clone()).collect()
     }
+}
 
-    /// Chooses an upstream that was not tried, one without a trial if possible.
-    fn pick(&self, tried: &[UpstreamId]) -> Option<UpstreamIncarnation> {
-        let mut excluded = self.trial_upstreams();
-        if excluded.is_empty() {
-            return self.pick_from(tried);
-        }
-        excluded.extend_from_slice(tried);
-        self.pick_from(&excluded).or_else(|| self.pick_from(tried))
-    }
-
-    fn pick_from(&self, excluded: &[UpstreamId]) -> Option<UpstreamIncarnation> {
-        let service = self.route.pick(rand::rng().random())?;
-        let view = self.core.control.view();
-        let zone = &self.core.identity.zone;
-        let mut picker = self.core.gateway.picker();
-        let now = clock::boot_now();
-        let chosen = picker.pick(now, view.incarnations.iter(), service, zone, excluded);
-        chosen.cloned()
+/// Returns what holds a request, or none if there is no upstream.
+fn held_by(shortage: Shortage) -> Option<Held> {
+    match shortage {
+        Shortage::NoUpstream => None,
+        Shortage::Limited(held) => Some(held),
     }
 }
 
--- a/crates/dandelion-daemon/src/gateway/state.rs
+++ b/crates/dandelion-daemon/src/gateway/state.rs
@@ -14,6 +14,7 @@
 use dandelion_protocol::time::WallMillis;
 use dandelion_route::pick::Picker;
 
+use crate::gateway::limits::Limits;
 use crate::gateway::quarantine::Quarantine;
 
 /// Longest time to open a connection to an upstream; zones are a few milliseconds apart.
@@ -46,6 +47,8 @@
     pub buffers: BufferBudget,
     /// Contents that may end upstreams, as far as this entry knows.
     pub quarantine: Quarantine,
+    /// Limits that upstreams name, as far as this daemon knows.
+    pub limits: Limits,
     picker: Mutex<Picker>,
     last_reports: Mutex<BTreeMap<UpstreamId, LastReport>>,
     jobs_leader: Mutex<Option<DaemonId>>,
@@ -63,6 +66,7 @@
             client: Client::new(options),
             buffers: BufferBudget::new(ANSWER_BYTES),
             quarantine: Quarantine::default(),
+            limits: Limits::default(),
             picker: Mutex::default(),
             last_reports: Mutex::default(),
             jobs_leader: Mutex::default(),
--- a/crates/dandelion-daemon/src/metrics.rs
+++ b/crates/dandelion-daemon/src/metrics.rs
@@ -11,6 +11,7 @@
 use prometheus::IntGauge;
 
 use crate::core::Handle;
+use crate::gateway::limits::Asked;
 
 /// Metrics by team and class, and those of the daemon itself.
 #[derive(Debug)]
@@ -22,6 +23,8 @@
     upstreams: IntGauge,
     leader_term: IntGauge,
     mesh_bytes: IntCounterVec,
+    limited: IntGauge,
+    permits: IntCounterVec,
 }
 
 impl DaemonMetrics {
@@ -42,6 +45,12 @@
                 "Payload bytes sent to other daemons.",
                 "family",
             )?,
+            limited: metrics.gauge("limited_upstreams", "Upstreams that name a limit.")?,
+            permits: metrics.counters(
+                "permits_total",
+                "Permits granted to this daemon, and asks for permits that were denied or unanswered.",
+                "outcome",
+            )?,
             metrics,
         })
     }
@@ -51,6 +60,16 @@
         self.metrics.team(team, class)
     }
 
+    /// Counts the outcome of asking the control leader for permits.
+    pub fn count_permits(&self, asked: &Asked) {
+        let (outcome, count) = match asked {
+            Asked::Granted(grant, _) => ("granted", u64::from(grant.count)),
+            Asked::Denied(_) => ("denied", 1),
+            Asked::NoLeader => ("unanswered", 1),
+        };
+        self.permits.with_label_values(&[outcome]).inc_by(count);
+    }
+
     /// Updates the gauges and renders all metrics in the text format of Prometheus.
     pub fn render(&self, core: &Handle) -> String {
         self.leased.set(i64::from(core.control.is_leased()));
@@ -59,6 +78,10 @@
         self.members.set(view.members.len() as i64);
         self.upstreams.set(core.owners.records().len() as i64);
         self.leader_term.set(leader_term(core));
+        let limits = &core.gateway.limits;
+        let limited = view.incarnations.iter();
+        let limited = limited.filter(|u| limits.limit_of(&view, u).is_some());
+        self.limited.set(limited.count() as i64);
         self.update_traffic(core);
         match self.metrics.render() {
             Ok(text) => text,
--- a/crates/dandelion-daemon/src/run.rs
+++ b/crates/dandelion-daemon/src/run.rs
@@ -56,6 +56,7 @@
 use crate::gateway;
 use crate::gateway::ControlApi;
 use crate::gateway::Front;
+use crate::gateway::Limits as UpstreamLimits;
 use crate::gateway::Quarantine;
 use crate::gateway::Ready;
 use crate::membership;
@@ -396,6 +397,7 @@
             task::spawn(Quarantine::run_recorder(core.clone()));
         }
     }
+    task::spawn(UpstreamLimits::run_recorder(core.clone()));
     if core.settings.gateway.folder.is_some() {
         task::spawn(stores::run_group(core.clone()));
         task::spawn(stores::run_jobs(core.clone()));
--- a/crates/dandelion-daemon/src/serve/exchange.rs
+++ b/crates/dandelion-daemon/src/serve/exchange.rs
@@ -199,6 +199,7 @@
             deadline: Instant::now() + Duration::from_millis(request.timeout.0),
             progress: PROGRESS_TIMEOUT,
             idempotent: request.idempotent,
+            probe: true,
         };
         let sent = self.core.client.send(address, built, &options).await;
         let mut exchange = sent.map_err(Stop::Failed)?;
--- a/crates/dandelion-daemon/src/stores/orders.rs
+++ b/crates/dandelion-daemon/src/stores/orders.rs
@@ -90,6 +90,7 @@
         deadline: Instant::now() + ORDER_TIMEOUT,
         progress: ORDER_TIMEOUT,
         idempotent: false,
+        probe: true,
     };
     if core.stores.leader_term(ORDER_MARGIN) != Some(term) {
         event!(Event::OrderWithheld, path = orders::ORDER_PATH, term = term);
--- a/crates/dandelion-daemon/src/stores/run.rs
+++ b/crates/dandelion-daemon/src/stores/run.rs
@@ -167,6 +167,7 @@
             deadline: Instant::now() + RUN_TIMEOUT,
             progress: STALL_TIMEOUT,
             idempotent: true,
+            probe: true,
         };
         let request = self.request().ok_or(RunOutcome::Failed)?;
         let sent = core
--- a/crates/dandelion-fakes/src/announce.rs
+++ b/crates/dandelion-fakes/src/announce.rs
@@ -128,6 +128,7 @@
         deadline: Instant::now() + POST_TIMEOUT,
         progress: POST_TIMEOUT,
         idempotent: true,
+        probe: true,
     };
     let posted = async {
         let mut exchange = client.send(to, request, &options).await?;
--- a/crates/dandelion-fakes/tests/common/mod.rs
+++ b/crates/dandelion-fakes/tests/common/mod.rs
@@ -31,6 +31,7 @@
         deadline: Instant::now() + TIMEOUT,
         progress: TIMEOUT,
         idempotent: false,
+        probe: true,
     };
     let client = Client::new(ClientOptions::default());
     client
--- a/crates/dandelion-load/src/cluster/http.rs
+++ b/crates/dandelion-load/src/cluster/http.rs
@@ -141,6 +141,7 @@
             deadline: Instant::now() + self.timeout,
             progress: self.timeout,
             idempotent: false,
+            probe: true,
         };
         let mut exchange = self.client.send(to, request, &options).await?;
         let status = exchange.status();
--- a/crates/dandelion-load/src/cluster/plan.rs
+++ b/crates/dandelion-load/src/cluster/plan.rs
@@ -88,6 +88,7 @@
             deadline: Instant::now() + limit,
             progress: limit,
             idempotent: false,
+            probe: true,
         };
         let mut exchange = self.client.send(to, request, &options).await.ok()?;
         exchange.read_all(MAX_ANSWER_BYTES).await.ok()?;
--- a/crates/dandelion-net/examples/relay/daemon.rs
+++ b/crates/dandelion-net/examples/relay/daemon.rs
@@ -81,6 +81,7 @@
             deadline: Instant::now() + LIMIT,
             progress: LIMIT,
             idempotent: incoming.idempotent,
+            probe: true,
         };
         let request = request.map_err(SendError::NotSent)?;
         let mut exchange = self.client.send(self.engine, request, &options).await?;
--- a/crates/dandelion-net/examples/relay/load.rs
+++ b/crates/dandelion-net/examples/relay/load.rs
@@ -93,6 +93,7 @@
         deadline: Instant::now() + LIMIT,
         progress: LIMIT,
         idempotent: false,
+        probe: true,
     };
     let mut exchange = client.send(to, request, &options).await.expect("a head");
     exchange.read_all(1 << 24).await.expect("a complete answer")
--- a/crates/dandelion-net/src/http/client/exchange.rs
+++ b/crates/dandelion-net/src/http/client/exchange.rs
@@ -35,6 +35,8 @@
 pub(super) struct Origin {
     pub client: Client,
     pub address: SocketAddr,
+    /// Whether a probe may follow if the connection goes silent.
+    pub probe: bool,
 }
 
 /// Progress of reading the body.
@@ -200,7 +202,7 @@
     /// Probes a fresh connection if this one went silent.
     async fn probe_silent(&mut self, cause: Cause) -> Cause {
         match cause {
-            Cause::Silent { .. } => Cause::Silent {
+            Cause::Silent { .. } if self.origin.probe => Cause::Silent {
                 alive: self
                     .origin
                     .client
--- a/crates/dandelion-net/src/http/client/send.rs
+++ b/crates/dandelion-net/src/http/client/send.rs
@@ -65,6 +65,9 @@
     /// Whether the request may run more than once. Only then is it sent again when a pooled
     /// connection closes after some of it may have been sent.
     pub idempotent: bool,
+    /// Whether a probe may follow if the connection goes silent. Without it nothing but the request
+    /// is sent, and idle connections to the address stay.
+    pub probe: bool,
 }
 
 /// A pooled HTTP client; copies share the pool.
@@ -184,10 +187,11 @@
         let origin = Origin {
             client: self.clone(),
             address,
+            probe: options.probe,
         };
         match self.read_head(stream, encoded, origin, timer).await {
             Ok(exchange) => Ok(exchange),
-            Err(Cause::Silent { .. }) => {
+            Err(Cause::Silent { .. }) if options.probe => {
                 let alive = self.probe_and_purge(address).await;
                 Err(SendError::Unknown(Cause::Silent { alive }))
             }
--- a/crates/dandelion-net/tests/complete_answers.rs
+++ b/crates/dandelion-net/tests/complete_answers.rs
@@ -27,6 +27,7 @@
         deadline: Instant::now() + Duration::from_secs(20),
         progress: Duration::from_millis(400),
         idempotent,
+        probe: true,
     }
 }
 
@@ -353,6 +354,28 @@
     });
 }
 
+#[test]
+fn unwanted_probe_sent() {
+    block_on(async {
+        let server = RawServer::bind(vec![vec![Step::Hang]])
+            .await
+            .expect("loopback port");
+        let client = Client::new(ClientOptions::default());
+        let address = server.local_addr();
+        let request = request(address, "GET", "/x", &[], Vec::new()).expect("valid request");
+        let unprobed = SendOptions {
+            probe: false,
+            ..options(true)
+        };
+        let sent = client.send(address, request, &unprobed).await;
+        assert_eq!(
+            sent.err(),
+            Some(SendError::Unknown(Cause::Silent { alive: false }))
+        );
+        assert_eq!(server.requests(), 1);
+    });
+}
+
 #[test]
 fn silent_replaced() {
     block_on(async {
--- a/crates/dandelion-net/tests/endless_answers.rs
+++ b/crates/dandelion-net/tests/endless_answers.rs
@@ -24,6 +24,7 @@
         deadline: Instant::now() + Duration::from_secs(20),
         progress: Duration::from_secs(10),
         idempotent: true,
+        probe: true,
     };
     let mut exchange = client.send(server.local_addr(), request, &options).await?;
     exchange.read_all(LIMIT).await.map(|body| body.len())
--- a/crates/dandelion-net/tests/passed_deadline.rs
+++ b/crates/dandelion-net/tests/passed_deadline.rs
@@ -39,6 +39,7 @@
         deadline,
         progress: Duration::from_secs(5),
         idempotent: true,
+        probe: true,
     }
 }
 
--- a/crates/dandelion-net/tests/server_answers.rs
+++ b/crates/dandelion-net/tests/server_answers.rs
@@ -135,6 +135,7 @@
         deadline: Instant::now() + Duration::from_secs(20),
         progress: Duration::from_secs(20),
         idempotent: false,
+        probe: true,
     };
     client.send(address, request, &options).await
 }
--- a/crates/dandelion-protocol/src/mesh.rs
+++ b/crates/dandelion-protocol/src/mesh.rs
@@ -24,6 +24,8 @@
 use crate::ids::UpstreamId;
 use crate::ids::ZoneId;
 use crate::incarnations::IncarnationReport;
+use crate::limits::PermitCall;
+use crate::limits::PermitReply;
 use crate::outcome::Refusal;
 use crate::time::Millis;
 use crate::upstream::Announcement;
@@ -161,6 +163,8 @@
     Batch(BatchCall),
     /// Stores or reads result bodies and unfinished outputs.
     Texts(TextCall),
+    /// Asks the control leader for permits to send to upstreams that name a limit.
+    Permits(PermitCall),
     /// Forwards an HTTP request: a trainer's to the coordinator of its job, an operator's to a
     /// daemon that can answer it.
     Forward {
@@ -206,6 +210,8 @@
     Batch(BatchReply),
     /// Reply to `Texts`.
     Texts(TextReply),
+    /// Reply to `Permits`.
+    Permits(PermitReply),
     /// The call was refused.
     Refused(Refusal),
 }
--- a/crates/dandelion-route/src/pick.rs
+++ b/crates/dandelion-route/src/pick.rs
@@ -61,27 +61,32 @@
 }
 
 impl Picker {
-    /// Chooses the upstream that is expected to answer soonest and counts the request as running
-    /// there. Upstreams in `tried` are never chosen; one in backoff only if there is no other.
-    pub fn pick<'a, L>(
-        &mut self,
+    /// Returns the upstreams that may get a request, the one that is expected to answer soonest
+    /// first and those in backoff last. Upstreams in `tried` are not among them.
+    pub fn rank<'a, L>(
+        &self,
         now: Millis,
         candidates: L,
         service: &ServiceId,
         zone: &ZoneId,
         tried: &[UpstreamId],
-    ) -> Option<&'a UpstreamIncarnation>
+    ) -> Vec<&'a UpstreamIncarnation>
     where
         L: Iterator<Item = &'a UpstreamIncarnation>,
     {
         let fits =
             |l: &&UpstreamIncarnation| l.ready && l.service == *service && !tried.contains(&l.id);
-        let chosen = candidates.filter(fits).min_by(|a, b| {
+        let mut ranked: Vec<&UpstreamIncarnation> = candidates.filter(fits).collect();
+        ranked.sort_by(|a, b| {
             let (a, b) = (self.cost(now, a, zone), self.cost(now, b, zone));
             a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
-        })?;
-        self.stats(chosen).running += 1;
-        Some(chosen)
+        });
+        ranked
+    }
+
+    /// Counts a request as running at an upstream until its [`Self::end`].
+    pub fn begin(&mut self, upstream: &UpstreamIncarnation) {
+        self.stats(upstream).running += 1;
     }
 
     /// Counts the end of a request and updates the upstream's latency and backoff.
--- a/crates/dandelion-route/tests/pick.rs
+++ b/crates/dandelion-route/tests/pick.rs
@@ -27,8 +27,10 @@
 ) -> Option<String> {
     let service = "portal".parse().unwrap();
     let zone = "near".parse().unwrap();
-    let chosen = picker.pick(Millis(now), upstreams.iter(), &service, &zone, tried);
-    chosen.map(|upstream| upstream.id.to_string())
+    let ranked = picker.rank(Millis(now), upstreams.iter(), &service, &zone, tried);
+    let chosen = *ranked.first()?;
+    picker.begin(chosen);
+    Some(chosen.id.to_string())
 }
 
 #[test]
--- a/crates/dandelion-telemetry/src/events/catalogue.rs
+++ b/crates/dandelion-telemetry/src/events/catalogue.rs
@@ -229,6 +229,14 @@
     917 Info TrialBegun "trial_begun"
         "A content under which an upstream ended runs again; no other copy runs meanwhile." "none";
 
+    918 Warn LimitKnown "limit_known"
+        "An upstream named a limit on the requests that it takes, named another one or ended it; the line says whether an answer to this daemon or the cell's table said so."
+        "Find out why the upstream is in need.";
+    919 Info PermitTaken "permit_taken"
+        "The control leader granted permits to send to an upstream that names a limit." "none";
+    920 Warn PermitDenied "permit_denied"
+        "No permit was left for upstreams that name a limit, or no control leader answered." "none; the request goes to another upstream, waits or is refused";
+
     921 Info JobAccepted "job_accepted"
         "A batch job was stored; its items will run." "none";
     922 Info JobEnded "job_ended"
