Run batch items within the limits that engines name

The scheduler starts a run on an engine that names a limit only with a permit; it asks for permits for items that no other engine takes, no more than items wait. A run without a permit on an engine that was away and comes back as the same incarnation is ruled out by handing engines and limits over in one event (test returned_engine_unlimited failed with two events).

A bucket now holds 4 permits beyond those of a second, since the items of a step arrive at once, and a new bucket starts with one at most.

--- a/crates/dandelion-batch/src/scheduler/engine.rs
+++ b/crates/dandelion-batch/src/scheduler/engine.rs
@@ -5,6 +5,8 @@
 use dandelion_protocol::incarnations::UpstreamIncarnation;
 use dandelion_protocol::time::Millis;
 
+use crate::scheduler::permits::Allowance;
+
 /// Time for which an engine is skipped after its first failure; doubles with each further one.
 const MIN_FAILURE_PAUSE: Millis = Millis(200);
 
@@ -73,6 +75,8 @@
     refusals: u32,
     /// Whether a single run is testing whether the engine works again.
     probing: bool,
+    /// Permits, if it names a limit on the requests that it takes.
+    allowance: Option<Allowance>,
 }
 
 impl Engine {
@@ -93,15 +97,57 @@
             failures: 0,
             refusals: 0,
             probing: false,
+            allowance: None,
         }
     }
 
     /// Returns whether it can be sent another run; which models it can serve is up to
     /// [`Self::may_serve`].
     pub fn accepts_runs(&self, now: Millis) -> bool {
+        let is_allowed = self.allowance.as_ref().is_none_or(|a| a.has_permit(now));
+        is_allowed && self.has_room(now)
+    }
+
+    /// Returns whether it can be sent another run if a permit for it is left.
+    fn has_room(&self, now: Millis) -> bool {
         self.life.ready && self.runs < self.life.slots && now >= self.paused_until && !self.probing
     }
 
+    /// Records whether the engine names a limit, so that each run needs a permit.
+    pub fn set_limited(&mut self, is_limited: bool) {
+        if is_limited {
+            self.allowance.get_or_insert_default();
+        } else {
+            self.allowance = None;
+        }
+    }
+
+    /// Returns the permits that it has or that are asked for; none if it names no limit.
+    pub fn allowance_mut(&mut self) -> Option<&mut Allowance> {
+        self.allowance.as_mut()
+    }
+
+    /// Returns the runs for which permits are at hand or asked for.
+    pub fn permitted_runs(&self, now: Millis) -> u32 {
+        let allowance = self.allowance.as_ref();
+        allowance.map_or(0, |a| a.count(now) + a.asked(now))
+    }
+
+    /// Returns the number of permits to ask for if there is enough to run; zero if it names no limit
+    /// or can't be sent a run for another reason.
+    pub fn missing_permits(&self, now: Millis) -> u32 {
+        let allowance = self.allowance.as_ref().filter(|a| a.may_ask(now));
+        if allowance.is_none() || !self.has_room(now) {
+            return 0;
+        }
+        let is_tested = self.failures > 0 || self.refusals > 0;
+        if is_tested {
+            1
+        } else {
+            self.life.slots - self.runs
+        }
+    }
+
     /// Counts a run that is sent. The first one after a failure or refusal is a probe: no other is
     /// sent until it has received an event or ended.
     pub fn add_run(&mut self, model: Option<&str>, tokens: u64) {
--- a/crates/dandelion-batch/src/scheduler/event.rs
+++ b/crates/dandelion-batch/src/scheduler/event.rs
@@ -1,12 +1,17 @@
 //! Input events and output actions of the scheduler.
 
+use std::collections::BTreeSet;
+
 use dandelion_protocol::batch::BatchJob;
 use dandelion_protocol::ids::ServiceId;
 use dandelion_protocol::ids::UpstreamId;
 use dandelion_protocol::incarnations::IncarnationReport;
 use dandelion_protocol::incarnations::UpstreamIncarnation;
+use dandelion_protocol::limits::RatePermit;
 use dandelion_protocol::time::Millis;
 
+use crate::scheduler::permits::Permits;
+
 /// Identifies one run of an item on an engine; unique within a scheduler.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct RunId(pub u64);
@@ -91,10 +96,24 @@
     },
     /// The job with this id was ended.
     Ended(&'a str),
-    /// All known engines, each with its memory in tokens, or none if that is unknown.
-    Engines(&'a [(UpstreamIncarnation, Option<u64>)]),
+    /// The known engines or their limits have changed.
+    Engines {
+        /// All known engines, each with its memory in tokens, or none if that is unknown.
+        engines: &'a [(UpstreamIncarnation, Option<u64>)],
+        /// Those that name a limit on the requests that they take.
+        limited: &'a BTreeSet<UpstreamId>,
+    },
     /// An engine reported its versions.
     Reported(&'a IncarnationReport),
+    /// Permits that were asked for were granted or denied.
+    Permitted {
+        /// Engine that they are for.
+        engine: &'a UpstreamIncarnation,
+        /// The permits, or none if there are none left.
+        permits: Option<Permits>,
+        /// Time until there may be further ones.
+        wait: Millis,
+    },
     /// A trainer named a version of a model; engines are to load the newest named one.
     Named {
         /// Model that the version belongs to.
@@ -146,6 +165,15 @@
         item: usize,
         /// Engine to run it on.
         engine: UpstreamIncarnation,
+        /// Permit to send it, if the engine names a limit.
+        permit: Option<RatePermit>,
+    },
+    /// Ask for permits to send to an engine that names a limit.
+    Ask {
+        /// Engine that is to run items.
+        engine: UpstreamIncarnation,
+        /// Most permits that can be used.
+        count: u32,
     },
     /// Abort a run and drop what it has generated or still generates; its end is not expected.
     Cancel(RunId),
--- a/crates/dandelion-batch/src/scheduler/job.rs
+++ b/crates/dandelion-batch/src/scheduler/job.rs
@@ -43,6 +43,12 @@
     pub avoid: Option<UpstreamId>,
 }
 
+impl Item {
+    fn is_ready(&self, now: Millis) -> bool {
+        matches!(self.state, ItemState::Waiting(after) if now >= after)
+    }
+}
+
 /// Items that share a prompt and count together.
 #[derive(Debug, Clone, Default)]
 pub struct Group {
@@ -132,14 +138,19 @@
         self.items.iter().any(waits)
     }
 
+    /// Returns the number of items that may be sent now.
+    pub fn count_ready(&self, now: Millis) -> u32 {
+        let ready = self.items.iter().filter(|item| item.is_ready(now));
+        ready.count() as u32
+    }
+
     /// Returns the items that may be sent now in the order of their priority: items of the groups
     /// that the trainer waits for before the others, and then the longest first, because the last
     /// item of a step decides when the step ends.
     pub fn ready_items(&self, now: Millis) -> Vec<usize> {
         let ranks = self.ranks();
-        let is_ready = |i: &Item| matches!(i.state, ItemState::Waiting(after) if now >= after);
         let mut ready: Vec<usize> = (0..self.items.len())
-            .filter(|index| is_ready(&self.items[*index]))
+            .filter(|index| self.items[*index].is_ready(now))
             .collect();
         let needed = |index: usize| ranks[self.items[index].group] < self.needed;
         ready.sort_by_key(|index| {
--- a/crates/dandelion-batch/src/scheduler/machine.rs
+++ b/crates/dandelion-batch/src/scheduler/machine.rs
@@ -1,6 +1,7 @@
 //! The scheduler's state machine.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use dandelion_protocol::ids::ServiceId;
 use dandelion_protocol::ids::UpstreamId;
@@ -15,6 +16,7 @@
 use crate::scheduler::event::RunOutcome;
 use crate::scheduler::job::ItemState;
 use crate::scheduler::job::Job;
+use crate::scheduler::permits;
 use crate::scheduler::placement;
 use crate::scheduler::weight_loads;
 use crate::scheduler::weight_loads::LoadTime;
@@ -81,8 +83,20 @@
             }
             Event::Routed { job, service } => self.set_service(job, service),
             Event::Ended(job) => self.end_job(job, actions),
-            Event::Engines(lives) => self.update_engines(now, lives, actions),
+            Event::Engines { engines, limited } => {
+                self.update_engines(now, engines, limited, actions);
+            }
             Event::Reported(report) => self.update_versions(report),
+            Event::Permitted {
+                engine,
+                permits,
+                wait,
+            } => {
+                let engine = engine_of(&mut self.engines, engine);
+                if let Some(allowance) = engine.and_then(Engine::allowance_mut) {
+                    allowance.receive(now, permits, wait);
+                }
+            }
             Event::Named { model, version } => {
                 let named = TargetVersion {
                     version,
@@ -129,6 +143,11 @@
             version: load.version,
         }));
         self.place_items(now, actions);
+        let asks = permits::choose_asks(now, &self.jobs, &mut self.engines);
+        actions.extend(asks.into_iter().map(|ask| Action::Ask {
+            engine: ask.engine,
+            count: ask.count,
+        }));
     }
 
     /// Returns what the jobs of each model require of the engines.
@@ -188,8 +207,10 @@
         let group = item.group;
         job.groups[group].engine = Some(life.id.clone());
         job.items[index].state = ItemState::Running(run);
+        let mut permit = None;
         if let Some(engine) = self.engines.get_mut(&life.id) {
             engine.add_run(model.as_deref(), tokens);
+            permit = engine.allowance_mut().and_then(|a| a.take(now));
         }
         self.runs.insert(
             run,
@@ -206,6 +227,7 @@
             job: id.to_owned(),
             item: index,
             engine: life,
+            permit,
         });
     }
 
@@ -296,6 +318,7 @@
         &mut self,
         now: Millis,
         lives: &[(UpstreamIncarnation, Option<u64>)],
+        limited: &BTreeSet<UpstreamId>,
         actions: &mut Vec<Action>,
     ) {
         let mut previous = std::mem::take(&mut self.engines);
@@ -307,6 +330,7 @@
             let mut engine = same.unwrap_or_else(|| Engine::open(life.clone(), memory));
             engine.life = life.clone();
             engine.memory = memory;
+            engine.set_limited(limited.contains(&life.id));
             self.engines.insert(life.id.clone(), engine);
         }
         let is_lost = |run: &Run| find_engine(&self.engines, &run.engine).is_none();
--- a/crates/dandelion-batch/src/scheduler/mod.rs
+++ b/crates/dandelion-batch/src/scheduler/mod.rs
@@ -5,6 +5,7 @@
 pub mod event;
 pub mod job;
 pub mod machine;
+pub mod permits;
 pub mod placement;
 pub mod weight_loads;
 
@@ -18,3 +19,4 @@
 pub use job::Item;
 pub use job::Job;
 pub use machine::Scheduler;
+pub use permits::Permits;
--- a/crates/dandelion-daemon/src/stores/run.rs
+++ b/crates/dandelion-daemon/src/stores/run.rs
@@ -8,6 +8,7 @@
 use async_std::future::timeout;
 use dandelion_batch::scheduler::RunOutcome;
 use dandelion_batch::scheduler::Speed;
+use dandelion_net::clock;
 use dandelion_net::http::client;
 use dandelion_net::http::client::Exchange;
 use dandelion_net::http::client::SendError;
@@ -19,11 +20,13 @@
 use dandelion_protocol::batch::BatchJob;
 use dandelion_protocol::batch::Partial;
 use dandelion_protocol::incarnations::UpstreamIncarnation;
+use dandelion_protocol::limits::RatePermit;
 use dandelion_protocol::time::Millis;
 use http_types::Request;
 use thiserror::Error;
 
 use crate::core::Handle;
+use crate::gateway::limits;
 
 /// Longest time for one run, from the sending of the request to the last event.
 const RUN_TIMEOUT: Duration = Duration::from_secs(30);
@@ -109,6 +112,8 @@
     pub item: usize,
     /// Engine that runs the item.
     pub engine: UpstreamIncarnation,
+    /// Permit to send it, if the engine names a limit.
+    pub permit: Option<RatePermit>,
     /// Output of earlier runs that this run continues.
     pub output: Output,
 }
@@ -146,7 +151,7 @@
         let mut max_gap = Duration::ZERO;
         let sent = self.send(core).await;
         let outcome = match sent {
-            Ok(mut exchange) => match self.check_response(&mut exchange).await {
+            Ok(mut exchange) => match self.check_response(core, &mut exchange).await {
                 Some(outcome) => outcome,
                 None => {
                     self.read(&mut exchange, &mut output, &mut max_gap, observer)
@@ -163,11 +168,15 @@
     }
 
     async fn send(&self, core: &Handle) -> Result<Exchange, RunOutcome> {
+        if self.permit.is_some_and(|p| clock::boot_now() > p.until) {
+            return Err(RunOutcome::Refused);
+        }
         let options = SendOptions {
             deadline: Instant::now() + RUN_TIMEOUT,
             progress: STALL_TIMEOUT,
-            idempotent: true,
-            probe: true,
+            // A permit is for one send, even if the connection closes early.
+            idempotent: self.permit.is_none(),
+            probe: self.permit.is_none(),
         };
         let request = self.request().ok_or(RunOutcome::Failed)?;
         let sent = core
@@ -206,7 +215,7 @@
     }
 
     /// Returns the outcome if the engine's answer is not the stream of this run.
-    async fn check_response(&self, exchange: &mut Exchange) -> Option<RunOutcome> {
+    async fn check_response(&self, core: &Handle, exchange: &mut Exchange) -> Option<RunOutcome> {
         let status = exchange.status();
         let is_mismatched = exchange
             .header(headers::ATTEMPT)
@@ -214,6 +223,7 @@
         if is_mismatched {
             return Some(RunOutcome::Broken { reached: true });
         }
+        limits::observe(core, &self.engine, exchange, self.permit, self.id());
         if (200..300).contains(&status) {
             return None;
         }
--- a/crates/dandelion-daemon/src/stores/runner/mod.rs
+++ b/crates/dandelion-daemon/src/stores/runner/mod.rs
@@ -1,6 +1,7 @@
 //! Drives the scheduler of batch jobs while this daemon leads the store group.
 
 mod adopt;
+mod permits;
 mod results;
 mod start;
 mod view;
@@ -21,6 +22,7 @@
 use dandelion_batch::scheduler::Action;
 use dandelion_batch::scheduler::Event;
 use dandelion_batch::scheduler::OrderOutcome;
+use dandelion_batch::scheduler::Permits;
 use dandelion_batch::scheduler::RunId;
 use dandelion_batch::scheduler::Speed;
 use dandelion_net::clock;
@@ -29,6 +31,7 @@
 use dandelion_protocol::config::Role;
 use dandelion_protocol::ids::Term;
 use dandelion_protocol::ids::UpstreamId;
+use dandelion_protocol::incarnations::UpstreamIncarnation;
 use dandelion_protocol::mesh::MeshMessage;
 use dandelion_protocol::time::Millis;
 use dandelion_telemetry::Event as LogEvent;
@@ -62,6 +65,8 @@
     Progress(RunId, Speed),
     Ended(RunId, RunEnd),
     Ordered(LoadOrder, OrderOutcome),
+    /// Permits for an engine, if there were any, and the time until there may be further ones.
+    Permitted(UpstreamIncarnation, Option<Permits>, Millis),
 }
 
 /// An open job and the output that was generated for it so far.
@@ -97,6 +102,8 @@
     /// Jobs to be adopted once the table can be read, with their unfinished outputs by item.
     deferred: BTreeMap<String, BTreeMap<String, Partial>>,
     view: Arc<View>,
+    /// Version of this daemon's own knowledge of limits that the scheduler has.
+    limits_version: u64,
     messages: Sender<TaskMessage>,
     /// When the control daemons were last notified that this daemon leads.
     last_announced: Millis,
@@ -137,6 +144,7 @@
             first_seen: BTreeMap::new(),
             deferred: BTreeMap::new(),
             view: Arc::default(),
+            limits_version: 0,
             messages,
             last_announced: Millis::ZERO,
         }
@@ -216,6 +224,11 @@
                 version: load.version,
                 outcome,
             }),
+            TaskMessage::Permitted(engine, permits, wait) => self.handle(Event::Permitted {
+                engine: &engine,
+                permits,
+                wait,
+            }),
         }
     }
 
@@ -258,7 +271,9 @@
                 job,
                 item,
                 engine,
-            } => self.start_run(run, job, item, engine),
+                permit,
+            } => self.start_run(run, job, item, engine, permit),
+            Action::Ask { engine, count } => self.ask_permits(engine, count),
             Action::Cancel(run) => {
                 if let Some(active) = self.runs.remove(&run) {
                     active.abort.abort();
--- a/crates/dandelion-daemon/src/stores/runner/start.rs
+++ b/crates/dandelion-daemon/src/stores/runner/start.rs
@@ -11,6 +11,7 @@
 use dandelion_net::clock;
 use dandelion_protocol::batch::Partial;
 use dandelion_protocol::incarnations::UpstreamIncarnation;
+use dandelion_protocol::limits::RatePermit;
 use futures::future::AbortHandle;
 use futures::future::Abortable;
 
@@ -73,6 +74,7 @@
         job: String,
         item: usize,
         engine: UpstreamIncarnation,
+        permit: Option<RatePermit>,
     ) {
         let Some(open) = self.jobs.get_mut(&job) else {
             return;
@@ -81,6 +83,7 @@
             job: Arc::clone(&open.job),
             item,
             engine,
+            permit,
             output: open.outputs.remove(&item).unwrap_or_default(),
         };
         let (abort, registration) = AbortHandle::new_pair();
--- a/crates/dandelion-daemon/src/stores/runner/view.rs
+++ b/crates/dandelion-daemon/src/stores/runner/view.rs
@@ -20,15 +20,22 @@
     /// Loads the newest view of the cell and notifies the scheduler of what has changed.
     pub(super) fn refresh(&mut self) {
         let view = self.core.control.view();
-        if view.revision == self.view.revision {
+        let limits_version = self.core.gateway.limits.version();
+        if view.revision == self.view.revision && limits_version == self.limits_version {
             return;
         }
+        let is_learnt = limits_version != self.limits_version;
+        self.limits_version = limits_version;
         let previous = std::mem::replace(&mut self.view, view);
         let view = Arc::clone(&self.view);
         let is_replanned = version_of(&previous) != version_of(&view);
-        if is_replanned || !Arc::ptr_eq(&previous.incarnations, &view.incarnations) {
-            let engines = engines(&view);
-            self.handle(Event::Engines(&engines));
+        if is_replanned
+            || is_learnt
+            || !Arc::ptr_eq(&previous.incarnations, &view.incarnations)
+            || !Arc::ptr_eq(&previous.limits, &view.limits)
+        {
+            let (engines, limited) = (&engines(&view), &self.limited_upstreams(&view));
+            self.handle(Event::Engines { engines, limited });
         }
         if is_replanned {
             let routed = self.jobs.iter();
--- a/crates/dandelion-route/src/limits/grantor.rs
+++ b/crates/dandelion-route/src/limits/grantor.rs
@@ -16,9 +16,14 @@
 /// limit of zero has ended.
 const MIN_RATE: f64 = 0.1;
 
-/// Time in which the permits that an idle upstream accumulates are granted at its rate.
+/// Time for which an idle upstream accumulates permits at its rate.
 const DEPTH: Millis = Millis(1_000);
 
+/// Permits that an idle upstream accumulates beyond those of [`DEPTH`]. The items of a batch job
+/// arrive at once, and without these an engine would be filled more slowly than its rate allows
+/// between two jobs.
+const BURST: f64 = 4.0;
+
 /// Most upstreams with a bucket. Beyond it the one that was asked for least recently is removed.
 const MAX_BUCKETS: usize = 1_024;
 
@@ -37,7 +42,9 @@
 ///
 /// The buckets of a new leader start empty when it grants for the first time, and the lease of the
 /// former one covers every permit that it granted. So all leaders together grant no more than one
-/// bucket does.
+/// bucket does, and in any 4 s an upstream gets at most 5.6 times its rate and 4 requests: what has
+/// accumulated, and what is granted in these 4 s, the 0.3 s before in which permits stay valid, and as
+/// long again for requests under way.
 #[derive(Debug, Default)]
 pub struct Grantor {
     /// Term in which the buckets are filled.
@@ -93,15 +100,11 @@
         if !self.buckets.contains_key(&upstream.id) {
             self.remove_surplus();
         }
-        let fresh = || Bucket {
-            limit: upstream.limit,
-            tokens: 0.0,
-            at: self.since,
-        };
+        let since = self.since;
         let bucket = self
             .buckets
             .entry(upstream.id.clone())
-            .or_insert_with(fresh);
+            .or_insert_with(|| Bucket::open(now, since, upstream.limit));
         if bucket.limit.born > upstream.limit.born {
             return None;
         }
@@ -122,12 +125,26 @@
 }
 
 impl Bucket {
+    /// Opens the bucket of an upstream of which no permit was granted in the term that began at
+    /// `since`. It has one token at most: until now the upstream may have got requests without
+    /// permits.
+    fn open(now: Millis, since: Millis, limit: NamedLimit) -> Self {
+        let mut bucket = Self {
+            limit,
+            tokens: 0.0,
+            at: since,
+        };
+        bucket.refill(now);
+        bucket.tokens = bucket.tokens.min(1.0);
+        bucket
+    }
+
     fn rate(&self) -> f64 {
         self.limit.rate.per_second().max(MIN_RATE)
     }
 
     fn depth(&self) -> f64 {
-        (self.rate() * DEPTH.0 as f64 / 1000.0).max(1.0)
+        self.rate() * DEPTH.0 as f64 / 1000.0 + BURST
     }
 
     fn refill(&mut self, now: Millis) {
