--- a/crates/dandelion-daemon/src/gateway/admit.rs
+++ b/crates/dandelion-daemon/src/gateway/admit.rs
@@ -51,32 +51,29 @@
     /// left; otherwise the best one without a limit.
     pub(super) async fn admit(&self, excluded: &[UpstreamId]) -> Result<Admitted, Shortage> {
         let view = self.core.control.view();
-        let mut candidates = self.candidates(&view, excluded);
-        if candidates.limited.is_empty() {
-            let open = candidates.open.take().ok_or(Shortage::NoUpstream)?;
+        let candidates = self.candidates(&view, excluded);
+        let mut wait = Millis::ZERO;
+        if !candidates.limited.is_empty() {
+            match self.take_permit(&candidates).await {
+                Ok(admitted) => return Ok(admitted),
+                Err(until_next) => wait = until_next,
+            }
+        }
+        if let Some(upstream) = candidates.open {
             return Ok(Admitted {
-                upstream: open,
+                upstream,
                 permit: None,
             });
         }
-        let wait = match self.take_permit(&candidates).await {
-            Ok(admitted) => return Ok(admitted),
-            Err(wait) => wait,
-        };
-        match candidates.open {
-            Some(upstream) => Ok(Admitted {
-                upstream,
-                permit: None,
-            }),
-            None => {
-                let rates = candidates.limited.iter().map(|(_, u)| u.limit.rate);
-                let retry = retry_delay(wait, rates, rand::rng().random());
-                Err(Shortage::Limited(Held {
-                    reason: "upstreams_limited",
-                    retry: retry.max(RETRY_DELAY),
-                }))
-            }
+        if candidates.limited.is_empty() {
+            return Err(Shortage::NoUpstream);
         }
+        let rates = candidates.limited.iter().map(|(_, u)| u.limit.rate);
+        let retry = retry_delay(wait, rates, rand::rng().random());
+        Err(Shortage::Limited(Held {
+            reason: "upstreams_limited",
+            retry: retry.max(RETRY_DELAY),
+        }))
     }
 
     /// Returns whether there is an upstream that is not excluded.
