--- a/crates/dandelion-daemon/src/control/handle.rs
+++ b/crates/dandelion-daemon/src/control/handle.rs
@@ -16,6 +16,7 @@
 use dandelion_protocol::config::Role;
 use dandelion_protocol::ids::DaemonId;
 use dandelion_protocol::ids::Revision;
+use dandelion_protocol::time::Millis;
 
 use crate::control::replica::ReplicaHandle;
 use crate::control::view::View;
@@ -66,6 +67,11 @@
         self.feed().lease_valid(clock::boot_now())
     }
 
+    /// Returns the time until this daemon's lease ends; zero without one.
+    pub fn lease_left(&self) -> Millis {
+        self.feed().lease_end().since(clock::boot_now())
+    }
+
     /// Returns the control leader, if this daemon's replica or its feed knows one.
     pub fn leader(&self) -> Option<DaemonId> {
         let own = self.replica.as_ref().and_then(ReplicaHandle::leader);
--- a/crates/dandelion-daemon/src/control/replica.rs
+++ b/crates/dandelion-daemon/src/control/replica.rs
@@ -290,10 +290,10 @@
             let stepped = node.step(now, clock::wall_now(), events, &mut actions);
             // Published before any message is sent, so that this daemon stops acting as leader
             // before another daemon receives its resignation.
-            self.shared.published.store(Arc::new(Published {
+            self.publish(Published {
                 leader: node.leader().cloned(),
                 lease: node.leader_lease(now),
-            }));
+            });
             stepped
         };
         if let Err(error) = stepped {
@@ -306,6 +306,20 @@
         true
     }
 
+    fn publish(&self, published: Published) {
+        let leader = published.leader.clone();
+        let previous = self.shared.published.swap(Arc::new(published));
+        if previous.leader != leader {
+            let name =
+                |id: &Option<DaemonId>| id.as_ref().map_or("none", DaemonId::as_str).to_owned();
+            event!(
+                Event::LeaderKnown,
+                leader = name(&leader),
+                previous = name(&previous.leader)
+            );
+        }
+    }
+
     fn execute(&self, action: NodeAction) {
         match action {
             NodeAction::Send { to, message } => {
--- a/crates/dandelion-daemon/src/gateway/forward.rs
+++ b/crates/dandelion-daemon/src/gateway/forward.rs
@@ -15,6 +15,7 @@
 use dandelion_platform::headers;
 use dandelion_platform::headers::CallerHeaders;
 use dandelion_platform::headers::Forwarding;
+use dandelion_protocol::ids::Revision;
 use dandelion_protocol::ids::TeamId;
 use dandelion_protocol::ids::UpstreamId;
 use dandelion_protocol::incarnations::UpstreamIncarnation;
@@ -72,6 +73,23 @@
     pub deadline: Instant,
 }
 
+/// The upstream of an attempt, and the state of the view by which it was chosen.
+struct Chosen {
+    upstream: UpstreamId,
+    revision: Revision,
+    lease_left: Millis,
+}
+
+impl Chosen {
+    fn of(placed: &Placed) -> Self {
+        Self {
+            upstream: placed.upstream.id.clone(),
+            revision: placed.in_flight.revision,
+            lease_left: placed.in_flight.lease_left,
+        }
+    }
+}
+
 /// Outcome of one attempt.
 enum Attempt {
     /// The answer for the caller.
@@ -142,18 +160,18 @@
                 Err(Some(held)) if runs == 0 => return self.refuse_held(&held),
                 Err(_) => break,
             };
-            let upstream = placed.upstream.clone();
-            tried.push(upstream.id.clone());
+            let chosen = Chosen::of(&placed);
+            tried.push(chosen.upstream.clone());
             match self.attempt(placed).await {
                 Attempt::Answer(response) => return response,
                 Attempt::NotRun => {
                     refusals += 1;
-                    self.log_retry(&upstream, "not_run");
+                    self.log_retry(&chosen, "not_run");
                 }
                 Attempt::Failed(answered) => {
                     runs += 1;
                     failure = answered.or(failure);
-                    self.log_retry(&upstream, "failed");
+                    self.log_retry(&chosen, "failed");
                     if !self.is_repeatable() {
                         break;
                     }
@@ -310,6 +328,8 @@
             request = self.id,
             route = self.route.name,
             upstream = in_flight.upstream.id,
+            revision = in_flight.revision,
+            lease_ms = in_flight.lease_left.0,
             status = status,
             took_ms = took.0
         );
@@ -355,12 +375,14 @@
         }
     }
 
-    fn log_retry(&self, upstream: &UpstreamIncarnation, reason: &str) {
+    fn log_retry(&self, chosen: &Chosen, reason: &str) {
         event!(
             Event::RequestRetried,
             request = self.id,
             route = self.route.name,
-            upstream = upstream.id,
+            upstream = chosen.upstream,
+            revision = chosen.revision,
+            lease_ms = chosen.lease_left.0,
             reason = reason
         );
     }
--- a/crates/dandelion-daemon/src/gateway/incarnations.rs
+++ b/crates/dandelion-daemon/src/gateway/incarnations.rs
@@ -48,15 +48,26 @@
         life: life.clone(),
         sequence: report.sequence,
     };
-    ignore_rejected(core.propose_own::<UpstreamsTable>(&command).await)?;
-    event!(
-        Event::LifeReported,
-        upstream = life.id,
-        service = life.service,
-        born = life.born.0,
-        sequence = report.sequence,
-        ready = life.ready
-    );
+    match core.propose_own::<UpstreamsTable>(&command).await {
+        Ok(applied) => event!(
+            Event::LifeReported,
+            upstream = life.id,
+            service = life.service,
+            born = life.born.0,
+            sequence = report.sequence,
+            ready = life.ready,
+            revision = applied.revision
+        ),
+        Err(CommandError::Rejected(_)) => event!(
+            Event::ReportOutdated,
+            upstream = life.id,
+            born = life.born.0,
+            sequence = report.sequence,
+            ready = life.ready,
+            view = view.revision
+        ),
+        Err(failed) => return Err(failed),
+    }
     Ok(())
 }
 
@@ -64,19 +75,16 @@
 pub async fn end(core: &Handle, end: UpstreamEnd) -> Result<(), CommandError> {
     let id = end.id.clone();
     let command = UpstreamsCommand::End(end);
-    ignore_rejected(core.propose_own::<UpstreamsTable>(&command).await)?;
-    event!(Event::LifeEnded, upstream = id, reason = "said_so");
+    let applied = core.propose_own::<UpstreamsTable>(&command).await?;
+    event!(
+        Event::LifeEnded,
+        upstream = id,
+        reason = "said_so",
+        revision = applied.revision
+    );
     Ok(())
 }
 
-/// Accepts a rejected proposal: the report is outdated and there is nothing to record.
-fn ignore_rejected<T>(result: Result<T, CommandError>) -> Result<(), CommandError> {
-    match result {
-        Ok(_) | Err(CommandError::Rejected(_)) => Ok(()),
-        Err(failed) => Err(failed),
-    }
-}
-
 /// Forwards a report to the leader of the store group and the control leader.
 fn forward_report(core: &Handle, report: &IncarnationReport) {
     let Some(mesh) = core.mesh() else {
@@ -131,10 +139,14 @@
         born: incarnation.born,
     };
     match core.propose_own::<UpstreamsTable>(&command).await {
-        Ok(_) => event!(
+        Ok(applied) => event!(
             Event::LifeEnded,
             upstream = incarnation.id,
-            reason = "silent"
+            reason = "silent",
+            born = incarnation.born.0,
+            ready = incarnation.ready,
+            reported_ms = (clock::boot_now().since(last_report(core, incarnation)).0),
+            revision = applied.revision
         ),
         Err(error) => log::debug!("upstream {} is not removed: {error}", incarnation.id),
     }
--- a/crates/dandelion-daemon/src/gateway/place.rs
+++ b/crates/dandelion-daemon/src/gateway/place.rs
@@ -5,9 +5,11 @@
 
 use async_std::task;
 use dandelion_net::clock;
+use dandelion_protocol::ids::Revision;
 use dandelion_protocol::ids::UpstreamId;
 use dandelion_protocol::incarnations::UpstreamIncarnation;
 use dandelion_protocol::limits::RatePermit;
+use dandelion_protocol::time::Millis;
 use dandelion_route::pick::Ending;
 use dandelion_telemetry::Event;
 use dandelion_telemetry::event;
@@ -115,6 +117,8 @@
         let in_flight = InFlight {
             core: self.core.clone(),
             upstream: upstream.clone(),
+            revision: self.core.control.revision(),
+            lease_left: self.core.control.lease_left(),
             started: Instant::now(),
             ending: Ending::Abandoned,
         };
@@ -149,6 +153,10 @@
 pub(super) struct InFlight {
     core: Handle,
     pub upstream: UpstreamIncarnation,
+    /// Revision of the view by which the upstream was chosen.
+    pub revision: Revision,
+    /// Time that was left of this daemon's lease when the upstream was chosen.
+    pub lease_left: Millis,
     pub started: Instant,
     pub ending: Ending,
 }
--- a/crates/dandelion-daemon/src/stores/runner/mod.rs
+++ b/crates/dandelion-daemon/src/stores/runner/mod.rs
@@ -29,6 +29,7 @@
 use dandelion_protocol::batch::BatchJob;
 use dandelion_protocol::batch::Partial;
 use dandelion_protocol::config::Role;
+use dandelion_protocol::ids::Revision;
 use dandelion_protocol::ids::Term;
 use dandelion_protocol::ids::UpstreamId;
 use dandelion_protocol::incarnations::UpstreamIncarnation;
@@ -84,6 +85,10 @@
     item: usize,
     engine: UpstreamId,
     started: Millis,
+    /// Revision of the view by which the engine was chosen.
+    revision: Revision,
+    /// Time that was left of this daemon's lease when the run started.
+    lease_left: Millis,
     abort: AbortHandle,
     /// Set to make the run stop so that another engine continues it.
     moved: Arc<AtomicBool>,
@@ -281,7 +286,9 @@
                         LogEvent::RunCancelled,
                         job = active.job,
                         run = run.0,
-                        upstream = active.engine
+                        upstream = active.engine,
+                        revision = active.revision,
+                        lease_ms = active.lease_left.0
                     );
                 }
             }
--- a/crates/dandelion-daemon/src/stores/runner/start.rs
+++ b/crates/dandelion-daemon/src/stores/runner/start.rs
@@ -110,6 +110,8 @@
             item,
             engine,
             started: clock::boot_now(),
+            revision: self.view.revision,
+            lease_left: self.core.control.lease_left(),
             abort,
             moved,
         };
--- a/crates/dandelion-telemetry/src/events/catalogue.rs
+++ b/crates/dandelion-telemetry/src/events/catalogue.rs
@@ -105,6 +105,8 @@
         "A daemon left the cell." "none";
     215 Warn RevisionRefused "revision_refused"
         "A control daemon offered a lower revision than the daemon already has." "none; the daemon requests it from another one";
+    216 Info LeaderKnown "leader_known"
+        "A replica learned that another daemon, or none, leads its group." "none";
 
     301 Warn MeshRefused "mesh_refused"
         "A connection on the mesh address failed its handshake."
@@ -265,4 +267,6 @@
         "A run generated an item's complete output; it is listed once enough disks have it." "none";
     934 Info RunCancelled "run_cancelled"
         "A run was cancelled, because its engine is gone or its job was ended; an open item waits for another run." "none";
+    935 Info ReportOutdated "report_outdated"
+        "A report of an upstream was not recorded, because a later one of it or of its address is known." "none";
 }
