--- a/crates/dandelion-control/tests/upstreams.rs
+++ b/crates/dandelion-control/tests/upstreams.rs
@@ -1,6 +1,8 @@
 //! The table of upstreams: reports that arrive late, again or from an earlier incarnation never
 //! replace newer ones.
 
+use std::collections::BTreeSet;
+
 use dandelion_control::tables::UpstreamsCommand;
 use dandelion_control::tables::UpstreamsTable;
 use dandelion_kernel::ApplyContext;
@@ -94,16 +96,84 @@
 fn forgotten_reports_again() {
     let mut table = UpstreamsTable::default();
     report(&mut table, life("i", 5, A, true), 1).unwrap();
-    let forget = UpstreamsCommand::Forget {
-        id: "i".parse().unwrap(),
-        born: WallMillis(5),
-    };
-    apply(&mut table, forget).unwrap();
+    forget(&mut table, "i", 5);
     assert_eq!(ready(&table, "i"), None);
     report(&mut table, life("i", 5, A, true), 2).unwrap();
     assert_eq!(ready(&table, "i"), Some(true));
 }
 
+fn forget(table: &mut UpstreamsTable, id: &str, born: u64) {
+    let command = UpstreamsCommand::Forget {
+        id: id.parse().unwrap(),
+        born: WallMillis(born),
+    };
+    apply(table, command).unwrap();
+}
+
+#[test]
+fn late_report_revives_drained() {
+    let mut table = UpstreamsTable::default();
+    report(&mut table, life("i", 5, A, true), 79).unwrap();
+    report(&mut table, life("i", 5, A, false), 80).unwrap();
+    forget(&mut table, "i", 5);
+    report(&mut table, life("i", 5, A, true), 79).unwrap_err();
+    assert_eq!(ready(&table, "i"), None);
+}
+
+#[test]
+fn late_report_revives_predecessor() {
+    let mut table = UpstreamsTable::default();
+    report(&mut table, life("i", 5, A, true), 9).unwrap();
+    report(&mut table, life("i", 6, B, true), 1).unwrap();
+    forget(&mut table, "i", 6);
+    report(&mut table, life("i", 5, A, true), 8).unwrap_err();
+    assert_eq!(ready(&table, "i"), None);
+}
+
+#[test]
+fn later_report_revives_drained() {
+    let mut table = UpstreamsTable::default();
+    report(&mut table, life("i", 5, A, false), 80).unwrap();
+    report(&mut table, life("i", 5, A, true), 81).unwrap();
+    assert_eq!(ready(&table, "i"), Some(false));
+}
+
+/// An incarnation that has drained or ended is never ready again, whatever arrives later and however
+/// often it was removed for being silent.
+#[test]
+fn drained_ready_again() {
+    fn prop(steps: Vec<(u8, u8, u8, u8)>) -> bool {
+        let mut table = UpstreamsTable::default();
+        let mut left = BTreeSet::new();
+        for (kind, id, born, sequence) in steps {
+            let (id, born) = (format!("i{}", id % 2), u64::from(born % 3) + 1);
+            let address = format!("10.0.0.{}:80", born + 1);
+            match kind % 4 {
+                0 => forget(&mut table, &id, born),
+                1 => {
+                    end(&mut table, &id, Some(born));
+                    left.insert((id, born));
+                }
+                kind => {
+                    let is_ready = kind == 2;
+                    let reported = life(&id, born, &address, is_ready);
+                    let accepted = report(&mut table, reported, u64::from(sequence));
+                    if accepted.is_ok() && !is_ready {
+                        left.insert((id, born));
+                    }
+                }
+            }
+            let is_back =
+                |l: &UpstreamIncarnation| l.ready && left.contains(&(l.id.to_string(), l.born.0));
+            if table.incarnations().any(is_back) {
+                return false;
+            }
+        }
+        true
+    }
+    quickcheck(prop as fn(Vec<(u8, u8, u8, u8)>) -> bool);
+}
+
 /// In whatever order reports of several incarnations arrive, an address has at most one upstream,
 /// and a newer one is never replaced by an older one.
 #[test]
--- a/crates/dandelion-load/src/checks.rs
+++ b/crates/dandelion-load/src/checks.rs
@@ -39,6 +39,7 @@
             "innocents_refused",
             "late_runs_over_bound",
         ],
+        "leaving" => &["late_after_answer", "late_after_report", "not_served_again"],
         "limits" => &["false_not_run", "over_limit", "phases_with_room_unused"],
         "silent" => &["ejected_wrongly"],
         "charge" => &["reports_by_two", "tokens_doubled", "windows_differing"],
--- a/crates/dandelion-load/src/cluster/plan.rs
+++ b/crates/dandelion-load/src/cluster/plan.rs
@@ -101,7 +101,16 @@
 
     /// Sends a caller's request to an entry.
     pub async fn get(&self, to: SocketAddr, path: &str) -> Answered {
-        let id = self.next_id.fetch_add(1, Ordering::Relaxed);
+        self.get_as(self.next_id(), to, path).await
+    }
+
+    /// Returns a number for a request that no other request has.
+    pub fn next_id(&self) -> u64 {
+        self.next_id.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Sends a caller's request to an entry under a number from [`Self::next_id`].
+    pub async fn get_as(&self, id: u64, to: SocketAddr, path: &str) -> Answered {
         let headers = fixtures::caller_headers(&request_id(id), KEY, TIMEOUT);
         let sent = Instant::now();
         let status = self.call(to, "GET", path, &headers, Vec::new()).await;
--- a/crates/dandelion-load/src/registry.rs
+++ b/crates/dandelion-load/src/registry.rs
@@ -6,6 +6,7 @@
 use crate::scenarios::billing;
 use crate::scenarios::drain;
 use crate::scenarios::issuer;
+use crate::scenarios::leaving;
 use crate::scenarios::limits;
 use crate::scenarios::once;
 use crate::scenarios::overhead;
@@ -65,6 +66,11 @@
         about: "processes: contents that end upstreams, sent through all entries of a route plan; entries and leaders killed and paused",
         run: quarantine::run,
     },
+    Scenario {
+        name: "leaving",
+        about: "processes: upstreams leave by report and by their answers, fall silent and are reported late",
+        run: leaving::run,
+    },
     Scenario {
         name: "limits",
         about: "processes: upstreams name limits on what they take from all entries; entries and control daemons killed, paused, joining",
--- a/crates/dandelion-load/src/scenarios/mod.rs
+++ b/crates/dandelion-load/src/scenarios/mod.rs
@@ -5,6 +5,7 @@
 pub mod drain;
 pub mod issuer;
 pub mod leadership;
+pub mod leaving;
 pub mod limits;
 pub mod once;
 pub mod order_executor;
