Remember that an upstream leaves after it was removed as silent

Cause: the table of upstreams kept the number of the last report and whether the incarnation leaves in the record that Forget removed. The control leader removes an upstream that it takes for silent; the next report, however old, was then recorded like a first one. Class: what only ever moves forward was kept in a record that can be removed.

Why the leader took reporting upstreams for silent is another fault, not touched here.

--- a/crates/dandelion-control/tests/upstreams.rs
+++ b/crates/dandelion-control/tests/upstreams.rs
@@ -138,6 +138,16 @@
     assert_eq!(ready(&table, "i"), Some(false));
 }
 
+#[test]
+fn ended_long_ago_revived() {
+    let mut table = UpstreamsTable::default();
+    for number in 1..=5_000 {
+        end(&mut table, &format!("i{number}"), Some(number));
+    }
+    report(&mut table, life("i1", 1, A, true), 7).unwrap_err();
+    report(&mut table, life("new", 5_001, A, true), 1).unwrap();
+}
+
 /// An incarnation that has drained or ended is never ready again, whatever arrives later and however
 /// often it was removed for being silent.
 #[test]
--- a/crates/dandelion-daemon/src/gateway/incarnations.rs
+++ b/crates/dandelion-daemon/src/gateway/incarnations.rs
@@ -40,10 +40,10 @@
     record_report(core, &report.life.id, report.life.born);
     forward_report(core, &report);
     let view = core.control.view();
-    if view.incarnations.contains(&report.life) {
+    let life = report.life;
+    if view.incarnations.iter().any(|known| includes(known, &life)) {
         return Ok(());
     }
-    let life = report.life;
     let command = UpstreamsCommand::Report {
         life: life.clone(),
         sequence: report.sequence,
@@ -71,6 +71,17 @@
     Ok(())
 }
 
+/// Returns whether what is known of an incarnation makes a report of it no news: one that leaves stays
+/// so, whatever it reports.
+fn includes(known: &UpstreamIncarnation, reported: &UpstreamIncarnation) -> bool {
+    let ready = known.ready && reported.ready;
+    *known
+        == UpstreamIncarnation {
+            ready,
+            ..reported.clone()
+        }
+}
+
 /// Records that an upstream announced its end.
 pub async fn end(core: &Handle, end: UpstreamEnd) -> Result<(), CommandError> {
     let id = end.id.clone();
