Name no leader once a replica's storage has failed

Each removal cancels the runs on the engine.

Cause: a replica whose disk fails ends its thread, and what it last published stays: on a former leader, itself as the leader. Its daemon goes on, takes reports, has changes recorded through the other daemons, and forwards the reports to the leader that it knows, which is none other than itself.

Evidence: failed_replica_named_leader failed before (the leader was still named 20 s after the disk had failed) and passes.

--- a/crates/dandelion-daemon/src/control/replica.rs
+++ b/crates/dandelion-daemon/src/control/replica.rs
@@ -281,7 +281,7 @@
     }
 
     /// Handles one batch. Returns false if the storage failed; the daemon then runs on without its
-    /// replica.
+    /// replica, and the replica names no leader: it learns of no other one any more.
     fn step(&self, events: Vec<NodeEvent>) -> bool {
         let mut actions = Vec::new();
         let stepped = {
@@ -290,9 +290,12 @@
             let stepped = node.step(now, clock::wall_now(), events, &mut actions);
             // Published before any message is sent, so that this daemon stops acting as leader
             // before another daemon receives its resignation.
-            self.publish(Published {
-                leader: node.leader().cloned(),
-                lease: node.leader_lease(now),
+            self.publish(match stepped {
+                Ok(()) => Published {
+                    leader: node.leader().cloned(),
+                    lease: node.leader_lease(now),
+                },
+                Err(_) => Published::default(),
             });
             stepped
         };
