Open a replica again once its disk takes bytes again

A disk that was full for four seconds cost its daemon the replica until the next restart: a group of three that bears the loss of one then bore none, without any sign but one storage_failed line.

The daemon now opens the failed replica again every second. Events storage_failed (each attempt) and storage_reopened (217).

Ruled out: ending the process. Its duties as entry or feeder would end with it, and a disk that stays full would end it again and again.

--- a/crates/dandelion-control/src/node/control.rs
+++ b/crates/dandelion-control/src/node/control.rs
@@ -35,7 +35,8 @@
 /// Most appended proposals that may wait to be committed; further ones are refused.
 pub const MAX_PENDING: usize = 16_384;
 
-/// A control daemon. After an error it must be opened again from its storage.
+/// A control daemon. After an error it must be opened again, by [`ControlNode::reopen`] or from its
+/// storage.
 #[derive(Debug)]
 pub struct ControlNode<S> {
     pub(super) settings: NodeSettings,
@@ -74,13 +75,7 @@
         seed: u64,
     ) -> Result<Self, StorageError> {
         let recovered = storage.recover();
-        let raft = Settings {
-            daemon: settings.daemon.clone(),
-            zone: settings.zone.clone(),
-            timing: settings.timing,
-            fault: settings.fault,
-        };
-        let replica = Replica::open(raft, recovered, now, seed);
+        let replica = Replica::open(raft_settings(&settings), recovered, now, seed);
         let mut node = Self {
             feeder_state: FeederState::open(seed),
             feeder_reports: FeederReports::default(),
@@ -103,6 +98,27 @@
         Ok(node)
     }
 
+    /// Opens the node again after an error, as a restarted process does. What it was told of its
+    /// peers stays.
+    pub fn reopen(&mut self, now: Millis, seed: u64) -> Result<(), StorageError> {
+        self.storage.reopen()?;
+        let recovered = self.storage.recover();
+        self.replica = Replica::open(raft_settings(&self.settings), recovered, now, seed);
+        self.feeder_state = FeederState::open(seed);
+        self.feeder_reports = FeederReports::default();
+        self.joining.restart();
+        self.tables = TableSet::open_all();
+        self.recent_changes = RecentChanges::default();
+        self.voter_change = None;
+        self.unresponsive = Unresponsive::new();
+        self.replica_daemons.clear();
+        self.pending.clear();
+        self.led_term = None;
+        self.restore_tables()?;
+        self.failure = None;
+        Ok(())
+    }
+
     /// Handles a batch of events. All writes are made durable with one sync, before any message or
     /// answer is returned as an action.
     pub fn step(
@@ -349,3 +365,12 @@
         actions.push(NodeAction::Send { to, message });
     }
 }
+
+fn raft_settings(settings: &NodeSettings) -> Settings {
+    Settings {
+        daemon: settings.daemon.clone(),
+        zone: settings.zone.clone(),
+        timing: settings.timing,
+        fault: settings.fault,
+    }
+}
--- a/crates/dandelion-control/src/node/joining.rs
+++ b/crates/dandelion-control/src/node/joining.rs
@@ -46,6 +46,11 @@
         }
     }
 
+    /// Drops the replies of peers.
+    pub fn restart(&mut self) {
+        self.empty_peers.clear();
+    }
+
     /// Replaces the peers that are not in the settings.
     pub fn set_extra_peers(&mut self, extra_peers: Vec<DaemonId>) {
         self.extra_peers = extra_peers;
--- a/crates/dandelion-control/src/storage/error.rs
+++ b/crates/dandelion-control/src/storage/error.rs
@@ -17,7 +17,7 @@
     },
     /// The disk or the quota is full.
     #[error(
-        "no space is left for `{file}`; nothing of this step was acknowledged: free space in the data folder and restart the daemon"
+        "no space is left for `{file}`; nothing of this step was acknowledged: free space in the data folder; a running daemon then goes on by itself"
     )]
     Full {
         /// Name of the file that was written.
@@ -25,7 +25,7 @@
     },
     /// The operating system refused an operation.
     #[error(
-        "`{file}` could not be read or written ({reason}); check the disk and the folder's permissions, then restart the daemon"
+        "`{file}` could not be read or written ({reason}); check the disk and the folder's permissions; a running daemon then goes on by itself"
     )]
     Io {
         /// Name of the file.
--- a/crates/dandelion-control/src/storage/store.rs
+++ b/crates/dandelion-control/src/storage/store.rs
@@ -39,6 +39,10 @@
 
     /// Returns the size of the log file in bytes.
     fn log_bytes(&self) -> u64;
+
+    /// Reads the state again after an error, for [`Storage::recover`], and writes it anew: a failed
+    /// sync may have left in memory only what was read.
+    fn reopen(&mut self) -> Result<(), StorageError>;
 }
 
 /// Storage in files on a [`Disk`].
@@ -48,6 +52,8 @@
     recovered: Recovered,
     next_sequence: u64,
     length: u64,
+    /// Position before the first entry of the log that was read.
+    base: Position,
     failure: Option<StorageError>,
 }
 
@@ -66,62 +72,70 @@
     D: Disk,
 {
     /// Opens storage on a disk. An empty one gets `fresh` as its identity, which must be random.
-    pub fn open_disk(mut disk: D, fresh: ReplicaId) -> Result<Self, StorageError> {
-        let snapshot = read_file(&mut disk, SNAPSHOT_FILE)?;
+    pub fn open_disk(disk: D, fresh: ReplicaId) -> Result<Self, StorageError> {
+        let mut storage = Self {
+            disk,
+            recovered: Recovered {
+                replica: fresh,
+                ..Recovered::default()
+            },
+            next_sequence: 1,
+            length: 0,
+            base: Position::default(),
+            failure: None,
+        };
+        if storage.load()? {
+            storage.finish_snapshot()?;
+        } else {
+            storage.replace_log(Position::default(), HardState::default(), &[])?;
+        }
+        Ok(storage)
+    }
+
+    /// Reads snapshot and log, and cuts a torn tail off. Returns false if there is no log yet.
+    fn load(&mut self) -> Result<bool, StorageError> {
+        let snapshot = read_file(&mut self.disk, SNAPSHOT_FILE)?;
         let snapshot = snapshot
             .map(|bytes| snapshot_file::read_snapshot(&bytes))
             .transpose()?;
-        let Some(bytes) = read_file(&mut disk, LOG_FILE)? else {
+        let Some(bytes) = read_file(&mut self.disk, LOG_FILE)? else {
             if snapshot.is_some() {
                 let reason = "the log is missing beside a snapshot";
                 return Err(StorageError::damaged(LOG_FILE, 0, reason));
             }
-            return Self::open_empty(disk, fresh);
+            return Ok(false);
         };
         let content = log_file::read_log(&bytes)?;
         if content.torn {
-            let truncated = disk.truncate(LOG_FILE, content.length);
+            let truncated = self.disk.truncate(LOG_FILE, content.length);
             truncated
-                .and_then(|()| disk.sync(LOG_FILE))
+                .and_then(|()| self.disk.sync(LOG_FILE))
                 .map_err(|e| StorageError::from_io(LOG_FILE, &e))?;
         }
-        let base = content.head.base;
-        let mut storage = Self {
-            disk,
-            next_sequence: content.next_sequence,
-            length: content.length,
-            recovered: Recovered::combine(content.head, snapshot)?,
-            failure: None,
-        };
-        storage.finish_snapshot(base)?;
-        Ok(storage)
+        self.next_sequence = content.next_sequence;
+        self.length = content.length;
+        self.base = content.head.base;
+        self.recovered = Recovered::combine(content.head, snapshot)?;
+        Ok(true)
     }
 
     /// Replaces the log if the process died after writing a snapshot and before replacing the log.
-    fn finish_snapshot(&mut self, base: Position) -> Result<(), StorageError> {
-        let at = self.recovered.snapshot.as_ref().map(|s| s.at);
-        let at = at.unwrap_or_default();
-        if at == base {
+    fn finish_snapshot(&mut self) -> Result<(), StorageError> {
+        if self.snapshot_position() == self.base {
             return Ok(());
         }
-        let entries = self.recovered.entries.clone();
-        self.replace_log(at, self.recovered.hard, &entries)
+        self.rewrite_log()
     }
 
-    fn open_empty(disk: D, fresh: ReplicaId) -> Result<Self, StorageError> {
-        let mut storage = Self {
-            disk,
-            recovered: Recovered {
-                replica: fresh,
-                ..Recovered::default()
-            },
-            next_sequence: 1,
-            length: 0,
-            failure: None,
-        };
-        let hard = HardState::default();
-        storage.replace_log(Position::default(), hard, &[])?;
-        Ok(storage)
+    fn snapshot_position(&self) -> Position {
+        let snapshot = self.recovered.snapshot.as_ref();
+        snapshot.map(|s| s.at).unwrap_or_default()
+    }
+
+    /// Writes a log of what was recovered.
+    fn rewrite_log(&mut self) -> Result<(), StorageError> {
+        let entries = self.recovered.entries.clone();
+        self.replace_log(self.snapshot_position(), self.recovered.hard, &entries)
     }
 
     /// Returns the disk without further writes, as after a crash.
@@ -219,6 +233,16 @@
     fn log_bytes(&self) -> u64 {
         self.length
     }
+
+    fn reopen(&mut self) -> Result<(), StorageError> {
+        self.failure = None;
+        self.load()?;
+        if let Some(snapshot) = &self.recovered.snapshot {
+            let bytes = snapshot_file::write_snapshot(snapshot)?;
+            self.replace_file(SNAPSHOT_TEMP, SNAPSHOT_FILE, &bytes)?;
+        }
+        self.rewrite_log()
+    }
 }
 
 fn read_file<D>(disk: &mut D, file: &str) -> Result<Option<Vec<u8>>, StorageError>
--- a/crates/dandelion-control/tests/data_folder.rs
+++ b/crates/dandelion-control/tests/data_folder.rs
@@ -171,6 +171,22 @@
     again.write(None, &[entry(3)]).unwrap();
 }
 
+#[test]
+fn reopened_after_full() {
+    let disk = disk_with_entries(2);
+    let mut storage = open(&disk).unwrap();
+    storage.recover();
+    disk.set_full(true);
+    storage.write(None, &[entry(3)]).unwrap_err();
+    storage.reopen().unwrap_err();
+    disk.set_full(false);
+    storage.reopen().unwrap();
+    assert_eq!(storage.recover().entries, vec![entry(1), entry(2)]);
+    storage.write(None, &[entry(3)]).unwrap();
+    disk.crash();
+    assert_eq!(open(&disk).unwrap().recover().entries.len(), 3);
+}
+
 #[test]
 fn other_version() {
     let disk = disk_with_entries(1);
--- a/crates/dandelion-control/tests/support/group.rs
+++ b/crates/dandelion-control/tests/support/group.rs
@@ -140,7 +140,9 @@
         let started = self.vms[number].start(self.now, seed);
         match started {
             Ok(()) => {}
-            Err(StorageError::Io { .. }) => self.vms[number].kill(self.now + 50),
+            Err(StorageError::Io { .. } | StorageError::Full { .. }) => {
+                self.vms[number].kill(self.now + 50);
+            }
             Err(error) => self
                 .checks
                 .fail(format!("vm-{number} does not start: {error}")),
@@ -181,6 +183,7 @@
                 self.restart(number);
             }
             if self.vms[number].is_running(self.now) {
+                self.refill_disk(number);
                 self.run_node(number);
                 self.run_client(number, FeedEvent::Tick);
             }
@@ -232,19 +235,38 @@
         }
     }
 
+    /// Ends the time in which a disk is full, and opens the node again if it has failed.
+    fn refill_disk(&mut self, number: usize) {
+        let vm = &mut self.vms[number];
+        if vm.full_until > self.now {
+            return;
+        }
+        if let Some(disk) = &vm.disk {
+            disk.set_full(false);
+        }
+        vm.reopen(self.now, self.seed ^ self.now);
+    }
+
     fn run_node(&mut self, number: usize) {
         let mut events = std::mem::take(&mut self.inboxes[number]);
         events.push(NodeEvent::Tick);
         let vm = &mut self.vms[number];
         let clock = vm.clock(self.now);
-        let Some(node) = vm.node.as_mut() else {
+        let Some(node) = vm.node.as_mut().filter(|_| !vm.failed) else {
             return;
         };
         let mut actions = Vec::new();
         let wall = WallMillis(clock.0);
-        if node.step(clock, wall, events, &mut actions).is_err() {
-            vm.kill(self.now + 100);
-            return;
+        match node.step(clock, wall, events, &mut actions) {
+            Ok(()) => {}
+            Err(StorageError::Full { .. }) => {
+                vm.failed = true;
+                return;
+            }
+            Err(_) => {
+                vm.kill(self.now + 100);
+                return;
+            }
         }
         for action in actions {
             self.perform(number, action);
@@ -308,6 +330,7 @@
         for vm in &mut self.vms {
             vm.paused_until = 0;
             vm.down_until = 0;
+            vm.full_until = 0;
             if let Some(disk) = &vm.disk {
                 disk.set_full(false);
                 disk.cancel_crash();
--- a/crates/dandelion-control/tests/support/schedule.rs
+++ b/crates/dandelion-control/tests/support/schedule.rs
@@ -68,6 +68,12 @@
             }
         }
         23..26 => group.event(number, NodeEvent::Resign),
+        26..29 => {
+            group.vms[number].full_until = now + group.rng.random_range(20..500);
+            if let Some(disk) = &group.vms[number].disk {
+                disk.set_full(true);
+            }
+        }
         22 if !*wiped => {
             *wiped = true;
             group.vms[number].kill(now + 50);
--- a/crates/dandelion-control/tests/support/vm.rs
+++ b/crates/dandelion-control/tests/support/vm.rs
@@ -28,6 +28,10 @@
     pub offset: u64,
     pub paused_until: u64,
     pub down_until: u64,
+    /// Time until which the disk is full.
+    pub full_until: u64,
+    /// Whether the node waits for space on its disk to be opened again.
+    pub failed: bool,
     /// Number of starts so far; one incarnation each.
     pub starts: u64,
     /// Highest revision that the client has had under a lease, over all its starts.
@@ -56,6 +60,8 @@
             offset: 0,
             paused_until: 0,
             down_until: 0,
+            full_until: 0,
+            failed: false,
             starts: 0,
             leased_revision: Revision(0),
         }
@@ -85,7 +91,16 @@
         Ok(())
     }
 
+    /// Opens a failed node again if its disk has space.
+    pub fn reopen(&mut self, now: u64, seed: u64) {
+        let clock = self.clock(now);
+        if let Some(node) = self.node.as_mut().filter(|_| self.failed) {
+            self.failed = node.reopen(clock, seed).is_err();
+        }
+    }
+
     pub fn kill(&mut self, until: u64) {
+        self.failed = false;
         self.node = None;
         self.client = None;
         self.down_until = until;
--- a/crates/dandelion-daemon/src/control/replica.rs
+++ b/crates/dandelion-daemon/src/control/replica.rs
@@ -38,6 +38,7 @@
 use dandelion_telemetry::Event;
 use dandelion_telemetry::event;
 use futures::channel::oneshot;
+use rand::Rng;
 
 /// Events that can be queued for the replica.
 const EVENT_CAPACITY: usize = 16_384;
@@ -48,6 +49,9 @@
 /// Longest wait for an event before the replica gets a tick.
 const TICK: Duration = Duration::from_millis(20);
 
+/// Interval at which a replica whose storage has failed is opened again.
+const REOPEN_PERIOD: Duration = Duration::from_secs(1);
+
 type Node = ControlNode<FileStorage>;
 type Proposed = Result<Answer, ProposeError>;
 type Changed = Result<(), ChangeError>;
@@ -255,17 +259,62 @@
 
 impl Worker {
     fn run(self) {
-        while let Some(events) = self.next_batch() {
+        let mut held = Vec::new();
+        while let Some(events) = self.next_batch(std::mem::take(&mut held)) {
             if !self.step(events) {
-                return;
+                let Some(kept) = self.reopen() else {
+                    return;
+                };
+                held = kept;
+            }
+        }
+    }
+
+    /// Opens the replica again until its storage works, and refuses what is asked of it meanwhile.
+    /// Returns the events that it still needs; none once every handle is dropped.
+    fn reopen(&self) -> Option<Vec<NodeEvent>> {
+        let mut kept = Vec::new();
+        let mut next = Instant::now() + REOPEN_PERIOD;
+        loop {
+            let wait = next.saturating_duration_since(Instant::now());
+            if wait.is_zero() {
+                if self.try_reopen() {
+                    return Some(kept);
+                }
+                next = Instant::now() + REOPEN_PERIOD;
+                continue;
             }
+            match async_std::task::block_on(timeout(wait, self.queue.recv())) {
+                Ok(Ok(NodeEvent::Propose { ticket, .. })) => {
+                    let result = Err(ProposeError::NoLeader);
+                    self.execute(NodeAction::Answer { ticket, result });
+                }
+                Ok(Ok(NodeEvent::ChangeVoters { ticket, .. })) => {
+                    let result = Err(ChangeError::NotLeader);
+                    self.execute(NodeAction::Changed { ticket, result });
+                }
+                Ok(Ok(event @ (NodeEvent::Peers(_) | NodeEvent::Retire(_)))) => kept.push(event),
+                Ok(Err(_)) => return None,
+                Ok(Ok(_)) | Err(_) => (),
+            }
+        }
+    }
+
+    fn try_reopen(&self) -> bool {
+        let seed = rand::rng().random();
+        let reopened = self.shared.node.lock().reopen(clock::boot_now(), seed);
+        match &reopened {
+            Ok(()) => event!(Event::StorageReopened),
+            Err(error) => event!(Event::StorageFailed, error = error),
         }
+        reopened.is_ok()
     }
 
-    /// Returns a tick and the queued events, after waiting at most [`TICK`] for the first of them;
-    /// none once every handle is dropped.
-    fn next_batch(&self) -> Option<Vec<NodeEvent>> {
-        let mut events = vec![NodeEvent::Tick];
+    /// Returns the held events, a tick and the queued events, after waiting at most [`TICK`] for the
+    /// first of them; none once every handle is dropped.
+    fn next_batch(&self, held: Vec<NodeEvent>) -> Option<Vec<NodeEvent>> {
+        let mut events = held;
+        events.push(NodeEvent::Tick);
         match async_std::task::block_on(timeout(TICK, self.queue.recv())) {
             Ok(Ok(event)) => events.push(event),
             Ok(Err(_)) => return None,
@@ -280,8 +329,8 @@
         Some(events)
     }
 
-    /// Handles one batch. Returns false if the storage failed; the daemon then runs on without its
-    /// replica, and the replica names no leader: it learns of no other one any more.
+    /// Handles one batch. Returns false if the storage failed. The replica then names no leader: it
+    /// learns of no other one until it is opened again.
     fn step(&self, events: Vec<NodeEvent>) -> bool {
         let mut actions = Vec::new();
         let stepped = {
--- a/crates/dandelion-daemon/tests/full_disk.rs
+++ b/crates/dandelion-daemon/tests/full_disk.rs
@@ -59,9 +59,10 @@
     }
 }
 
-/// The limit on files holds for the whole process, so this is the only test here.
+/// A replica whose disk was full named itself as leader, and never took part in its group again. The
+/// limit on files holds for the whole process, so this is the only test here.
 #[test]
-fn failed_replica_named_leader() {
+fn full_disk_loses_replica() {
     // The default action of this signal ends the process.
     let signalled = Arc::new(AtomicBool::new(false));
     signal_hook::flag::register(rustix::process::Signal::XFSZ.as_raw(), signalled).unwrap();
@@ -75,11 +76,15 @@
     let node = ControlNode::open(settings, storage, clock::boot_now(), 7).unwrap();
     let (replica, _messages) = ReplicaHandle::spawn(node);
     wait_until(|| replica.leader() == Some(own.clone()));
-    propose(&replica, 1).unwrap();
+    let first = propose(&replica, 1).unwrap();
 
     limit_files(Some(1));
     assert_eq!(propose(&replica, 2), Err(ProposeError::Unknown));
     wait_until(|| replica.leader().is_none());
     assert_eq!(propose(&replica, 3), Err(ProposeError::NoLeader));
+
     limit_files(None);
+    wait_until(|| replica.leader() == Some(own.clone()));
+    let next = propose(&replica, 4).unwrap();
+    assert!(next.revision > first.revision, "the log is lost");
 }
--- a/crates/dandelion-telemetry/src/events/catalogue.rs
+++ b/crates/dandelion-telemetry/src/events/catalogue.rs
@@ -92,7 +92,7 @@
         "Stored data other than the last record of the log is damaged; the daemon does not start."
         "Replace the voter by a daemon with a new name and an empty folder.";
     209 Error StorageFailed "storage_failed"
-        "The data folder could not be written." "Free space or replace the disk.";
+        "The data folder could not be written. The daemon runs on without its replica and tries again every second." "Free space or replace the disk.";
     210 Error FolderLocked "folder_locked"
         "Another process uses the data folder." "Stop it, or set another folder.";
     211 Info VotersChanged "voters_changed"
@@ -107,6 +107,8 @@
         "A control daemon offered a lower revision than the daemon already has." "none; the daemon requests it from another one";
     216 Info LeaderKnown "leader_known"
         "A replica learned that another daemon, or none, leads its group." "none";
+    217 Info StorageReopened "storage_reopened"
+        "The data folder can be written again; the replica is part of its group again." "none";
 
     301 Warn MeshRefused "mesh_refused"
         "A connection on the mesh address failed its handshake."
