Check lease and upstream again immediately before a request is written

An entry checked its lease once; its retries, waits for permits and trials, connects and the resend on a fresh connection came later. The leader of the batch jobs checked no lease of the feed at all, so one cut off from the control daemons alone would have gone on with the engines it last heard of. design/limits.md had relied on a lease there.

Client::send_if asks the sender before each write, also the second one on a fresh connection. The gateway and the runs of items answer by dandelion_route::gate: the lease lasts 200 ms more, and the newest view has this incarnation as ready. A lease is as long as an upstream that leaves may still get requests (2 s, 2.5 s in large cells), so what is written arrives within that time. Entries refuse retries as not run without a lease; no engine counts as ready at a store without one. What is withheld costs neither an attempt nor a pause of the engine (event 936).

--- a/crates/dandelion-batch/src/scheduler/event.rs
+++ b/crates/dandelion-batch/src/scheduler/event.rs
@@ -44,6 +44,9 @@
     },
     /// The engine did not run the item, because it is full or loads weights.
     Refused,
+    /// The item was not sent, because the engine left or its permit expired after it was chosen, or
+    /// because the daemon's view is too old.
+    Withheld,
     /// The request reached another engine or version than the intended one (HTTP status 421).
     Mistaken,
     /// The engine answered with a failure, or no request could be built.
--- a/crates/dandelion-batch/src/scheduler/machine.rs
+++ b/crates/dandelion-batch/src/scheduler/machine.rs
@@ -386,7 +386,9 @@
                 item.failures += 1;
                 ItemState::Waiting(now + FAILED_DELAY)
             }
-            RunOutcome::Refused | RunOutcome::Mistaken => ItemState::Waiting(now + REFUSED_DELAY),
+            RunOutcome::Refused | RunOutcome::Mistaken | RunOutcome::Withheld => {
+                ItemState::Waiting(now + REFUSED_DELAY)
+            }
             RunOutcome::Stale(_) | RunOutcome::Moved | RunOutcome::Broken { .. } => {
                 ItemState::Waiting(now)
             }
@@ -434,7 +436,10 @@
             }
             RunOutcome::Mistaken => engine.record_refusal(now),
             RunOutcome::Broken { .. } => engine.record_failure(now),
-            RunOutcome::Failed | RunOutcome::Impossible | RunOutcome::Moved => (),
+            RunOutcome::Failed
+            | RunOutcome::Impossible
+            | RunOutcome::Moved
+            | RunOutcome::Withheld => (),
         }
     }
 }
--- a/crates/dandelion-batch/tests/lost_engines.rs
+++ b/crates/dandelion-batch/tests/lost_engines.rs
@@ -193,3 +193,15 @@
         harness.results.iter().all(|count| *count >= 1)
     }
 }
+
+/// An engine that is not at fault is not paused for a run that was not sent to it.
+#[test]
+fn withheld_run_pauses_engine() {
+    let mut harness = Harness::open();
+    let (run, _) = harness.running.pop_first().unwrap();
+    let outcome = RunOutcome::Withheld;
+    harness.handle(Event::RunEnded { run, outcome });
+    harness.now = harness.now + TICK;
+    harness.handle(Event::Tick);
+    assert_eq!(harness.running.len(), ITEMS);
+}
--- a/crates/dandelion-daemon/src/gateway/forward.rs
+++ b/crates/dandelion-daemon/src/gateway/forward.rs
@@ -8,6 +8,7 @@
 use dandelion_net::http::BodyBuffer;
 use dandelion_net::http::body;
 use dandelion_net::http::client;
+use dandelion_net::http::client::Cause;
 use dandelion_net::http::client::Exchange;
 use dandelion_net::http::client::SendError;
 use dandelion_net::http::client::SendOptions;
@@ -35,6 +36,7 @@
 
 use crate::core::Handle;
 use crate::gateway::answer;
+use crate::gateway::gate;
 use crate::gateway::limits;
 use crate::gateway::place::InFlight;
 use crate::gateway::place::Placed;
@@ -217,10 +219,6 @@
         rate_permit: Option<RatePermit>,
     ) -> Attempt {
         let upstream = &in_flight.upstream;
-        if rate_permit.is_some_and(|permit| clock::boot_now() > permit.until) {
-            run.not_run();
-            return Attempt::NotRun;
-        }
         let options = SendOptions {
             deadline: self.attempt_deadline(),
             progress: self.deadline.saturating_duration_since(Instant::now()),
@@ -232,13 +230,18 @@
             run.not_run();
             return Attempt::Failed(Some(answer::status(400)));
         };
-        let sent = self
-            .core
-            .gateway
-            .client
-            .send(upstream.address, request, &options);
+        let may_send = || {
+            let is_permitted = rate_permit.is_none_or(|p| clock::boot_now() <= p.until);
+            is_permitted && gate::may_send(self.core, upstream, self.id)
+        };
+        let client = &self.core.gateway.client;
+        let sent = client.send_if(upstream.address, request, &options, may_send);
         let exchange = match sent.await {
             Ok(exchange) => exchange,
+            Err(SendError::NotSent(Cause::Withheld)) => {
+                run.not_run();
+                return Attempt::NotRun;
+            }
             Err(SendError::NotSent(_)) => {
                 in_flight.ending = Ending::Failed;
                 run.not_run();
--- a/crates/dandelion-daemon/src/gateway/mod.rs
+++ b/crates/dandelion-daemon/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod control;
 mod forward;
 mod front;
+pub mod gate;
 mod incarnations;
 mod jobs;
 pub mod limits;
--- a/crates/dandelion-daemon/src/gateway/place.rs
+++ b/crates/dandelion-daemon/src/gateway/place.rs
@@ -17,7 +17,9 @@
 use crate::core::Handle;
 use crate::gateway::admit::Admitted;
 use crate::gateway::admit::Shortage;
+use crate::gateway::answer::LEASE_RETRY_DELAY;
 use crate::gateway::forward::Call;
+use crate::gateway::gate;
 use crate::gateway::quarantine::Denied;
 use crate::gateway::quarantine::Held;
 use crate::gateway::quarantine::Permit;
@@ -43,6 +45,12 @@
     pub(super) async fn place(&self, tried: &[UpstreamId]) -> Result<Placed, Option<Held>> {
         let quarantine = &self.core.gateway.quarantine;
         loop {
+            if !gate::is_current(self.core) {
+                return Err(Some(Held {
+                    reason: "no_lease",
+                    retry: LEASE_RETRY_DELAY,
+                }));
+            }
             let placed = match quarantine.check(self.core, self.content) {
                 Standing::Clear => {
                     let admitted = self.admit_clear(tried).await.map_err(held_by)?;
--- a/crates/dandelion-daemon/src/stores/run.rs
+++ b/crates/dandelion-daemon/src/stores/run.rs
@@ -10,6 +10,7 @@
 use dandelion_batch::scheduler::Speed;
 use dandelion_net::clock;
 use dandelion_net::http::client;
+use dandelion_net::http::client::Cause;
 use dandelion_net::http::client::Exchange;
 use dandelion_net::http::client::SendError;
 use dandelion_net::http::client::SendOptions;
@@ -26,6 +27,7 @@
 use thiserror::Error;
 
 use crate::core::Handle;
+use crate::gateway::gate;
 use crate::gateway::limits;
 
 /// Longest time for one run, from the sending of the request to the last event.
@@ -168,9 +170,6 @@
     }
 
     async fn send(&self, core: &Handle) -> Result<Exchange, RunOutcome> {
-        if self.permit.is_some_and(|p| clock::boot_now() > p.until) {
-            return Err(RunOutcome::Refused);
-        }
         let options = SendOptions {
             deadline: Instant::now() + RUN_TIMEOUT,
             progress: STALL_TIMEOUT,
@@ -179,14 +178,19 @@
             probe: self.permit.is_none(),
         };
         let request = self.request().ok_or(RunOutcome::Failed)?;
-        let sent = core
-            .gateway
-            .client
-            .send(self.engine.address, request, &options);
+        let may_send = || {
+            let is_permitted = self.permit.is_none_or(|p| clock::boot_now() <= p.until);
+            is_permitted && gate::may_send(core, &self.engine, self.id())
+        };
+        let client = &core.gateway.client;
+        let sent = client.send_if(self.engine.address, request, &options, may_send);
         sent.await.map_err(|error| {
             log::debug!("item {} at {}: {error}", self.id(), self.engine.id);
-            RunOutcome::Broken {
-                reached: matches!(error, SendError::Unknown(_)),
+            match error {
+                SendError::NotSent(Cause::Withheld) => RunOutcome::Withheld,
+                error => RunOutcome::Broken {
+                    reached: matches!(error, SendError::Unknown(_)),
+                },
             }
         })
     }
--- a/crates/dandelion-daemon/src/stores/runner/mod.rs
+++ b/crates/dandelion-daemon/src/stores/runner/mod.rs
@@ -109,6 +109,8 @@
     view: Arc<View>,
     /// Version of this daemon's own knowledge of limits that the scheduler has.
     limits_version: u64,
+    /// Whether the view was new enough to choose engines by it.
+    is_current: bool,
     messages: Sender<TaskMessage>,
     /// When the control daemons were last notified that this daemon leads.
     last_announced: Millis,
@@ -150,6 +152,7 @@
             deferred: BTreeMap::new(),
             view: Arc::default(),
             limits_version: 0,
+            is_current: false,
             messages,
             last_announced: Millis::ZERO,
         }
--- a/crates/dandelion-daemon/src/stores/runner/view.rs
+++ b/crates/dandelion-daemon/src/stores/runner/view.rs
@@ -9,6 +9,7 @@
 use dandelion_protocol::plan::RoutePlan;
 
 use crate::control::View;
+use crate::gateway::gate;
 use crate::stores::runner::Runner;
 
 impl Runner {
@@ -17,15 +18,18 @@
         service_of(self.view.plan.as_deref()?, job)
     }
 
-    /// Loads the newest view of the cell and notifies the scheduler of what has changed.
+    /// Loads the newest view of the cell and notifies the scheduler of what has changed. While the
+    /// view may be too old, no engine counts as ready.
     pub(super) fn refresh(&mut self) {
+        let is_current = gate::is_current(&self.core);
         let view = self.core.control.view();
         let limits_version = self.core.gateway.limits.version();
-        if view.revision == self.view.revision && limits_version == self.limits_version {
+        let is_learnt = limits_version != self.limits_version || is_current != self.is_current;
+        if view.revision == self.view.revision && !is_learnt {
             return;
         }
-        let is_learnt = limits_version != self.limits_version;
         self.limits_version = limits_version;
+        self.is_current = is_current;
         let previous = std::mem::replace(&mut self.view, view);
         let view = Arc::clone(&self.view);
         let is_replanned = version_of(&previous) != version_of(&view);
@@ -34,7 +38,8 @@
             || !Arc::ptr_eq(&previous.incarnations, &view.incarnations)
             || !Arc::ptr_eq(&previous.limits, &view.limits)
         {
-            let (engines, limited) = (&engines(&view), &self.limited_upstreams(&view));
+            let engines = &engines(&view, is_current);
+            let limited = &self.limited_upstreams(&view);
             self.handle(Event::Engines { engines, limited });
         }
         if is_replanned {
@@ -64,8 +69,9 @@
     shares.max_by_key(|s| s.weight).map(|s| s.service.clone())
 }
 
-/// Returns the engines, each with the number of tokens that fit in its memory.
-fn engines(view: &View) -> Vec<(UpstreamIncarnation, Option<u64>)> {
+/// Returns the engines, each with the number of tokens that fit in its memory. None is ready unless
+/// the view is current.
+fn engines(view: &View, is_current: bool) -> Vec<(UpstreamIncarnation, Option<u64>)> {
     let memory = |incarnation: &UpstreamIncarnation| {
         let service = view
             .plan
@@ -74,7 +80,11 @@
         service.and_then(|s| s.memory)
     };
     let incarnations = view.incarnations.iter();
-    let engines = incarnations
-        .filter_map(|incarnation| Some((incarnation.clone(), Some(memory(incarnation)?))));
+    let engines = incarnations.filter_map(|incarnation| {
+        let memory = memory(incarnation)?;
+        let mut engine = incarnation.clone();
+        engine.ready &= is_current;
+        Some((engine, Some(memory)))
+    });
     engines.collect()
 }
--- a/crates/dandelion-net/src/http/client/error.rs
+++ b/crates/dandelion-net/src/http/client/error.rs
@@ -27,6 +27,9 @@
     /// The deadline passed.
     #[error("the deadline passed; allow more time or find out why the upstream is slow")]
     Deadline,
+    /// The sender no longer wanted the request to be written.
+    #[error("withheld by the sender; choose where to send it again")]
+    Withheld,
     /// A write, the head or the next body bytes took longer than the progress timeout; the
     /// connection was dropped.
     #[error("the connection went quiet (fresh connection works: {alive}); it was replaced")]
--- a/crates/dandelion-net/src/http/client/send.rs
+++ b/crates/dandelion-net/src/http/client/send.rs
@@ -102,16 +102,35 @@
         request: Request,
         options: &SendOptions,
     ) -> Result<Exchange, SendError> {
+        self.send_if(address, request, options, || true).await
+    }
+
+    /// Sends a request like [`Client::send`], if `may_send` still allows it once there is a
+    /// connection. It is asked immediately before each write.
+    pub async fn send_if<F>(
+        &self,
+        address: SocketAddr,
+        request: Request,
+        options: &SendOptions,
+        may_send: F,
+    ) -> Result<Exchange, SendError>
+    where
+        F: Fn() -> bool + Sync,
+    {
         let encoded = encode(request).await.map_err(SendError::NotSent)?;
         let mut first_error = None;
         if let Some(stream) = self.pool.acquire(address) {
-            match self.attempt(address, stream, &encoded, options).await {
+            let attempt = self.attempt(address, stream, &encoded, options, &may_send);
+            match attempt.await {
                 Err(error) if may_resend(&error, options) => first_error = Some(error),
                 done => return done,
             }
         }
         let resent = match self.connect(address, options).await {
-            Ok(stream) => self.attempt(address, stream, &encoded, options).await,
+            Ok(stream) => {
+                let attempt = self.attempt(address, stream, &encoded, options, &may_send);
+                attempt.await
+            }
             Err(error) => Err(error),
         };
         match (resent, first_error) {
@@ -171,17 +190,25 @@
         Ok(stream)
     }
 
-    async fn attempt(
+    async fn attempt<F>(
         &self,
         address: SocketAddr,
         mut stream: TcpStream,
         encoded: &Encoded,
         options: &SendOptions,
-    ) -> Result<Exchange, SendError> {
+        may_send: &F,
+    ) -> Result<Exchange, SendError>
+    where
+        F: Fn() -> bool + Sync,
+    {
         // The process may have been suspended since the deadline was last checked.
         if Instant::now() >= options.deadline {
             return Err(SendError::NotSent(Cause::Deadline));
         }
+        if !may_send() {
+            self.release(address, stream);
+            return Err(SendError::NotSent(Cause::Withheld));
+        }
         let mut timer = StepTimer::start(options.progress, options.deadline);
         write(&mut stream, &encoded.bytes, &mut timer).await?;
         let origin = Origin {
@@ -244,7 +271,7 @@
 
 fn may_resend(error: &SendError, options: &SendOptions) -> bool {
     match error {
-        SendError::NotSent(cause) => *cause != Cause::Deadline,
+        SendError::NotSent(cause) => !matches!(cause, Cause::Deadline | Cause::Withheld),
         SendError::Unknown(Cause::Closed(_)) => options.idempotent,
         SendError::Unknown(_) => false,
     }
--- a/crates/dandelion-route/src/lib.rs
+++ b/crates/dandelion-route/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod claims;
 pub mod digest;
 pub mod entry;
+pub mod gate;
 pub mod limits;
 pub mod outcome;
 pub mod ownership;
--- a/crates/dandelion-telemetry/src/events/catalogue.rs
+++ b/crates/dandelion-telemetry/src/events/catalogue.rs
@@ -271,4 +271,6 @@
         "A run was cancelled, because its engine is gone or its job was ended; an open item waits for another run." "none";
     935 Info ReportOutdated "report_outdated"
         "A report of an upstream was not recorded, because a later one of it or of its address is known." "none";
+    936 Info SendWithheld "send_withheld"
+        "A request or item was not written to the upstream that was chosen for it, because this daemon's lease is about to end or the upstream left meanwhile." "none; another upstream is chosen, or the request is refused as not run";
 }
