Send nothing more to upstreams whose answers say that they leave

Nothing read the header.

`platform/` names it; the gateway and the runs of items record it from any answer of the intended upstream (with its request's id, and not misdirected). The mark is kept by upstream and incarnation, outside the view, and is asked at the choice and at each write. Neither later reports, a removal as silent, a replaced view nor another route to the address undoes it; an incarnation that started after the answer is not meant by it.

What the margin covers is a processor that is withheld for a tenth of a second.

--- a/crates/dandelion-daemon/src/gateway/admit.rs
+++ b/crates/dandelion-daemon/src/gateway/admit.rs
@@ -94,7 +94,9 @@
         let zone = &self.core.identity.zone;
         let now = clock::boot_now();
         let picker = self.core.gateway.picker();
-        let ranked = picker.rank(now, view.incarnations.iter(), service, zone, excluded);
+        let leaving = self.core.gateway.leaving.known();
+        let staying = view.incarnations.iter().filter(|u| !leaving.leaves(u));
+        let ranked = picker.rank(now, staying, service, zone, excluded);
         for upstream in ranked {
             let Some(limit) = self.core.gateway.limits.limit_of(view, upstream) else {
                 candidates.open = Some(upstream.clone());
--- a/crates/dandelion-daemon/src/gateway/answer.rs
+++ b/crates/dandelion-daemon/src/gateway/answer.rs
@@ -16,6 +16,9 @@
 /// caller reaches probably has one.
 pub const LEASE_RETRY_DELAY: Millis = Millis(50);
 
+/// Status of an answer by another upstream than the intended one.
+pub const MISDIRECTED: u16 = 421;
+
 /// Header that the HTTP server sets itself.
 const DATE: &str = "date";
 
--- a/crates/dandelion-daemon/src/gateway/forward.rs
+++ b/crates/dandelion-daemon/src/gateway/forward.rs
@@ -37,6 +37,7 @@
 use crate::core::Handle;
 use crate::gateway::answer;
 use crate::gateway::gate;
+use crate::gateway::leaving;
 use crate::gateway::limits;
 use crate::gateway::place::InFlight;
 use crate::gateway::place::Placed;
@@ -258,6 +259,7 @@
             .is_some_and(|id| id != self.id);
         if !is_mismatched {
             limits::observe(self.core, upstream, &exchange, rate_permit, self.id);
+            leaving::observe(self.core, upstream, &exchange, self.id);
         }
         if exchange.header(headers::NOT_RUN).is_some() {
             in_flight.ending = Ending::Refused;
--- a/crates/dandelion-daemon/src/gateway/limits/observe.rs
+++ b/crates/dandelion-daemon/src/gateway/limits/observe.rs
@@ -8,11 +8,9 @@
 use dandelion_telemetry::event;
 
 use crate::core::Handle;
+use crate::gateway::answer::MISDIRECTED;
 use crate::gateway::limits::state::replicated;
 
-/// Status of an answer by another upstream than the intended one.
-const MISDIRECTED: u16 = 421;
-
 /// Takes in what the head of an answer says about the limit of its upstream. `permit` is that of the
 /// request, if it had one.
 pub fn observe(
--- a/crates/dandelion-daemon/src/gateway/state.rs
+++ b/crates/dandelion-daemon/src/gateway/state.rs
@@ -14,6 +14,7 @@
 use dandelion_protocol::time::WallMillis;
 use dandelion_route::pick::Picker;
 
+use crate::gateway::leaving::Leaving;
 use crate::gateway::limits::Limits;
 use crate::gateway::quarantine::Quarantine;
 
@@ -49,6 +50,8 @@
     pub quarantine: Quarantine,
     /// Limits that upstreams name, as far as this daemon knows.
     pub limits: Limits,
+    /// Upstreams that have told this daemon that they leave.
+    pub leaving: Leaving,
     picker: Mutex<Picker>,
     last_reports: Mutex<BTreeMap<UpstreamId, LastReport>>,
     jobs_leader: Mutex<Option<DaemonId>>,
@@ -67,6 +70,7 @@
             buffers: BufferBudget::new(ANSWER_BYTES),
             quarantine: Quarantine::default(),
             limits: Limits::default(),
+            leaving: Leaving::default(),
             picker: Mutex::default(),
             last_reports: Mutex::default(),
             jobs_leader: Mutex::default(),
--- a/crates/dandelion-daemon/src/stores/orders.rs
+++ b/crates/dandelion-daemon/src/stores/orders.rs
@@ -16,6 +16,7 @@
 use dandelion_telemetry::event;
 
 use crate::core::Handle;
+use crate::gateway::observe_leaving;
 
 /// Longest time to send an order and read its answer.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -100,6 +101,7 @@
     let mut exchange = sent
         .inspect_err(|error| log::debug!("order to {}: {error}", load.engine.id))
         .ok()?;
+    observe_leaving(core, &load.engine, &exchange, orders::ORDER_PATH);
     let status = exchange.status();
     // The connection can be reused only if the answer was read to its end.
     let _read = exchange.read_all(MAX_ANSWER_BYTES).await;
--- a/crates/dandelion-daemon/src/stores/run.rs
+++ b/crates/dandelion-daemon/src/stores/run.rs
@@ -29,6 +29,7 @@
 use crate::core::Handle;
 use crate::gateway::gate;
 use crate::gateway::limits;
+use crate::gateway::observe_leaving;
 
 /// Longest time for one run, from the sending of the request to the last event.
 const RUN_TIMEOUT: Duration = Duration::from_secs(30);
@@ -228,6 +229,7 @@
             return Some(RunOutcome::Broken { reached: true });
         }
         limits::observe(core, &self.engine, exchange, self.permit, self.id());
+        observe_leaving(core, &self.engine, exchange, self.id());
         if (200..300).contains(&status) {
             return None;
         }
--- a/crates/dandelion-daemon/src/stores/runner/mod.rs
+++ b/crates/dandelion-daemon/src/stores/runner/mod.rs
@@ -109,6 +109,8 @@
     view: Arc<View>,
     /// Version of this daemon's own knowledge of limits that the scheduler has.
     limits_version: u64,
+    /// Version of this daemon's own knowledge of leaving upstreams that the scheduler has.
+    leaving_version: u64,
     /// Whether the view was new enough to choose engines by it.
     is_current: bool,
     messages: Sender<TaskMessage>,
@@ -152,6 +154,7 @@
             deferred: BTreeMap::new(),
             view: Arc::default(),
             limits_version: 0,
+            leaving_version: 0,
             is_current: false,
             messages,
             last_announced: Millis::ZERO,
--- a/crates/dandelion-daemon/src/stores/runner/view.rs
+++ b/crates/dandelion-daemon/src/stores/runner/view.rs
@@ -18,17 +18,31 @@
         service_of(self.view.plan.as_deref()?, job)
     }
 
-    /// Loads the newest view of the cell and notifies the scheduler of what has changed. While the
-    /// view may be too old, no engine counts as ready.
+    /// Returns the engines, each with the number of tokens that fit in its memory. None is ready while
+    /// the view may be too old, nor is one that has said that it leaves.
+    fn engines(&self, view: &View) -> Vec<(UpstreamIncarnation, Option<u64>)> {
+        let leaving = self.core.gateway.leaving.known();
+        let engines = engines(view).map(|(mut engine, memory)| {
+            engine.ready &= self.is_current && !leaving.leaves(&engine);
+            (engine, Some(memory))
+        });
+        engines.collect()
+    }
+
+    /// Loads the newest view of the cell and notifies the scheduler of what has changed.
     pub(super) fn refresh(&mut self) {
         let is_current = gate::is_current(&self.core);
         let view = self.core.control.view();
         let limits_version = self.core.gateway.limits.version();
-        let is_learnt = limits_version != self.limits_version || is_current != self.is_current;
+        let leaving_version = self.core.gateway.leaving.version();
+        let is_learnt = limits_version != self.limits_version
+            || leaving_version != self.leaving_version
+            || is_current != self.is_current;
         if view.revision == self.view.revision && !is_learnt {
             return;
         }
         self.limits_version = limits_version;
+        self.leaving_version = leaving_version;
         self.is_current = is_current;
         let previous = std::mem::replace(&mut self.view, view);
         let view = Arc::clone(&self.view);
@@ -38,7 +52,7 @@
             || !Arc::ptr_eq(&previous.incarnations, &view.incarnations)
             || !Arc::ptr_eq(&previous.limits, &view.limits)
         {
-            let engines = &engines(&view, is_current);
+            let engines = &self.engines(&view);
             let limited = &self.limited_upstreams(&view);
             self.handle(Event::Engines { engines, limited });
         }
@@ -69,10 +83,9 @@
     shares.max_by_key(|s| s.weight).map(|s| s.service.clone())
 }
 
-/// Returns the engines, each with the number of tokens that fit in its memory. None is ready unless
-/// the view is current.
-fn engines(view: &View, is_current: bool) -> Vec<(UpstreamIncarnation, Option<u64>)> {
-    let memory = |incarnation: &UpstreamIncarnation| {
+/// Returns the engines, each with the number of tokens that fit in its memory.
+fn engines(view: &View) -> impl Iterator<Item = (UpstreamIncarnation, u64)> + '_ {
+    let memory = move |incarnation: &UpstreamIncarnation| {
         let service = view
             .plan
             .as_ref()
@@ -80,11 +93,5 @@
         service.and_then(|s| s.memory)
     };
     let incarnations = view.incarnations.iter();
-    let engines = incarnations.filter_map(|incarnation| {
-        let memory = memory(incarnation)?;
-        let mut engine = incarnation.clone();
-        engine.ready &= is_current;
-        Some((engine, Some(memory)))
-    });
-    engines.collect()
+    incarnations.filter_map(move |incarnation| Some((incarnation.clone(), memory(incarnation)?)))
 }
--- a/crates/dandelion-route/src/gate.rs
+++ b/crates/dandelion-route/src/gate.rs
@@ -8,10 +8,13 @@
 use dandelion_protocol::incarnations::UpstreamIncarnation;
 use dandelion_protocol::time::Millis;
 
+use crate::leaving::KnownLeaving;
+
 /// Remaining lease that writing a request requires: the longest time from the check until the
-/// request has reached its upstream. With a lease of the time within which an upstream that leaves
-/// must get no more requests, the request then arrives within that time.
-pub const SEND_MARGIN: Millis = Millis(200);
+/// request has reached its upstream, on a VM whose processor is withheld for up to a tenth of a
+/// second. A lease lasts as long as an upstream that leaves may still get requests, so the request
+/// arrives within that time.
+pub const SEND_MARGIN: Millis = Millis(100);
 
 /// Why a request must not be written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,23 +41,20 @@
     pub lease_left: Millis,
     /// Upstreams of the newest view.
     pub incarnations: &'a [UpstreamIncarnation],
+    /// Upstreams that have told this daemon that they leave.
+    pub leaving: &'a KnownLeaving,
 }
 
 impl Knowledge<'_> {
-    /// Returns whether the view is new enough to choose upstreams by it.
-    pub fn is_current(&self) -> bool {
-        self.lease_left >= SEND_MARGIN
-    }
-
     /// Checks that a request may be written to an incarnation now.
     pub fn check(&self, upstream: &UpstreamIncarnation) -> Result<(), Withheld> {
-        if !self.is_current() {
+        if self.lease_left < SEND_MARGIN {
             return Err(Withheld::NoLease);
         }
         let same =
             |known: &&UpstreamIncarnation| known.id == upstream.id && known.born == upstream.born;
         match self.incarnations.iter().find(same) {
-            Some(known) if known.ready => Ok(()),
+            Some(known) if known.ready && !self.leaving.leaves(known) => Ok(()),
             _ => Err(Withheld::Left),
         }
     }
--- a/crates/dandelion-route/src/lib.rs
+++ b/crates/dandelion-route/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod digest;
 pub mod entry;
 pub mod gate;
+pub mod leaving;
 pub mod limits;
 pub mod outcome;
 pub mod ownership;
--- a/crates/dandelion-route/tests/gate.rs
+++ b/crates/dandelion-route/tests/gate.rs
@@ -6,6 +6,7 @@
 use dandelion_route::gate::Knowledge;
 use dandelion_route::gate::SEND_MARGIN;
 use dandelion_route::gate::Withheld;
+use dandelion_route::leaving::KnownLeaving;
 use quickcheck::quickcheck;
 use rand::Rng;
 use rand::SeedableRng;
@@ -52,7 +53,12 @@
         }
     }
 
-    fn knowledge<'a>(&self, at: u64, views: &'a [[UpstreamIncarnation; 1]; 2]) -> Knowledge<'a> {
+    fn knowledge<'a>(
+        &self,
+        at: u64,
+        views: &'a [[UpstreamIncarnation; 1]; 2],
+        leaving: &'a KnownLeaving,
+    ) -> Knowledge<'a> {
         let answered = self.renewals.iter().filter(|(_, arrived)| *arrived <= at);
         let newest = answered.map(|(sent, _)| *sent).max();
         let lease_left = newest.map_or(0, |sent| (sent + LEAVE_TIME).saturating_sub(at));
@@ -61,6 +67,7 @@
         Knowledge {
             lease_left: Millis(lease_left),
             incarnations: &views[usize::from(knows)],
+            leaving,
         }
     }
 }
@@ -71,14 +78,16 @@
     let mut rng = SmallRng::seed_from_u64(seed);
     let feed = Feed::random(&mut rng);
     let views = [[upstream(1, true)], [upstream(1, false)]];
+    let leaving = KnownLeaving::default();
+    let may_send = |at: u64| {
+        let knowledge = feed.knowledge(at, &views, &leaving);
+        knowledge.check(&views[0][0]).is_ok()
+    };
     let mut latest = 0;
     for chosen in (0..12_000).step_by(50) {
         let written = chosen + rng.random_range(0..3_000);
         let arrives = written + rng.random_range(0..=SEND_MARGIN.0);
-        let may_choose = feed.knowledge(chosen, &views).check(&views[0][0]).is_ok();
-        let may_write =
-            !checked_at_write || feed.knowledge(written, &views).check(&views[0][0]).is_ok();
-        if may_choose && may_write {
+        if may_send(chosen) && (!checked_at_write || may_send(written)) {
             latest = latest.max(arrives.saturating_sub(feed.left));
         }
     }
@@ -101,12 +110,14 @@
     let knowledge = Knowledge {
         lease_left: SEND_MARGIN,
         incarnations: &known,
+        leaving: &KnownLeaving::default(),
     };
     assert_eq!(knowledge.check(&upstream(1, true)), Err(Withheld::Left));
     assert_eq!(knowledge.check(&upstream(2, true)), Ok(()));
     let expired = Knowledge {
         lease_left: Millis(SEND_MARGIN.0 - 1),
         incarnations: &known,
+        leaving: &KnownLeaving::default(),
     };
     assert_eq!(expired.check(&upstream(2, true)), Err(Withheld::NoLease));
 }
--- a/crates/dandelion-telemetry/src/events/catalogue.rs
+++ b/crates/dandelion-telemetry/src/events/catalogue.rs
@@ -273,4 +273,6 @@
         "A report of an upstream was not recorded, because a later one of it or of its address is known." "none";
     936 Info SendWithheld "send_withheld"
         "A request or item was not written to the upstream that was chosen for it, because this daemon's lease is about to end or the upstream left meanwhile." "none; another upstream is chosen, or the request is refused as not run";
+    937 Info LeavingKnown "leaving_known"
+        "An upstream said in an answer to this daemon that it leaves; this daemon sends it nothing more, whatever is reported of it." "none";
 }
