Ignore reports that arrive late when taking in an engine's weights

Callers then wait for engines that have the weights, and engines are ordered to load what they have.

The scheduler keeps the number of the latest report and ignores lower ones. late_report_lowers_version: no item was started before, both are now.

--- a/crates/dandelion-batch/src/scheduler/engine.rs
+++ b/crates/dandelion-batch/src/scheduler/engine.rs
@@ -56,6 +56,8 @@
     pub memory: u64,
     /// Known versions by model.
     pub versions: BTreeMap<String, u64>,
+    /// Number of the latest report that `versions` include.
+    pub reported: u64,
     /// Number of runs in progress.
     pub runs: u32,
     /// Number of runs in progress by model.
@@ -86,6 +88,7 @@
             life,
             memory,
             versions: BTreeMap::new(),
+            reported: 0,
             runs: 0,
             by_model: BTreeMap::new(),
             tokens: 0,
--- a/crates/dandelion-batch/src/scheduler/machine.rs
+++ b/crates/dandelion-batch/src/scheduler/machine.rs
@@ -345,9 +345,10 @@
         let Some(engine) = self.engines.get_mut(&report.life.id) else {
             return;
         };
-        if engine.life.born != report.life.born {
+        if engine.life.born != report.life.born || report.sequence < engine.reported {
             return;
         }
+        engine.reported = report.sequence;
         for (model, version) in &report.versions {
             let loaded = engine
                 .loading
--- a/crates/dandelion-batch/tests/scheduler.rs
+++ b/crates/dandelion-batch/tests/scheduler.rs
@@ -167,6 +167,19 @@
     assert!(started.iter().all(|(_, _, engine)| engine == "e2"));
 }
 
+#[test]
+fn late_report_lowers_version() {
+    let mut harness = Harness::open(1);
+    let newest = IncarnationReport {
+        sequence: 9,
+        ..report(1, 5)
+    };
+    harness.handle(Event::Reported(&newest));
+    harness.handle(Event::Reported(&report(1, 4)));
+    let started = runs(&harness.submit(&job("j", &[10, 10], 5, 1)));
+    assert_eq!(started.len(), 2);
+}
+
 #[test]
 fn stale_run_repeated() {
     let mut harness = Harness::open(2);
