--- a/crates/dandelion-batch/tests/scheduler.rs
+++ b/crates/dandelion-batch/tests/scheduler.rs
@@ -14,6 +14,7 @@
 use dandelion_protocol::batch::BatchJob;
 use dandelion_protocol::ids::ServiceId;
 use dandelion_protocol::incarnations::IncarnationReport;
+use dandelion_protocol::incarnations::SoftwareVersion;
 use dandelion_protocol::incarnations::UpstreamIncarnation;
 use dandelion_protocol::time::Millis;
 use dandelion_protocol::time::WallMillis;
@@ -33,6 +34,7 @@
         zone: "z".parse().unwrap(),
         slots: SLOTS,
         ready: true,
+        software: SoftwareVersion::default(),
     }
 }
 
--- a/crates/dandelion-batch/tests/support/mod.rs
+++ b/crates/dandelion-batch/tests/support/mod.rs
@@ -3,6 +3,7 @@
 use dandelion_protocol::batch::BatchItem;
 use dandelion_protocol::batch::BatchJob;
 use dandelion_protocol::ids::ServiceId;
+use dandelion_protocol::incarnations::SoftwareVersion;
 use dandelion_protocol::incarnations::UpstreamIncarnation;
 use dandelion_protocol::time::Millis;
 use dandelion_protocol::time::WallMillis;
@@ -22,6 +23,7 @@
         zone: "z".parse().unwrap(),
         slots,
         ready: true,
+        software: SoftwareVersion::default(),
     }
 }
 
--- a/crates/dandelion-control/src/tables/upstreams.rs
+++ b/crates/dandelion-control/src/tables/upstreams.rs
@@ -24,7 +24,8 @@
 
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct UpstreamRecord {
-    /// Latest recorded state. Once an incarnation is not ready it stays so.
+    /// Latest recorded state. Once an incarnation is not ready it stays so, and the first version of
+    /// its software that it names is final.
     life: UpstreamIncarnation,
     sequence: u64,
     /// Whether it was removed for being silent. The record stays, so that a late report is still
@@ -107,8 +108,12 @@
                 "nothing is to be done",
             ));
         }
-        let leaves = known.is_some_and(|known| known.life.born == life.born && !known.life.ready);
-        life.ready &= !leaves;
+        if let Some(known) = known.filter(|known| known.life.born == life.born) {
+            life.ready &= known.life.ready;
+            if known.life.software.is_known() {
+                life.software = known.life.software.clone();
+            }
+        }
         let (address, born) = (life.address, life.born);
         for other in displaced {
             self.known.remove(&other.id);
--- a/crates/dandelion-control/tests/upstreams.rs
+++ b/crates/dandelion-control/tests/upstreams.rs
@@ -9,6 +9,7 @@
 use dandelion_kernel::Table;
 use dandelion_protocol::control::Rejection;
 use dandelion_protocol::ids::Revision;
+use dandelion_protocol::incarnations::SoftwareVersion;
 use dandelion_protocol::incarnations::UpstreamEnd;
 use dandelion_protocol::incarnations::UpstreamIncarnation;
 use dandelion_protocol::time::WallMillis;
@@ -23,6 +24,7 @@
         zone: "z".parse().unwrap(),
         slots: 4,
         ready,
+        software: SoftwareVersion::default(),
     }
 }
 
@@ -138,6 +140,20 @@
     assert_eq!(ready(&table, "i"), Some(false));
 }
 
+#[test]
+fn software_changes_within_incarnation() {
+    let mut table = UpstreamsTable::default();
+    let of = |software: &str| UpstreamIncarnation {
+        software: SoftwareVersion(software.to_owned()),
+        ..life("i", 5, A, true)
+    };
+    for (sequence, software) in ["", "v1", "", "v2"].into_iter().enumerate() {
+        report(&mut table, of(software), sequence as u64).unwrap();
+    }
+    let known = table.incarnations().next().unwrap();
+    assert_eq!(known.software, SoftwareVersion("v1".to_owned()));
+}
+
 #[test]
 fn ended_long_ago_revived() {
     let mut table = UpstreamsTable::default();
--- a/crates/dandelion-load/src/checks.rs
+++ b/crates/dandelion-load/src/checks.rs
@@ -40,6 +40,13 @@
             "late_runs_over_bound",
         ],
         "leaving" => &["late_after_answer", "late_after_report", "not_served_again"],
+        "software" => &[
+            "few_went_on",
+            "streams_mixed",
+            "streams_wrong",
+            "texts_mixed",
+            "texts_wrong",
+        ],
         "limits" => &["false_not_run", "over_limit", "phases_with_room_unused"],
         "silent" => &["ejected_wrongly"],
         "charge" => &["reports_by_two", "tokens_doubled", "windows_differing"],
--- a/crates/dandelion-load/src/cluster/daemons.rs
+++ b/crates/dandelion-load/src/cluster/daemons.rs
@@ -44,6 +44,8 @@
     pub zones: usize,
     /// Number of control daemons: the first ones, which get a data folder.
     pub control: usize,
+    /// Number of store daemons: those after the control daemons, which get a store folder.
+    pub stores: usize,
     /// Address of the platform; daemons run without one if `None`.
     pub platform: Option<SocketAddr>,
     /// Length of a usage window, in seconds.
@@ -61,6 +63,7 @@
             daemons: 3,
             zones: 3,
             control: 3,
+            stores: 0,
             platform: None,
             window_s: 2,
             feed_period: Duration::from_millis(500),
@@ -77,6 +80,9 @@
     /// Address of the gateway, used if [`ClusterConfig::gateway`] is set.
     gateway: SocketAddr,
     folder: Option<PathBuf>,
+    store: Option<PathBuf>,
+    /// Whether it was started before.
+    restarted: bool,
     child: Option<Child>,
     /// Listeners that reserve the daemon's ports until its first start.
     reserved: Vec<TcpListener>,
@@ -103,7 +109,9 @@
         let folder = TempDir::new()?;
         let mut processes = Vec::new();
         for index in 0..config.daemons {
-            let data = (index < config.control).then(|| folder.path().join(format!("d{index}")));
+            let own = || folder.path().join(format!("d{index}"));
+            let is_control = index < config.control;
+            let is_store = !is_control && index < config.control + config.stores;
             let (http, mesh) = (reserve(index)?, reserve(index)?);
             let gateway = reserve(index)?;
             processes.push(Process {
@@ -112,7 +120,9 @@
                 http: http.local_addr()?,
                 mesh: mesh.local_addr()?,
                 gateway: gateway.local_addr()?,
-                folder: data,
+                folder: is_control.then(own),
+                store: is_store.then(own),
+                restarted: false,
                 child: None,
                 reserved: vec![http, mesh, gateway],
             });
@@ -144,6 +154,11 @@
         self.config.control
     }
 
+    /// Returns the number of store daemons; they follow the control daemons.
+    pub fn stores(&self) -> usize {
+        self.config.stores
+    }
+
     /// Returns a daemon's HTTP address.
     pub fn http(&self, index: usize) -> SocketAddr {
         self.processes[index].http
@@ -188,10 +203,12 @@
 
     /// Starts a daemon that isn't running.
     pub fn start(&mut self, index: usize) -> anyhow::Result<()> {
-        if let Some(folder) = &self.processes[index].folder {
+        let process = &self.processes[index];
+        for folder in process.folder.iter().chain(&process.store) {
             std::fs::create_dir_all(folder)?;
         }
         let arguments = self.arguments(index);
+        self.processes[index].restarted = true;
         let log = std::fs::OpenOptions::new()
             .create(true)
             .append(true)
@@ -231,7 +248,10 @@
             }
             None => arguments.push(format!("--control-peers={}", group.join(","))),
         }
-        if self.config.gateway {
+        if let Some(folder) = &process.store {
+            arguments.push(format!("--store-folder={}", folder.display()));
+            arguments.push(format!("--first-start={}", !process.restarted));
+        } else if self.config.gateway {
             let listen = match process.folder {
                 Some(_) => "control-listen",
                 None => "front-listen",
--- a/crates/dandelion-load/src/cluster/plan.rs
+++ b/crates/dandelion-load/src/cluster/plan.rs
@@ -13,10 +13,12 @@
 use dandelion_net::http::client;
 use dandelion_net::http::client::Client;
 use dandelion_net::http::client::ClientOptions;
+use dandelion_net::http::client::Exchange;
 use dandelion_net::http::client::SendOptions;
 use dandelion_platform::fixtures;
 use dandelion_platform::fixtures::PlanFixture;
 use dandelion_protocol::ids::ServiceId;
+use dandelion_protocol::incarnations::SoftwareVersion;
 use dandelion_protocol::incarnations::UpstreamIncarnation;
 use dandelion_protocol::mesh::Header;
 use dandelion_protocol::time::Millis;
@@ -27,6 +29,12 @@
 /// Service of the plan.
 const SERVICE: &str = "grades";
 
+/// Path prefix of the route for streams.
+pub const STREAMS: &str = "/streams/";
+
+/// Path prefix of the route for batch jobs.
+pub const BATCHES: &str = "/batches/";
+
 const HOST: &str = "assay.example";
 const KEY: &str = "a-key-for-loopback-cells-only";
 const ATTEMPTS: u32 = 3;
@@ -69,7 +77,7 @@
         let control = cluster.control();
         Self {
             client: Client::new(ClientOptions::default()),
-            entries: (control..cluster.len())
+            entries: (control + cluster.stores()..cluster.len())
                 .map(|i| cluster.gateway(i))
                 .collect(),
             control: (0..control).map(|i| cluster.gateway(i)).collect(),
@@ -77,15 +85,15 @@
         }
     }
 
-    /// Sends a request once and returns the status of a complete answer.
-    async fn call(
+    /// Sends a request once and returns the head of its answer.
+    pub async fn open(
         &self,
         to: SocketAddr,
         method: &str,
         path: &str,
         headers: &[Header],
         body: Vec<u8>,
-    ) -> Option<u16> {
+    ) -> Option<Exchange> {
         let request = client::request_for(HOST, method, path, headers, body).ok()?;
         let limit = Duration::from_millis(TIMEOUT.0) + Duration::from_secs(1);
         let options = SendOptions {
@@ -94,11 +102,40 @@
             idempotent: false,
             probe: true,
         };
-        let mut exchange = self.client.send(to, request, &options).await.ok()?;
+        self.client.send(to, request, &options).await.ok()
+    }
+
+    /// Sends a request once and returns the status of a complete answer.
+    async fn call(
+        &self,
+        to: SocketAddr,
+        method: &str,
+        path: &str,
+        headers: &[Header],
+        body: Vec<u8>,
+    ) -> Option<u16> {
+        let mut exchange = self.open(to, method, path, headers, body).await?;
         exchange.read_all(MAX_ANSWER_BYTES).await.ok()?;
         Some(exchange.status())
     }
 
+    /// Submits a batch job under the number `id` and returns whether it was accepted.
+    pub async fn submit(&self, id: u64, to: SocketAddr, items: &[(String, String)]) -> bool {
+        let headers = caller_headers(id);
+        let body = fixtures::job(items);
+        let path = format!("{BATCHES}{id}");
+        self.call(to, "POST", &path, &headers, body).await == Some(202)
+    }
+
+    /// Reads the texts of a batch job from a position on; none without a complete answer.
+    pub async fn texts(&self, id: u64, to: SocketAddr, after: usize) -> Option<Vec<String>> {
+        let path = fixtures::results_path(&request_id(id), after);
+        let headers = caller_headers(id);
+        let mut exchange = self.open(to, "GET", &path, &headers, Vec::new()).await?;
+        let page = exchange.read_all(MAX_ANSWER_BYTES).await.ok()?;
+        fixtures::texts(&page)
+    }
+
     /// Sends a caller's request to an entry.
     pub async fn get(&self, to: SocketAddr, path: &str) -> Answered {
         self.get_as(self.next_id(), to, path).await
@@ -111,7 +148,7 @@
 
     /// Sends a caller's request to an entry under a number from [`Self::next_id`].
     pub async fn get_as(&self, id: u64, to: SocketAddr, path: &str) -> Answered {
-        let headers = fixtures::caller_headers(&request_id(id), KEY, TIMEOUT);
+        let headers = caller_headers(id);
         let sent = Instant::now();
         let status = self.call(to, "GET", path, &headers, Vec::new()).await;
         Answered {
@@ -124,15 +161,26 @@
     /// Puts a plan in force. Besides `/`, its routes serve the given prefixes.
     pub async fn put_plan(&self, version: u64, prefixes: &[&str]) -> anyhow::Result<()> {
         let service: ServiceId = SERVICE.parse()?;
-        let plan = fixtures::plan(&PlanFixture {
+        let plan = PlanFixture {
             version,
-            host: HOST,
-            service: &service,
-            key: KEY,
-            attempts: ATTEMPTS,
-            timeout: TIMEOUT,
             prefixes,
-        });
+            ..plan_of(&service)
+        };
+        self.put(fixtures::plan(&plan)).await
+    }
+
+    /// Puts a plan in force whose service has engines, with routes for [`STREAMS`] and [`BATCHES`].
+    pub async fn put_engine_plan(&self) -> anyhow::Result<()> {
+        let service: ServiceId = SERVICE.parse()?;
+        let plan = PlanFixture {
+            streams: Some(STREAMS),
+            batches: Some(BATCHES),
+            ..plan_of(&service)
+        };
+        self.put(fixtures::plan(&plan)).await
+    }
+
+    async fn put(&self, plan: Vec<u8>) -> anyhow::Result<()> {
         let path = fixtures::REPLACE_PLAN_PATH;
         let until = Instant::now() + READY_TIMEOUT;
         while Instant::now() < until {
@@ -175,6 +223,25 @@
     }
 }
 
+fn plan_of(service: &ServiceId) -> PlanFixture<'_> {
+    PlanFixture {
+        version: 1,
+        host: HOST,
+        service,
+        key: KEY,
+        attempts: ATTEMPTS,
+        timeout: TIMEOUT,
+        prefixes: &[],
+        streams: None,
+        batches: None,
+    }
+}
+
+/// Returns the headers of a caller's request.
+pub fn caller_headers(id: u64) -> [Header; 3] {
+    fixtures::caller_headers(&request_id(id), KEY, TIMEOUT)
+}
+
 /// Returns the id that upstreams see for a request of [`PlanCell::get`].
 pub fn request_id(id: u64) -> String {
     format!("{id:016x}")
@@ -195,5 +262,6 @@
         zone: zone.parse()?,
         slots: SLOTS,
         ready: true,
+        software: SoftwareVersion::default(),
     })
 }
--- a/crates/dandelion-load/src/registry.rs
+++ b/crates/dandelion-load/src/registry.rs
@@ -17,6 +17,7 @@
 use crate::scenarios::rollout;
 use crate::scenarios::silent;
 use crate::scenarios::slope;
+use crate::scenarios::software;
 use crate::scenarios::spot;
 use crate::scenarios::spread;
 use crate::scenarios::takeover;
@@ -71,6 +72,11 @@
         about: "processes: upstreams leave by report and by their answers, fall silent and are reported late",
         run: leaving::run,
     },
+    Scenario {
+        name: "software",
+        about: "processes: engines of two software versions break off streams and batch items, come back with the other version, daemons killed",
+        run: software::run,
+    },
     Scenario {
         name: "limits",
         about: "processes: upstreams name limits on what they take from all entries; entries and control daemons killed, paused, joining",
--- a/crates/dandelion-load/src/scenarios/mod.rs
+++ b/crates/dandelion-load/src/scenarios/mod.rs
@@ -17,6 +17,7 @@
 pub mod rollout;
 pub mod silent;
 pub mod slope;
+pub mod software;
 pub mod spot;
 pub mod spread;
 pub mod takeover;
--- a/crates/dandelion-protocol/src/incarnations.rs
+++ b/crates/dandelion-protocol/src/incarnations.rs
@@ -1,6 +1,7 @@
 //! Reports of upstreams about their own state, and the part of them that is replicated.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddr;
 
 use serde::Deserialize;
@@ -11,6 +12,31 @@
 use crate::ids::ZoneId;
 use crate::time::WallMillis;
 
+/// Version of an upstream's software, as it reports it; not of the weights that it has loaded. What
+/// two versions write doesn't fit together.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct SoftwareVersion(pub String);
+
+impl SoftwareVersion {
+    /// Returns whether it is known; an upstream, or a daemon of an earlier version, may name none.
+    pub fn is_known(&self) -> bool {
+        !self.0.is_empty()
+    }
+
+    /// Returns whether a stream of this version may go on at an upstream of `other`. Of two unknown
+    /// versions nobody can tell.
+    pub fn may_continue_at(&self, other: &Self) -> bool {
+        self.is_known() && self == other
+    }
+}
+
+impl fmt::Display for SoftwareVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(if self.is_known() { &self.0 } else { "unknown" })
+    }
+}
+
 /// One incarnation of an upstream, as its latest report describes it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamIncarnation {
@@ -28,6 +54,9 @@
     pub slots: u32,
     /// Whether it accepts new requests; false while it drains.
     pub ready: bool,
+    /// Version of its software; unknown if a daemon of an earlier version recorded it.
+    #[serde(default)]
+    pub software: SoftwareVersion,
 }
 
 /// A periodic report of an upstream.
--- a/crates/dandelion-route/tests/gate.rs
+++ b/crates/dandelion-route/tests/gate.rs
@@ -1,5 +1,6 @@
 //! Requests that wait between the choice of their upstream and their write.
 
+use dandelion_protocol::incarnations::SoftwareVersion;
 use dandelion_protocol::incarnations::UpstreamIncarnation;
 use dandelion_protocol::time::Millis;
 use dandelion_protocol::time::WallMillis;
@@ -26,6 +27,7 @@
         zone: "z".parse().unwrap(),
         slots: 4,
         ready,
+        software: SoftwareVersion::default(),
     }
 }
 
--- a/crates/dandelion-route/tests/leaving.rs
+++ b/crates/dandelion-route/tests/leaving.rs
@@ -1,5 +1,6 @@
 //! What one daemon knows of upstreams that have said in an answer that they leave.
 
+use dandelion_protocol::incarnations::SoftwareVersion;
 use dandelion_protocol::incarnations::UpstreamIncarnation;
 use dandelion_protocol::time::Millis;
 use dandelion_protocol::time::WallMillis;
@@ -18,6 +19,7 @@
         zone: "z".parse().unwrap(),
         slots: 4,
         ready: true,
+        software: SoftwareVersion::default(),
     }
 }
 
--- a/crates/dandelion-route/tests/limits.rs
+++ b/crates/dandelion-route/tests/limits.rs
@@ -5,6 +5,7 @@
 use dandelion_protocol::ids::Revision;
 use dandelion_protocol::ids::Term;
 use dandelion_protocol::ids::UpstreamId;
+use dandelion_protocol::incarnations::SoftwareVersion;
 use dandelion_protocol::incarnations::UpstreamIncarnation;
 use dandelion_protocol::limits::LimitedUpstream;
 use dandelion_protocol::limits::NamedLimit;
@@ -293,6 +294,7 @@
         zone: "near".parse().unwrap(),
         slots: 2,
         ready: true,
+        software: SoftwareVersion::default(),
     }
 }
 
--- a/crates/dandelion-route/tests/pick.rs
+++ b/crates/dandelion-route/tests/pick.rs
@@ -1,6 +1,7 @@
 //! Choice of an upstream for a short request, without load reports.
 
 use dandelion_protocol::ids::UpstreamId;
+use dandelion_protocol::incarnations::SoftwareVersion;
 use dandelion_protocol::incarnations::UpstreamIncarnation;
 use dandelion_protocol::time::Millis;
 use dandelion_protocol::time::WallMillis;
@@ -16,6 +17,7 @@
         zone: zone.parse().unwrap(),
         slots: 2,
         ready: true,
+        software: SoftwareVersion::default(),
     }
 }
 
