Continue an item's output at its software version only

An output now carries the version that generated it, in memory and in the partial outputs that stores keep for the next leader; one without it, as daemons of earlier versions save them, is not continued. The scheduler places it on engines of that version only, also when it moves a run from a slow engine. If all of them are busy it waits as long as it would take to generate the output again (40 ms an event, 2 s at most); if none is left, or after that, the item starts anew (event 938). The I/O layer compares the versions once more when a run starts, whatever the scheduler says.

The version is that of the incarnation that was chosen, and the view may not have its successor yet. So a run is sent on a connection whose other end was asked who it is: each fresh connection first gets the question that engines answer with their start (Client::send_to, gateway::peer); a process can't change under an open connection. Such connections are kept idle for 8 s instead of 4.

--- a/crates/dandelion-batch/src/scheduler/event.rs
+++ b/crates/dandelion-batch/src/scheduler/event.rs
@@ -6,6 +6,7 @@
 use dandelion_protocol::ids::ServiceId;
 use dandelion_protocol::ids::UpstreamId;
 use dandelion_protocol::incarnations::IncarnationReport;
+use dandelion_protocol::incarnations::SoftwareVersion;
 use dandelion_protocol::incarnations::UpstreamIncarnation;
 use dandelion_protocol::limits::RatePermit;
 use dandelion_protocol::time::Millis;
@@ -32,6 +33,15 @@
     }
 }
 
+/// Output of an interrupted run. Only an engine with the same software can continue it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeptOutput {
+    /// Version of the software that generated it.
+    pub software: SoftwareVersion,
+    /// Number of its events.
+    pub events: u64,
+}
+
 /// How a run ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RunOutcome {
@@ -89,6 +99,17 @@
         open: Vec<bool>,
         /// Service that runs its items, or none while no route leads to one.
         service: Option<ServiceId>,
+        /// Outputs of interrupted runs, by index of the item.
+        kept: Vec<(usize, KeptOutput)>,
+    },
+    /// The output of an interrupted run was kept, and the item's next run can continue it.
+    Kept {
+        /// Id of the job.
+        job: &'a str,
+        /// Index of the item in the job.
+        item: usize,
+        /// What was kept.
+        output: KeptOutput,
     },
     /// The route of a job now leads to this service.
     Routed {
@@ -170,6 +191,8 @@
         engine: UpstreamIncarnation,
         /// Permit to send it, if the engine names a limit.
         permit: Option<RatePermit>,
+        /// Whether the run continues the output that was kept; otherwise that is dropped.
+        continues: bool,
     },
     /// Ask for permits to send to an engine that names a limit.
     Ask {
--- a/crates/dandelion-batch/src/scheduler/job.rs
+++ b/crates/dandelion-batch/src/scheduler/job.rs
@@ -5,8 +5,10 @@
 use dandelion_protocol::batch::BatchJob;
 use dandelion_protocol::ids::ServiceId;
 use dandelion_protocol::ids::UpstreamId;
+use dandelion_protocol::incarnations::SoftwareVersion;
 use dandelion_protocol::time::Millis;
 
+use crate::scheduler::event::KeptOutput;
 use crate::scheduler::event::RunId;
 
 /// Predicted output tokens of an item whose caller gives no expectation; also the predicted prompt
@@ -41,9 +43,27 @@
     pub failures: u32,
     /// Engine of its latest run, which the next one should avoid.
     pub avoid: Option<UpstreamId>,
+    /// Output of its interrupted runs, and since when it waits to be continued.
+    pub kept: Option<(KeptOutput, Millis)>,
 }
 
 impl Item {
+    /// Records the output of an interrupted run. A run that added nothing doesn't start the wait
+    /// anew.
+    pub fn keep(&mut self, now: Millis, output: KeptOutput) {
+        let since = match &self.kept {
+            Some((known, since)) if *known == output => *since,
+            _ => now,
+        };
+        self.kept = Some((output, since));
+    }
+
+    /// Returns whether an engine can continue its output, if there is any.
+    pub fn may_continue_at(&self, software: &SoftwareVersion) -> bool {
+        let kept = self.kept.as_ref();
+        kept.is_none_or(|(output, _)| output.software.may_continue_at(software))
+    }
+
     fn is_ready(&self, now: Millis) -> bool {
         matches!(self.state, ItemState::Waiting(after) if now >= after)
     }
@@ -107,6 +127,7 @@
                 output,
                 failures: 0,
                 avoid: None,
+                kept: None,
             });
         }
         Self {
--- a/crates/dandelion-batch/src/scheduler/machine.rs
+++ b/crates/dandelion-batch/src/scheduler/machine.rs
@@ -71,9 +71,19 @@
     /// Handles an event at `now` and appends the resulting actions to `actions`.
     pub fn handle(&mut self, now: Millis, event: Event<'_>, actions: &mut Vec<Action>) {
         match event {
-            Event::Opened { job, open, service } => {
+            Event::Opened {
+                job,
+                open,
+                service,
+                kept,
+            } => {
                 if !self.jobs.contains_key(&job.id) {
-                    let opened = Job::open(now, job, &open, service);
+                    let mut opened = Job::open(now, job, &open, service);
+                    for (item, output) in kept {
+                        if let Some(item) = opened.items.get_mut(item) {
+                            item.keep(now, output);
+                        }
+                    }
                     if let Some(model) = opened.model() {
                         let size = self.step_sizes.entry(model.to_owned()).or_insert(0);
                         *size = (*size).max(opened.items.len());
@@ -81,6 +91,14 @@
                     self.jobs.insert(job.id.clone(), opened);
                 }
             }
+            Event::Kept { job, item, output } => {
+                let job = self.jobs.get_mut(job);
+                if let Some(item) = job.and_then(|job| job.items.get_mut(item)) {
+                    item.keep(now, output);
+                }
+                // The end of the run, which follows, places the item again.
+                return;
+            }
             Event::Routed { job, service } => self.set_service(job, service),
             Event::Ended(job) => self.end_job(job, actions),
             Event::Engines { engines, limited } => {
@@ -196,7 +214,7 @@
             return;
         };
         let item = &job.items[index];
-        let Some(chosen) = placement::choose_engine(now, &self.engines, job, item) else {
+        let Some((chosen, continues)) = placement::choose_run(now, &self.engines, job, item) else {
             return;
         };
         let life = chosen.life.clone();
@@ -207,6 +225,9 @@
         let group = item.group;
         job.groups[group].engine = Some(life.id.clone());
         job.items[index].state = ItemState::Running(run);
+        if !continues {
+            job.items[index].kept = None;
+        }
         let mut permit = None;
         if let Some(engine) = self.engines.get_mut(&life.id) {
             engine.add_run(model.as_deref(), tokens);
@@ -228,6 +249,7 @@
             item: index,
             engine: life,
             permit,
+            continues,
         });
     }
 
@@ -265,7 +287,8 @@
             return;
         };
         let item = &job.items[active.item];
-        if placement::should_move(now, &self.engines, job, item, interval) {
+        let software = &active.engine.software;
+        if placement::should_move(now, &self.engines, job, item, software, interval) {
             actions.push(Action::Move(run));
         }
     }
@@ -309,6 +332,7 @@
         if let Some(item) = item.filter(|item| item.state == ItemState::Running(run)) {
             item.avoid = Some(ended.engine.id);
             item.state = ItemState::Waiting(now);
+            item.kept = None;
         }
     }
 
@@ -381,6 +405,9 @@
             return;
         }
         item.avoid = Some(ended.engine.id.clone());
+        if matches!(outcome, RunOutcome::Stale(_)) {
+            item.kept = None;
+        }
         item.state = match outcome {
             RunOutcome::Finished { .. } | RunOutcome::Impossible => ItemState::Done,
             RunOutcome::Failed => {
--- a/crates/dandelion-batch/src/scheduler/mod.rs
+++ b/crates/dandelion-batch/src/scheduler/mod.rs
@@ -12,6 +12,7 @@
 pub use engine::Engine;
 pub use event::Action;
 pub use event::Event;
+pub use event::KeptOutput;
 pub use event::OrderOutcome;
 pub use event::RunId;
 pub use event::RunOutcome;
--- a/crates/dandelion-batch/src/scheduler/placement.rs
+++ b/crates/dandelion-batch/src/scheduler/placement.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 
 use dandelion_protocol::ids::UpstreamId;
+use dandelion_protocol::incarnations::SoftwareVersion;
 use dandelion_protocol::time::Millis;
 
 use crate::scheduler::engine::Engine;
@@ -24,9 +25,49 @@
 /// proportional to the excess.
 const SLOWNESS_WEIGHT: f64 = 0.5;
 
-/// Returns the engine with the lowest cost that can run the item now. The cost is the share of the
-/// engine's slots in use, corrected by the constants above.
-pub fn choose_engine<'a>(
+/// Time in which an engine generates an event, for the decision whether to wait for an engine that
+/// can continue an output.
+const EVENT_TIME: Millis = Millis(40);
+
+/// Longest time for which an output waits for an engine that can continue it.
+const MAX_CONTINUE_WAIT: Millis = Millis(2_000);
+
+/// Returns the engine for a run of the item now, and whether that run continues the item's output.
+///
+/// An output waits for an engine of its software for as long as it takes to generate it again, and
+/// not at all if there is none: waiting then costs at most as much again as starting anew at once.
+pub fn choose_run<'a>(
+    now: Millis,
+    engines: &'a BTreeMap<UpstreamId, Engine>,
+    job: &Job,
+    item: &Item,
+) -> Option<(&'a Engine, bool)> {
+    let Some((output, since)) = &item.kept else {
+        return Some((choose_engine(now, engines, job, item)?, false));
+    };
+    if let Some(engine) = choose_engine(now, engines, job, item) {
+        return Some((engine, true));
+    }
+    let serves = |engine: &Engine| {
+        job.service.as_ref() == Some(&engine.life.service)
+            && engine.life.ready
+            && output.software.may_continue_at(&engine.life.software)
+    };
+    let patience = Millis(output.events * EVENT_TIME.0).min(MAX_CONTINUE_WAIT);
+    if engines.values().any(serves) && now < *since + patience {
+        return None;
+    }
+    let anew = Item {
+        kept: None,
+        ..item.clone()
+    };
+    Some((choose_engine(now, engines, job, &anew)?, false))
+}
+
+/// Returns the engine with the lowest cost that can run the item now, and continue its output if
+/// there is any. The cost is the share of the engine's slots in use, corrected by the constants
+/// above.
+fn choose_engine<'a>(
     now: Millis,
     engines: &'a BTreeMap<UpstreamId, Engine>,
     job: &Job,
@@ -42,6 +83,7 @@
             && engine.accepts_runs(now)
             && engine.fits_memory(item.tokens)
             && engine.may_serve(now, item.model.as_deref(), job.min_version)
+            && item.may_continue_at(&engine.life.software)
     };
     let prompt_engine = job.groups[item.group].engine.as_ref();
     let cost = |engine: &Engine| {
@@ -70,7 +112,8 @@
 /// An engine can take over a run if its event interval is at most this multiple of the median.
 const TARGET_FACTOR: f64 = 1.3;
 
-/// Returns whether a run with this event interval should be moved to another engine. An engine that
+/// Returns whether a run with this event interval, on an engine with this software, should be moved to
+/// another engine. An engine that
 /// turns slow delays every group that has an item there, while processing the prompt and the output
 /// so far again takes a hundredth of the time saved.
 pub fn should_move(
@@ -78,6 +121,7 @@
     engines: &BTreeMap<UpstreamId, Engine>,
     job: &Job,
     item: &Item,
+    software: &SoftwareVersion,
     interval: f64,
 ) -> bool {
     let mut intervals: Vec<f64> = engines
@@ -93,6 +137,7 @@
     };
     let can_resume = |engine: &Engine| {
         job.service.as_ref() == Some(&engine.life.service)
+            && software.may_continue_at(&engine.life.software)
             && engine.accepts_runs(now)
             && engine.fits_memory(item.tokens)
             && engine.may_serve(now, item.model.as_deref(), job.min_version)
--- a/crates/dandelion-batch/tests/limited_engines.rs
+++ b/crates/dandelion-batch/tests/limited_engines.rs
@@ -59,6 +59,7 @@
             job: &job,
             open: vec![true; ITEMS],
             service: Some(service()),
+            kept: Vec::new(),
         });
         harness
     }
@@ -247,7 +248,12 @@
                     let job = job(&format!("j{n}"), ITEMS);
                     let open = vec![true; ITEMS];
                     let service = Some(service());
-                    harness.handle(Event::Opened { job: &job, open, service });
+                    harness.handle(Event::Opened {
+                        job: &job,
+                        open,
+                        service,
+                        kept: Vec::new(),
+                    });
                 }
             }
             for (run, (engine, number)) in &harness.runs {
--- a/crates/dandelion-batch/tests/lost_engines.rs
+++ b/crates/dandelion-batch/tests/lost_engines.rs
@@ -56,6 +56,7 @@
             job: &job,
             open: vec![true; ITEMS],
             service: Some(service()),
+            kept: Vec::new(),
         });
         harness
     }
--- a/crates/dandelion-batch/tests/scheduler.rs
+++ b/crates/dandelion-batch/tests/scheduler.rs
@@ -34,7 +34,7 @@
         zone: "z".parse().unwrap(),
         slots: SLOTS,
         ready: true,
-        software: SoftwareVersion::default(),
+        software: SoftwareVersion("v1".to_owned()),
     }
 }
 
@@ -107,6 +107,7 @@
             job,
             open: vec![true; job.items.len()],
             service: Some(service()),
+            kept: Vec::new(),
         })
     }
 
--- a/crates/dandelion-batch/tests/support/mod.rs
+++ b/crates/dandelion-batch/tests/support/mod.rs
@@ -23,7 +23,7 @@
         zone: "z".parse().unwrap(),
         slots,
         ready: true,
-        software: SoftwareVersion::default(),
+        software: SoftwareVersion("v1".to_owned()),
     }
 }
 
--- a/crates/dandelion-daemon/src/gateway/front.rs
+++ b/crates/dandelion-daemon/src/gateway/front.rs
@@ -53,7 +53,7 @@
             );
         };
         match calls::caller_call(&request) {
-            CallerCall::Routed => routed(core, plan, &caller, request).await,
+            CallerCall::Routed => Box::pin(routed(core, plan, &caller, request)).await,
             call => match team(plan, &caller) {
                 Some(team) => jobs::serve(core, &call, team, &caller, &request).await,
                 None => refuse(&caller, "unknown_key", answer::status(401)),
--- a/crates/dandelion-daemon/src/gateway/mod.rs
+++ b/crates/dandelion-daemon/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod jobs;
 mod leaving;
 pub mod limits;
+pub mod peer;
 mod place;
 mod quarantine;
 mod ready;
--- a/crates/dandelion-daemon/src/gateway/state.rs
+++ b/crates/dandelion-daemon/src/gateway/state.rs
@@ -24,6 +24,10 @@
 /// Time after which an idle connection to an upstream is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// The same for a connection whose upstream was asked who it is. Two steps of a trainer are less than
+/// this apart.
+const ASKED_TIMEOUT: Duration = Duration::from_secs(8);
+
 /// Most idle connections to one upstream.
 const MAX_IDLE: usize = 16;
 
@@ -63,6 +67,7 @@
             connect_time: CONNECT_TIMEOUT,
             idle_limit: MAX_IDLE,
             idle_time: IDLE_TIMEOUT,
+            asked_time: ASKED_TIMEOUT,
             ..ClientOptions::default()
         };
         Self {
--- a/crates/dandelion-daemon/src/stores/run.rs
+++ b/crates/dandelion-daemon/src/stores/run.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use async_std::future::timeout;
+use dandelion_batch::scheduler::KeptOutput;
 use dandelion_batch::scheduler::RunOutcome;
 use dandelion_batch::scheduler::Speed;
 use dandelion_net::clock;
@@ -20,6 +21,7 @@
 use dandelion_platform::stream::StreamEvent;
 use dandelion_protocol::batch::BatchJob;
 use dandelion_protocol::batch::Partial;
+use dandelion_protocol::incarnations::SoftwareVersion;
 use dandelion_protocol::incarnations::UpstreamIncarnation;
 use dandelion_protocol::limits::RatePermit;
 use dandelion_protocol::time::Millis;
@@ -30,6 +32,7 @@
 use crate::gateway::gate;
 use crate::gateway::limits;
 use crate::gateway::observe_leaving;
+use crate::gateway::peer::Incarnation;
 
 /// Longest time for one run, from the sending of the request to the last event.
 const RUN_TIMEOUT: Duration = Duration::from_secs(30);
@@ -72,6 +75,8 @@
     pub last: Option<u64>,
     /// Versions of the weights that generated the output, in the order of their first use.
     pub versions: Vec<u64>,
+    /// Version of the software that generated the output.
+    pub software: SoftwareVersion,
 }
 
 impl Output {
@@ -81,6 +86,26 @@
             text: partial.text,
             last: Some(partial.last),
             versions: partial.versions,
+            software: partial.software,
+        }
+    }
+
+    /// Returns what the scheduler needs to know of it.
+    pub fn kept(&self) -> KeptOutput {
+        KeptOutput {
+            software: self.software.clone(),
+            events: self.last.unwrap_or(0),
+        }
+    }
+
+    /// Returns it for a run on an engine with this software: empty unless the engine can continue it.
+    pub fn continued_at(self, software: &SoftwareVersion) -> Self {
+        if self.last.is_some() && self.software.may_continue_at(software) {
+            return self;
+        }
+        Self {
+            software: software.clone(),
+            ..Self::default()
         }
     }
 
@@ -88,7 +113,7 @@
     /// continued it would not end either.
     pub fn push(&mut self, event: &StreamEvent) -> Result<(), OutputTooLong> {
         if self.text.len() + event.data.len() > MAX_OUTPUT_BYTES {
-            *self = Self::default();
+            *self = Self::default().continued_at(&self.software);
             return Err(OutputTooLong);
         }
         if self.last.is_some() {
@@ -184,11 +209,19 @@
             is_permitted && gate::may_send(core, &self.engine, self.id())
         };
         let client = &core.gateway.client;
-        let sent = client.send_if(self.engine.address, request, &options, may_send);
-        sent.await.map_err(|error| {
+        let address = self.engine.address;
+        let sent = if self.job.resumable {
+            let peer = Incarnation::of(&self.engine);
+            let sent = client.send_to(address, request, &options, &peer, may_send);
+            sent.await
+        } else {
+            client.send_if(address, request, &options, may_send).await
+        };
+        sent.map_err(|error| {
             log::debug!("item {} at {}: {error}", self.id(), self.engine.id);
             match error {
                 SendError::NotSent(Cause::Withheld) => RunOutcome::Withheld,
+                SendError::NotSent(Cause::OtherPeer) => RunOutcome::Mistaken,
                 error => RunOutcome::Broken {
                     reached: matches!(error, SendError::Unknown(_)),
                 },
--- a/crates/dandelion-daemon/src/stores/runner/adopt.rs
+++ b/crates/dandelion-daemon/src/stores/runner/adopt.rs
@@ -72,6 +72,8 @@
             Some((at, Output::from_partial(partial)))
         });
         let outputs: HashMap<usize, Output> = outputs.collect();
+        let kept = outputs.iter().map(|(item, output)| (*item, output.kept()));
+        let kept = kept.collect();
         self.jobs.insert(
             id.to_owned(),
             OpenJob {
@@ -93,6 +95,7 @@
             job: &job,
             open,
             service,
+            kept,
         });
     }
 
--- a/crates/dandelion-daemon/src/stores/runner/mod.rs
+++ b/crates/dandelion-daemon/src/stores/runner/mod.rs
@@ -283,7 +283,8 @@
                 item,
                 engine,
                 permit,
-            } => self.start_run(run, job, item, engine, permit),
+                continues,
+            } => self.start_run(run, job, item, engine, permit, continues),
             Action::Ask { engine, count } => self.ask_permits(engine, count),
             Action::Cancel(run) => {
                 if let Some(active) = self.runs.remove(&run) {
--- a/crates/dandelion-daemon/src/stores/runner/results.rs
+++ b/crates/dandelion-daemon/src/stores/runner/results.rs
@@ -60,6 +60,7 @@
                 item = key.item,
                 run = run.0,
                 upstream = active.engine,
+                software = ended.output.software,
                 revision = active.revision,
                 lease_ms = active.lease_left.0,
                 waited_ms = (active.started.0.saturating_sub(open.opened_at.0)),
@@ -76,6 +77,7 @@
             item = id,
             run = run.0,
             upstream = active.engine,
+            software = ended.output.software,
             revision = active.revision,
             lease_ms = active.lease_left.0,
             ran_ms = (clock::boot_now().0.saturating_sub(active.started.0)),
@@ -85,7 +87,10 @@
         );
         let is_resumable = open.job.resumable && ended.output.last.is_some();
         if is_resumable && !matches!(ended.outcome, RunOutcome::Stale(_)) {
+            let output = ended.output.kept();
             open.outputs.insert(active.item, ended.output.clone());
+            let (job, item) = (active.job.as_str(), active.item);
+            self.handle(Event::Kept { job, item, output });
         }
     }
 
--- a/crates/dandelion-daemon/src/stores/runner/start.rs
+++ b/crates/dandelion-daemon/src/stores/runner/start.rs
@@ -12,6 +12,8 @@
 use dandelion_protocol::batch::Partial;
 use dandelion_protocol::incarnations::UpstreamIncarnation;
 use dandelion_protocol::limits::RatePermit;
+use dandelion_telemetry::Event;
+use dandelion_telemetry::event;
 use futures::future::AbortHandle;
 use futures::future::Abortable;
 
@@ -57,6 +59,7 @@
             text: output.text.clone(),
             last,
             versions: output.versions.clone(),
+            software: output.software.clone(),
         };
         partials::save(&self.core, self.job.clone(), partial);
     }
@@ -67,7 +70,7 @@
 }
 
 impl Runner {
-    /// Starts a run of an item, which continues the output of an interrupted run.
+    /// Starts a run of an item, which continues the output of an interrupted run if `continues`.
     pub(super) fn start_run(
         &mut self,
         run: RunId,
@@ -75,16 +78,33 @@
         item: usize,
         engine: UpstreamIncarnation,
         permit: Option<RatePermit>,
+        continues: bool,
     ) {
         let Some(open) = self.jobs.get_mut(&job) else {
             return;
         };
+        let kept = open.outputs.remove(&item).unwrap_or_default();
+        let events = kept.last;
+        let former = kept.software.clone();
+        let output = if continues { kept } else { Output::default() };
+        let output = output.continued_at(&engine.software);
+        if events.is_some() && output.last.is_none() {
+            event!(
+                Event::OutputDropped,
+                job = job,
+                item = open.job.items[item].id,
+                events = events.unwrap_or(0),
+                software = former,
+                upstream = engine.id,
+                upstream_software = engine.software
+            );
+        }
         let item_run = ItemRun {
             job: Arc::clone(&open.job),
             item,
             engine,
             permit,
-            output: open.outputs.remove(&item).unwrap_or_default(),
+            output,
         };
         let (abort, registration) = AbortHandle::new_pair();
         let core = self.core.clone();
--- a/crates/dandelion-load/src/scenarios/software.rs
+++ b/crates/dandelion-load/src/scenarios/software.rs
@@ -19,6 +19,7 @@
 use dandelion_net::http::server::Server;
 use dandelion_platform::fixtures;
 use dandelion_platform::headers;
+use dandelion_platform::incarnations::STATE_PATH;
 use dandelion_platform::stream::EventReader;
 use dandelion_protocol::incarnations::SoftwareVersion;
 use dandelion_protocol::incarnations::UpstreamIncarnation;
@@ -480,7 +481,7 @@
         let Some((life, broken_at)) = self.plan() else {
             return Response::new(503);
         };
-        if request.url().path() == fixtures::ENGINE_REPORT_PATH {
+        if request.url().path() == STATE_PATH {
             let mut response = Response::new(200);
             response.set_body(fixtures::engine_report(life.born.0));
             return response;
--- a/crates/dandelion-net/src/http/client/error.rs
+++ b/crates/dandelion-net/src/http/client/error.rs
@@ -30,6 +30,9 @@
     /// The sender no longer wanted the request to be written.
     #[error("withheld by the sender; choose where to send it again")]
     Withheld,
+    /// Another process than the intended one is at the other end of the connection.
+    #[error("another process answers at the address; wait until it is announced")]
+    OtherPeer,
     /// A write, the head or the next body bytes took longer than the progress timeout; the
     /// connection was dropped.
     #[error("the connection went quiet (fresh connection works: {alive}); it was replaced")]
--- a/crates/dandelion-net/src/http/client/exchange.rs
+++ b/crates/dandelion-net/src/http/client/exchange.rs
@@ -16,6 +16,7 @@
 use crate::http::buffer::BufferError;
 use crate::http::client::error::Cause;
 use crate::http::client::error::SendError;
+use crate::http::client::pool::Channel;
 use crate::http::client::send::Client;
 use crate::http::client::send::timeout_cause;
 use crate::http::framing::FramingParser;
@@ -35,6 +36,10 @@
 pub(super) struct Origin {
     pub client: Client,
     pub address: SocketAddr,
+    /// Process at the other end, if known.
+    pub peer: Option<u64>,
+    /// Whether the connection is returned to the pool after the answer.
+    pub pooled: bool,
     /// Whether a probe may follow if the connection goes silent.
     pub probe: bool,
 }
@@ -185,14 +190,22 @@
     /// Marks the answer as complete and returns its connection to the pool, unless it has surplus
     /// bytes or the upstream closes it.
     fn finish(&mut self) {
-        let clean = lock(&self.reader_state).buffered.is_empty();
-        if clean && !self.close {
-            let stream = self.stream.clone();
-            self.origin.client.release(self.origin.address, stream);
+        if self.is_clean() && self.origin.pooled {
+            let channel = Channel {
+                stream: self.stream.clone(),
+                peer: self.origin.peer,
+            };
+            self.origin.client.release(self.origin.address, channel);
         }
         self.state = State::Complete;
     }
 
+    /// Returns whether the connection can carry another request once the answer is complete: there
+    /// are no surplus bytes, and the upstream doesn't close it.
+    pub(super) fn is_clean(&self) -> bool {
+        !self.close && lock(&self.reader_state).buffered.is_empty()
+    }
+
     fn fail(&mut self, cause: Cause) -> SendError {
         let error = SendError::Unknown(cause);
         self.state = State::Failed(error.clone());
--- a/crates/dandelion-net/src/http/client/mod.rs
+++ b/crates/dandelion-net/src/http/client/mod.rs
@@ -3,6 +3,7 @@
 
 mod error;
 mod exchange;
+mod peer;
 mod pool;
 mod request;
 mod send;
@@ -10,6 +11,8 @@
 pub use error::Cause;
 pub use error::SendError;
 pub use exchange::Exchange;
+pub use peer::AnyPeer;
+pub use peer::Peer;
 pub use request::request;
 pub use request::request_for;
 pub use send::Client;
--- a/crates/dandelion-net/src/http/client/pool.rs
+++ b/crates/dandelion-net/src/http/client/pool.rs
@@ -18,10 +18,36 @@
 /// A clean connection that waits for its next request.
 #[derive(Debug)]
 struct Idle {
-    stream: TcpStream,
+    channel: Channel,
     since: Instant,
 }
 
+impl Idle {
+    fn is_stale(&self, times: IdleTimes) -> bool {
+        let time = match self.channel.peer {
+            Some(_) => times.asked,
+            None => times.any,
+        };
+        self.since.elapsed() >= time
+    }
+}
+
+/// Times after which an idle connection is no longer reused.
+#[derive(Debug, Clone, Copy)]
+pub struct IdleTimes {
+    pub any: Duration,
+    /// For connections whose other end was asked who it is.
+    pub asked: Duration,
+}
+
+/// A connection, and which process is known to be at its other end.
+#[derive(Debug, Clone)]
+pub struct Channel {
+    pub stream: TcpStream,
+    /// Key of the process; none if it was not asked.
+    pub peer: Option<u64>,
+}
+
 /// The idle connections of the addresses that hash to this shard.
 #[derive(Debug)]
 struct Shard {
@@ -38,14 +64,14 @@
     }
 
     /// Closes stale connections, also those to addresses that are no longer used. Does so at most
-    /// once per `max_idle`.
-    fn sweep(&mut self, max_idle: Duration) {
-        if self.last_sweep.elapsed() < max_idle {
+    /// once per idle time.
+    fn sweep(&mut self, times: IdleTimes) {
+        if self.last_sweep.elapsed() < times.any {
             return;
         }
         self.last_sweep = Instant::now();
         for list in self.idle.values_mut() {
-            list.retain(|idle| idle.since.elapsed() < max_idle);
+            list.retain(|idle| !idle.is_stale(times));
         }
         self.idle.retain(|_, list| !list.is_empty());
     }
@@ -57,37 +83,44 @@
     shards: Vec<Mutex<Shard>>,
     hasher: RandomState,
     per_address: usize,
-    max_idle: Duration,
+    times: IdleTimes,
 }
 
 impl Pool {
-    pub fn new(per_address: usize, max_idle: Duration) -> Self {
+    pub fn new(per_address: usize, times: IdleTimes) -> Self {
         Self {
             shards: (0..SHARDS).map(|_| Shard::new()).collect(),
             hasher: RandomState::new(),
             per_address,
-            max_idle,
+            times,
         }
     }
 
-    /// Takes a connection that is not stale, not closed and has no unsolicited bytes waiting.
-    pub fn acquire(&self, address: SocketAddr) -> Option<TcpStream> {
+    /// Takes a connection that is not stale, not closed and has no unsolicited bytes waiting; only one
+    /// to the process `peer` if that is named.
+    pub fn acquire(&self, address: SocketAddr, peer: Option<u64>) -> Option<Channel> {
         loop {
-            let idle = lock(self.shard(address)).idle.get_mut(&address)?.pop()?;
-            if idle.since.elapsed() < self.max_idle && is_clean(&idle.stream) {
-                return Some(idle.stream);
+            let idle = {
+                let mut shard = lock(self.shard(address));
+                let list = shard.idle.get_mut(&address)?;
+                let fits = |idle: &Idle| peer.is_none() || idle.channel.peer == peer;
+                let at = list.iter().rposition(fits)?;
+                list.remove(at)
+            };
+            if !idle.is_stale(self.times) && is_clean(&idle.channel.stream) {
+                return Some(idle.channel);
             }
         }
     }
 
     /// Stores a clean connection for reuse, or drops it if the address has enough of them.
-    pub fn release(&self, address: SocketAddr, stream: TcpStream) {
+    pub fn release(&self, address: SocketAddr, channel: Channel) {
         let mut shard = lock(self.shard(address));
-        shard.sweep(self.max_idle);
+        shard.sweep(self.times);
         let list = shard.idle.entry(address).or_default();
         if list.len() < self.per_address {
             let since = Instant::now();
-            list.push(Idle { stream, since });
+            list.push(Idle { channel, since });
         }
     }
 
--- a/crates/dandelion-net/src/http/client/send.rs
+++ b/crates/dandelion-net/src/http/client/send.rs
@@ -17,6 +17,10 @@
 use crate::http::client::error::SendError;
 use crate::http::client::exchange::Exchange;
 use crate::http::client::exchange::Origin;
+use crate::http::client::peer::AnyPeer;
+use crate::http::client::peer::Peer;
+use crate::http::client::pool::Channel;
+use crate::http::client::pool::IdleTimes;
 use crate::http::client::pool::Pool;
 use crate::http::head::HeadError;
 use crate::http::head::REQUEST_ID;
@@ -30,6 +34,9 @@
 /// Path requested by probes; any answer shows that the peer is alive.
 const PROBE_PATH: &str = "/healthz";
 
+/// Longest answer of a process that is asked who it is, in bytes.
+const MAX_ANSWER_BYTES: usize = 256 * 1024;
+
 /// Settings of a [`Client`].
 #[derive(Debug, Clone, Copy)]
 pub struct ClientOptions {
@@ -41,6 +48,8 @@
     pub idle_limit: usize,
     /// Time after which an idle connection is no longer reused.
     pub idle_time: Duration,
+    /// The same for a connection whose other end was asked who it is, which costs a request.
+    pub asked_time: Duration,
 }
 
 impl Default for ClientOptions {
@@ -50,6 +59,7 @@
             probe_time: Duration::from_secs(1),
             idle_limit: 64,
             idle_time: Duration::from_secs(20),
+            asked_time: Duration::from_secs(20),
         }
     }
 }
@@ -88,7 +98,13 @@
     /// Makes a client with an empty pool.
     pub fn new(options: ClientOptions) -> Self {
         Self {
-            pool: Arc::new(Pool::new(options.idle_limit, options.idle_time)),
+            pool: Arc::new(Pool::new(
+                options.idle_limit,
+                IdleTimes {
+                    any: options.idle_time,
+                    asked: options.asked_time,
+                },
+            )),
             options,
         }
     }
@@ -116,19 +132,39 @@
     ) -> Result<Exchange, SendError>
     where
         F: Fn() -> bool + Sync,
+    {
+        let sent = self.send_to(address, request, options, &AnyPeer, may_send);
+        sent.await
+    }
+
+    /// Sends a request like [`Client::send_if`], to no other process than `peer`. A fresh connection
+    /// is asked first who is at its other end.
+    pub async fn send_to<P, F>(
+        &self,
+        address: SocketAddr,
+        request: Request,
+        options: &SendOptions,
+        peer: &P,
+        may_send: F,
+    ) -> Result<Exchange, SendError>
+    where
+        P: Peer + Sync,
+        F: Fn() -> bool + Sync,
     {
         let encoded = encode(request).await.map_err(SendError::NotSent)?;
         let mut first_error = None;
-        if let Some(stream) = self.pool.acquire(address) {
-            let attempt = self.attempt(address, stream, &encoded, options, &may_send);
+        if let Some(channel) = self.pool.acquire(address, peer.key()) {
+            let attempt = self.attempt(address, channel, &encoded, options, &may_send);
             match attempt.await {
                 Err(error) if may_resend(&error, options) => first_error = Some(error),
                 done => return done,
             }
         }
-        let resent = match self.connect(address, options).await {
-            Ok(stream) => {
-                let attempt = self.attempt(address, stream, &encoded, options, &may_send);
+        // Boxed: most requests need no fresh connection.
+        let connected = Box::pin(self.connect_to(address, options, peer));
+        let resent = match connected.await {
+            Ok(channel) => {
+                let attempt = self.attempt(address, channel, &encoded, options, &may_send);
                 attempt.await
             }
             Err(error) => Err(error),
@@ -190,10 +226,65 @@
         Ok(stream)
     }
 
-    async fn attempt<F>(
+    /// Opens a connection and asks who is at its other end, if that matters.
+    async fn connect_to<P>(
+        &self,
+        address: SocketAddr,
+        options: &SendOptions,
+        peer: &P,
+    ) -> Result<Channel, SendError>
+    where
+        P: Peer + Sync,
+    {
+        let stream = self.connect(address, options).await?;
+        if let Some(question) = peer.question() {
+            let asked = self.ask(address, stream.clone(), question, peer);
+            asked.await.map_err(SendError::NotSent)?;
+        }
+        Ok(Channel {
+            stream,
+            peer: peer.key(),
+        })
+    }
+
+    async fn ask<P>(
         &self,
         address: SocketAddr,
         mut stream: TcpStream,
+        question: Request,
+        peer: &P,
+    ) -> Result<(), Cause>
+    where
+        P: Peer + Sync,
+    {
+        let encoded = encode(question).await?;
+        let limit = self.options.connect_time;
+        let mut timer = StepTimer::start(limit, Instant::now() + limit);
+        let written = write(&mut stream, &encoded.bytes, &mut timer).await;
+        written.map_err(|error| error.cause().clone())?;
+        let origin = Origin {
+            client: self.clone(),
+            address,
+            peer: None,
+            pooled: false,
+            probe: false,
+        };
+        let mut answer = self.read_head(stream, &encoded, origin, timer).await?;
+        let body = answer.read_all(MAX_ANSWER_BYTES).await;
+        let body = body.map_err(|error| error.cause().clone())?;
+        if !answer.is_clean() {
+            return Err(Cause::Closed("after the question".to_owned()));
+        }
+        if !peer.is_answer(answer.status(), &body) {
+            return Err(Cause::OtherPeer);
+        }
+        Ok(())
+    }
+
+    async fn attempt<F>(
+        &self,
+        address: SocketAddr,
+        mut channel: Channel,
         encoded: &Encoded,
         options: &SendOptions,
         may_send: &F,
@@ -206,17 +297,20 @@
             return Err(SendError::NotSent(Cause::Deadline));
         }
         if !may_send() {
-            self.release(address, stream);
+            self.release(address, channel);
             return Err(SendError::NotSent(Cause::Withheld));
         }
         let mut timer = StepTimer::start(options.progress, options.deadline);
-        write(&mut stream, &encoded.bytes, &mut timer).await?;
+        write(&mut channel.stream, &encoded.bytes, &mut timer).await?;
         let origin = Origin {
             client: self.clone(),
             address,
+            peer: channel.peer,
+            pooled: true,
             probe: options.probe,
         };
-        match self.read_head(stream, encoded, origin, timer).await {
+        let head = self.read_head(channel.stream, encoded, origin, timer);
+        match head.await {
             Ok(exchange) => Ok(exchange),
             Err(Cause::Silent { .. }) if options.probe => {
                 let alive = self.probe_and_purge(address).await;
@@ -256,8 +350,8 @@
         alive
     }
 
-    pub(super) fn release(&self, address: SocketAddr, stream: TcpStream) {
-        self.pool.release(address, stream);
+    pub(super) fn release(&self, address: SocketAddr, channel: Channel) {
+        self.pool.release(address, channel);
     }
 }
 
--- a/crates/dandelion-protocol/src/batch.rs
+++ b/crates/dandelion-protocol/src/batch.rs
@@ -6,6 +6,7 @@
 
 use crate::ids::DaemonId;
 use crate::ids::TeamId;
+use crate::incarnations::SoftwareVersion;
 use crate::mesh::Header;
 use crate::time::Millis;
 
@@ -124,6 +125,9 @@
     pub last: u64,
     /// Versions of the weights that generated it, in the order of their first use.
     pub versions: Vec<u64>,
+    /// Version of the software that generated it; unknown if a daemon of an earlier version saved it.
+    #[serde(default)]
+    pub software: SoftwareVersion,
 }
 
 /// A call between daemons that store texts.
--- a/crates/dandelion-telemetry/src/events/catalogue.rs
+++ b/crates/dandelion-telemetry/src/events/catalogue.rs
@@ -275,4 +275,6 @@
         "A request or item was not written to the upstream that was chosen for it, because this daemon's lease is about to end or the upstream left meanwhile." "none; another upstream is chosen, or the request is refused as not run";
     937 Info LeavingKnown "leaving_known"
         "An upstream said in an answer to this daemon that it leaves; this daemon sends it nothing more, whatever is reported of it." "none";
+    938 Info OutputDropped "output_dropped"
+        "An item's unfinished output was dropped, because no upstream of the software version that generated it could continue it in time; the item starts anew." "none";
 }
