Let callers' streams go on at the software version that began them

The origin of a stream (service and software version) is kept under its team and the attempt that brings its first event: at the entry that opens it, and at a store and another entry chosen by rendezvous hashing, while the request is on its way to the upstream; the head is passed on once one of them has it, or after 60 ms. An entry that gets a stream which is taken up finds the origin itself, at those two, or at any other daemon, and sends the request only to upstreams of that service and version. Requests of such routes go over connections whose other end was asked who it is, like items.

What can't go on is refused at once as not run, without a time to come back: nobody knows the origin, the request doesn't name it, or no upstream of the version is left. Events 939 (taken up), 940 (no copy confirmed), 941 (end of a stream, until now not logged at all).

Ways weighed: the replicated table (an entry of the control log for each stream, and no stream begins without a leader); a label that travels with the client, as in lazy replication (callers send back nothing but the id of their attempt and the number of the event); the version as a function of the id (versions come and go in between).

--- a/crates/dandelion-daemon/src/gateway/admit.rs
+++ b/crates/dandelion-daemon/src/gateway/admit.rs
@@ -88,14 +88,17 @@
             limited: Vec::new(),
             open: None,
         };
-        let Some(service) = self.route.pick(rand::rng().random()) else {
+        // A stream that is taken up stays with the service at which it began.
+        let drawn = self.route.pick(rand::rng().random());
+        let Some(service) = self.origin().map(|origin| &origin.service).or(drawn) else {
             return candidates;
         };
         let zone = &self.core.identity.zone;
         let now = clock::boot_now();
         let picker = self.core.gateway.picker();
         let leaving = self.core.gateway.leaving.known();
-        let staying = view.incarnations.iter().filter(|u| !leaving.leaves(u));
+        let fits = |u: &&UpstreamIncarnation| !leaving.leaves(u) && self.may_go_on_at(u);
+        let staying = view.incarnations.iter().filter(fits);
         let ranked = picker.rank(now, staying, service, zone, excluded);
         for upstream in ranked {
             let Some(limit) = self.core.gateway.limits.limit_of(view, upstream) else {
--- a/crates/dandelion-daemon/src/gateway/answer.rs
+++ b/crates/dandelion-daemon/src/gateway/answer.rs
@@ -29,6 +29,13 @@
     response
 }
 
+/// Refuses to take up a stream that can't go on; coming back is in vain.
+pub fn stream_over() -> Response {
+    let mut response = Response::new(503);
+    response.set_body("the stream can't go on at any upstream; begin it anew\n");
+    response
+}
+
 /// Answers with a status and no body.
 pub fn status(status: u16) -> Response {
     Response::new(code(status))
--- a/crates/dandelion-daemon/src/gateway/forward.rs
+++ b/crates/dandelion-daemon/src/gateway/forward.rs
@@ -24,6 +24,7 @@
 use dandelion_protocol::mesh::Header;
 use dandelion_protocol::plan::RouteKind;
 use dandelion_protocol::plan::RouteRule;
+use dandelion_protocol::streams::StreamOrigin;
 use dandelion_protocol::time::Millis;
 use dandelion_protocol::usage::Class;
 use dandelion_protocol::usage::Counts;
@@ -31,6 +32,7 @@
 use dandelion_route::ticket::Fingerprint;
 use dandelion_telemetry::Event;
 use dandelion_telemetry::event;
+use futures::future::join;
 use http_types::Request;
 use http_types::Response;
 
@@ -39,10 +41,13 @@
 use crate::gateway::gate;
 use crate::gateway::leaving;
 use crate::gateway::limits;
+use crate::gateway::origins;
+use crate::gateway::peer::Incarnation;
 use crate::gateway::place::InFlight;
 use crate::gateway::place::Placed;
 use crate::gateway::quarantine::ContentRun;
 use crate::gateway::quarantine::Held;
+use crate::gateway::streams::StreamPart;
 
 /// Longest answer of an upstream that is not a stream, in bytes.
 const MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
@@ -66,6 +71,7 @@
     pub route: &'a RouteRule,
     pub team: Option<&'a TeamId>,
     pub id: &'a str,
+    caller: &'a CallerHeaders,
     host: &'a str,
     method: String,
     target: String,
@@ -74,6 +80,8 @@
     /// Fingerprint of the content, which is the same for all copies of the request.
     pub content: Fingerprint,
     pub deadline: Instant,
+    /// What the request is part of, if it opens or takes up a stream that can go on elsewhere.
+    pub stream: Option<StreamPart>,
 }
 
 /// The upstream of an attempt, and the state of the view by which it was chosen.
@@ -93,6 +101,29 @@
     }
 }
 
+/// What the end of a stream is logged with.
+struct StreamLog {
+    id: String,
+    route: String,
+    upstream: UpstreamIncarnation,
+    started: Instant,
+}
+
+impl StreamLog {
+    fn end(&self, outcome: &str, bytes: u64) {
+        event!(
+            Event::StreamEnded,
+            request = self.id,
+            route = self.route,
+            upstream = self.upstream.id,
+            software = self.upstream.software,
+            outcome = outcome,
+            bytes = bytes,
+            took_ms = self.started.elapsed().as_millis()
+        );
+    }
+}
+
 /// Outcome of one attempt.
 enum Attempt {
     /// The answer for the caller.
@@ -126,11 +157,16 @@
     let host = caller.host.to_ascii_lowercase();
     let method = request.method().to_string();
     let content = Fingerprint::of(team, &host, &method, &target, &body);
+    let stream = match StreamPart::of(core, route, team, caller).await {
+        Ok(stream) => stream,
+        Err(reason) => return refuse_stream(route, caller, reason),
+    };
     let call = Call {
         core,
         route,
         team,
         id: caller.attempt.as_deref().unwrap_or("-"),
+        caller,
         host: &caller.host,
         content,
         method,
@@ -138,10 +174,23 @@
         headers: end_to_end_headers(&request),
         body,
         deadline,
+        stream,
     };
     call.run().await
 }
 
+/// Refuses to take a stream up which can't go on, so that its caller begins it anew.
+fn refuse_stream(route: &RouteRule, caller: &CallerHeaders, reason: &str) -> Response {
+    event!(
+        Event::RequestRefused,
+        request = caller.attempt.as_deref().unwrap_or("-"),
+        route = route.name,
+        resumes = caller.resumes.as_deref().unwrap_or("-"),
+        reason = reason
+    );
+    answer::stream_over()
+}
+
 fn end_to_end_headers(request: &Request) -> Vec<Header> {
     let end_to_end = request.iter().filter(|(n, _)| !is_hop_header(n.as_str()));
     let pairs = end_to_end.flat_map(|(name, values)| {
@@ -160,6 +209,9 @@
         while runs < self.route.attempts && refusals < MAX_REFUSALS {
             let placed = match self.place(&tried).await {
                 Ok(placed) => placed,
+                Err(None) if refusals == 0 && runs == 0 && self.is_stranded() => {
+                    return refuse_stream(self.route, self.caller, "no_upstream_of_version");
+                }
                 Err(Some(held)) if runs == 0 => return self.refuse_held(&held),
                 Err(_) => break,
             };
@@ -235,11 +287,10 @@
             let is_permitted = rate_permit.is_none_or(|p| clock::boot_now() <= p.until);
             is_permitted && gate::may_send(self.core, upstream, self.id)
         };
-        let client = &self.core.gateway.client;
-        let sent = client.send_if(upstream.address, request, &options, may_send);
+        let sent = self.exchange(upstream, request, &options, may_send);
         let exchange = match sent.await {
             Ok(exchange) => exchange,
-            Err(SendError::NotSent(Cause::Withheld)) => {
+            Err(SendError::NotSent(Cause::Withheld | Cause::OtherPeer)) => {
                 run.not_run();
                 return Attempt::NotRun;
             }
@@ -277,6 +328,43 @@
         self.read_answer(exchange, run, in_flight).await
     }
 
+    /// Sends the request and waits for the head of the answer. The origin of a stream is kept at the
+    /// same time, so that it can go on elsewhere from its first event on.
+    async fn exchange<F>(
+        &self,
+        upstream: &UpstreamIncarnation,
+        request: Request,
+        options: &SendOptions,
+        may_send: F,
+    ) -> Result<Exchange, SendError>
+    where
+        F: Fn() -> bool + Sync,
+    {
+        let client = &self.core.gateway.client;
+        let Some(stream) = &self.stream else {
+            let sent = client.send_if(upstream.address, request, options, may_send);
+            return sent.await;
+        };
+        let origin = StreamOrigin {
+            service: upstream.service.clone(),
+            software: upstream.software.clone(),
+        };
+        let peer = Incarnation::of(upstream);
+        let sent = client.send_to(upstream.address, request, options, &peer, may_send);
+        let kept = origins::keep(self.core, stream.key.clone(), origin);
+        let (sent, kept) = Box::pin(join(sent, kept)).await;
+        if !kept {
+            event!(
+                Event::OriginKept,
+                request = self.id,
+                upstream = upstream.id,
+                software = upstream.software,
+                copies = 0
+            );
+        }
+        sent
+    }
+
     /// Deadline of an attempt that starts now: the request's own, or an earlier one if the request
     /// is idempotent, so that another upstream can still be tried.
     fn attempt_deadline(&self) -> Instant {
@@ -346,23 +434,31 @@
         in_flight.ending = Ending::Answered(Millis(in_flight.started.elapsed().as_millis() as u64));
         let (sender, body) = body::channel(STREAM_CHUNKS);
         let response = answer::relayed(exchange.status(), exchange.headers(), body);
-        let (id, route) = (self.id.to_owned(), self.route.name.clone());
+        let log = StreamLog {
+            id: self.id.to_owned(),
+            route: self.route.name.clone(),
+            upstream: in_flight.upstream.clone(),
+            started: Instant::now(),
+        };
         task::spawn(async move {
             loop {
                 match exchange.chunk().await {
                     Ok(Some(chunk)) => {
                         if sender.send(chunk).await.is_err() {
+                            log.end("caller_left", exchange.bytes());
                             return;
                         }
                     }
                     Ok(None) => break,
                     Err(error) => {
-                        run.interrupted(&id, &route, error.cause()).await;
+                        log.end("broken", exchange.bytes());
+                        run.interrupted(&log.id, &log.route, error.cause()).await;
                         return;
                     }
                 }
             }
             run.answered();
+            log.end("complete", exchange.bytes());
             // The caller may have disconnected after the last chunk.
             let _gone = sender.finish().await;
         });
--- a/crates/dandelion-daemon/src/gateway/front.rs
+++ b/crates/dandelion-daemon/src/gateway/front.rs
@@ -53,7 +53,7 @@
             );
         };
         match calls::caller_call(&request) {
-            CallerCall::Routed => Box::pin(routed(core, plan, &caller, request)).await,
+            CallerCall::Routed => routed(core, plan, &caller, request).await,
             call => match team(plan, &caller) {
                 Some(team) => jobs::serve(core, &call, team, &caller, &request).await,
                 None => refuse(&caller, "unknown_key", answer::status(401)),
@@ -92,7 +92,7 @@
     }
     let team = team.map(|t| &t.name);
     let started = Instant::now();
-    let response = forward::serve(core, route, team, caller, request).await;
+    let response = Box::pin(forward::serve(core, route, team, caller, request)).await;
     record_metrics(core, team, Class::Interactive, started, &response);
     response
 }
--- a/crates/dandelion-daemon/src/gateway/state.rs
+++ b/crates/dandelion-daemon/src/gateway/state.rs
@@ -16,6 +16,7 @@
 
 use crate::gateway::leaving::Leaving;
 use crate::gateway::limits::Limits;
+use crate::gateway::origins::Origins;
 use crate::gateway::quarantine::Quarantine;
 
 /// Longest time to open a connection to an upstream; zones are a few milliseconds apart.
@@ -56,6 +57,8 @@
     pub limits: Limits,
     /// Upstreams that have told this daemon that they leave.
     pub leaving: Leaving,
+    /// Where callers' streams began.
+    pub origins: Origins,
     picker: Mutex<Picker>,
     last_reports: Mutex<BTreeMap<UpstreamId, LastReport>>,
     jobs_leader: Mutex<Option<DaemonId>>,
@@ -76,6 +79,7 @@
             quarantine: Quarantine::default(),
             limits: Limits::default(),
             leaving: Leaving::default(),
+            origins: Origins::default(),
             picker: Mutex::default(),
             last_reports: Mutex::default(),
             jobs_leader: Mutex::default(),
--- a/crates/dandelion-daemon/src/node.rs
+++ b/crates/dandelion-daemon/src/node.rs
@@ -113,6 +113,7 @@
         CallBody::Batch(call) => ReplyBody::Batch(stores::answer(core, call).await),
         CallBody::Texts(call) => ReplyBody::Texts(stores::answer_texts(core, call).await),
         CallBody::Permits(call) => ReplyBody::Permits(gateway::limits::grant(core, &call)),
+        CallBody::Origins(call) => ReplyBody::Origins(gateway::origins::answer(core, call)),
         CallBody::Probe => ReplyBody::Alive,
         CallBody::InForce(revision) => {
             ReplyBody::InForce(operator::local_propagation(core, revision))
--- a/crates/dandelion-load/src/checks.rs
+++ b/crates/dandelion-load/src/checks.rs
@@ -42,6 +42,7 @@
         "leaving" => &["late_after_answer", "late_after_report", "not_served_again"],
         "software" => &[
             "few_went_on",
+            "jobs_unfinished",
             "streams_mixed",
             "streams_wrong",
             "texts_mixed",
--- a/crates/dandelion-load/src/scenarios/software.rs
+++ b/crates/dandelion-load/src/scenarios/software.rs
@@ -146,16 +146,17 @@
         ..ClusterConfig::default()
     })
     .await?;
-    let (shared, servers) = spawn_engines(&cluster, seed).await?;
+    let (shared, mut servers) = spawn_engines(&cluster, seed).await?;
     shared.cell.put_engine_plan().await?;
     let reports = task::spawn(report_repeatedly(Arc::clone(&shared)));
     wait_served(&shared).await;
     let streams = task::spawn(stream_repeatedly(Arc::clone(&shared)));
     let jobs = task::spawn(submit_repeatedly(Arc::clone(&shared)));
-    disturb(&mut cluster, &shared, servers, seed).await?;
+    disturb(&mut cluster, &shared, &mut servers, seed).await?;
     shared.stop.store(true, Ordering::SeqCst);
     let (streams, jobs) = (streams.await, jobs.await);
     reports.await;
+    drop(servers);
     Ok(figures(&streams, &jobs))
 }
 
@@ -210,7 +211,7 @@
 async fn disturb(
     cluster: &mut Cluster,
     shared: &Arc<Shared>,
-    mut servers: Vec<Option<Server>>,
+    servers: &mut [Option<Server>],
     seed: u64,
 ) -> anyhow::Result<()> {
     let pick = |count: usize, step: usize| (seed as usize + step) % count;
@@ -366,7 +367,11 @@
         let resumed = stream.events.last().map(|(_, number)| *number);
         stream.resumes += u64::from(resumed.is_some());
         let before = stream.events.len();
-        try_stream(shared, number + retry, id, first, resumed, &mut stream).await;
+        let (to, path) = (
+            shared.entry(number + retry),
+            format!("{}{number}", plan::STREAMS),
+        );
+        try_stream(shared, to, &path, id, first, resumed, &mut stream).await;
         if stream.events.len() > before {
             first.get_or_insert(id);
             stream.went_on += u64::from(resumed.is_some());
@@ -383,7 +388,8 @@
 /// first event, and `after` the last event.
 async fn try_stream(
     shared: &Shared,
-    entry: usize,
+    to: SocketAddr,
+    path: &str,
     id: u64,
     first: Option<u64>,
     after: Option<u64>,
@@ -394,10 +400,8 @@
         sent.push(headers::header(headers::LAST_EVENT, &after.to_string()));
         sent.push(headers::header(headers::RESUMES, &request_id(first)));
     }
-    let path = format!("{}{entry}", plan::STREAMS);
     let started = Instant::now();
-    let to = shared.entry(entry);
-    let answer = shared.cell.open(to, "POST", &path, &sent, Vec::new()).await;
+    let answer = shared.cell.open(to, "POST", path, &sent, Vec::new()).await;
     let Some(mut answer) = answer else {
         return;
     };
--- a/crates/dandelion-protocol/src/lib.rs
+++ b/crates/dandelion-protocol/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod plan;
 pub mod quarantine;
 pub mod rollout;
+pub mod streams;
 pub mod time;
 pub mod upstream;
 pub mod usage;
--- a/crates/dandelion-protocol/src/mesh.rs
+++ b/crates/dandelion-protocol/src/mesh.rs
@@ -27,6 +27,8 @@
 use crate::limits::PermitCall;
 use crate::limits::PermitReply;
 use crate::outcome::Refusal;
+use crate::streams::OriginCall;
+use crate::streams::OriginReply;
 use crate::time::Millis;
 use crate::upstream::Announcement;
 use crate::usage::Class;
@@ -165,6 +167,8 @@
     Texts(TextCall),
     /// Asks the control leader for permits to send to upstreams that name a limit.
     Permits(PermitCall),
+    /// Keeps or finds the origin of a caller's stream.
+    Origins(OriginCall),
     /// Forwards an HTTP request: a trainer's to the coordinator of its job, an operator's to a
     /// daemon that can answer it.
     Forward {
@@ -212,6 +216,8 @@
     Texts(TextReply),
     /// Reply to `Permits`.
     Permits(PermitReply),
+    /// Reply to `Origins`.
+    Origins(OriginReply),
     /// The call was refused.
     Refused(Refusal),
 }
--- a/crates/dandelion-route/src/lib.rs
+++ b/crates/dandelion-route/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod gate;
 pub mod leaving;
 pub mod limits;
+pub mod origins;
 pub mod outcome;
 pub mod ownership;
 pub mod pick;
