Continue generations on the product's own routes with the same software only

Here the engines themselves say what they run: each token event names `software`, so the decision needs no belief. The entry's tracker of a stream and the builder of a sample take over tokens that continue others only if both name the same version. The stream is then tried at another engine; a sample starts anew, since its coordinator can't wait for one. Engines name their version in announcements too, and owners prefer those of the version that is continued. A stream whose engine names none is not continued. A caller that continues tokens itself (`resume_from`) names their software as `resume_software`, or is refused at once as not run.

FeedAction::Send boxes its message, which has grown.

--- a/crates/dandelion-control/examples/measure_feed.rs
+++ b/crates/dandelion-control/examples/measure_feed.rs
@@ -205,7 +205,7 @@
         self.cost(number).time += spent;
         for action in actions {
             if let FeedAction::Send { to, message } = action {
-                self.send(number, &to, message);
+                self.send(number, &to, *message);
             }
         }
     }
--- a/crates/dandelion-control/src/feed/client.rs
+++ b/crates/dandelion-control/src/feed/client.rs
@@ -74,7 +74,7 @@
         /// Daemon to send it to.
         to: DaemonId,
         /// Encoded feed message.
-        message: MeshMessage,
+        message: Box<MeshMessage>,
     },
     /// The distributed tables changed.
     Applied {
@@ -268,7 +268,7 @@
             applied: self.revision(),
         };
         if let Ok(bytes) = codec::encode(&FeedMessage::Renew(renew)) {
-            let message = MeshMessage::Feed(bytes);
+            let message = Box::new(MeshMessage::Feed(bytes));
             actions.push(FeedAction::Send { to, message });
         }
     }
--- a/crates/dandelion-control/tests/feed.rs
+++ b/crates/dandelion-control/tests/feed.rs
@@ -135,7 +135,7 @@
     let Some(FeedAction::Send { message, .. }) = actions.pop() else {
         panic!("no renewal");
     };
-    let MeshMessage::Feed(bytes) = message else {
+    let MeshMessage::Feed(bytes) = *message else {
         panic!("no feed message");
     };
     match codec::decode(&bytes).unwrap() {
--- a/crates/dandelion-control/tests/support/group.rs
+++ b/crates/dandelion-control/tests/support/group.rs
@@ -295,7 +295,7 @@
         client.handle(clock, event, &mut actions);
         for action in actions {
             if let FeedAction::Send { to, message } = action {
-                self.send(number, &to, message);
+                self.send(number, &to, *message);
             }
         }
     }
--- a/crates/dandelion-daemon/src/control/feed.rs
+++ b/crates/dandelion-daemon/src/control/feed.rs
@@ -48,7 +48,7 @@
             && let Some(mesh) = core.mesh()
         {
             // The next renewal replaces a lost one.
-            let _lost = mesh.send(&to, message);
+            let _lost = mesh.send(&to, *message);
         }
     }
 }
--- a/crates/dandelion-daemon/src/rollouts/generate.rs
+++ b/crates/dandelion-daemon/src/rollouts/generate.rs
@@ -200,5 +200,6 @@
         body: serde_json::to_vec(&body).unwrap_or_default(),
         timeout: ATTEMPT_TIMEOUT,
         idempotent: true,
+        software: resume.software.clone(),
     }
 }
--- a/crates/dandelion-daemon/src/rollouts/score.rs
+++ b/crates/dandelion-daemon/src/rollouts/score.rs
@@ -4,6 +4,7 @@
 use dandelion_protocol::ids::JobId;
 use dandelion_protocol::ids::ServiceId;
 use dandelion_protocol::ids::TeamId;
+use dandelion_protocol::incarnations::SoftwareVersion;
 use dandelion_protocol::mesh::Header;
 use dandelion_protocol::mesh::ServePart;
 use dandelion_protocol::mesh::ServeRequest;
@@ -88,5 +89,6 @@
         body: serde_json::to_vec(&body).unwrap_or_default(),
         timeout: SCORE_TIMEOUT,
         idempotent: false,
+        software: SoftwareVersion::default(),
     }
 }
--- a/crates/dandelion-daemon/src/rollouts/tokens.rs
+++ b/crates/dandelion-daemon/src/rollouts/tokens.rs
@@ -2,6 +2,7 @@
 
 use dandelion_protocol::ids::Incarnation;
 use dandelion_protocol::ids::WeightVersion;
+use dandelion_protocol::incarnations::SoftwareVersion;
 use dandelion_rollout::attribution::SegmentReport;
 use serde::Deserialize;
 
@@ -23,6 +24,8 @@
     #[serde(default)]
     boot: Incarnation,
     #[serde(default)]
+    software: SoftwareVersion,
+    #[serde(default)]
     done: bool,
 }
 
@@ -83,6 +86,7 @@
                 last: event.version,
                 swap_at: None,
                 text: text.to_owned(),
+                software: event.software,
             }),
         }
     }
@@ -104,5 +108,8 @@
 }
 
 fn extends(last: &SegmentReport, event: &TokenEvent) -> bool {
-    last.end == event.index && last.last == event.version && last.boot == event.boot
+    last.end == event.index
+        && last.last == event.version
+        && last.boot == event.boot
+        && last.software == event.software
 }
--- a/crates/dandelion-daemon/src/serve/answer.rs
+++ b/crates/dandelion-daemon/src/serve/answer.rs
@@ -13,7 +13,9 @@
 use dandelion_protocol::mesh::Header;
 use dandelion_protocol::mesh::ServePart;
 use dandelion_protocol::mesh::ServeRequest;
+use dandelion_protocol::outcome::Ran;
 use dandelion_protocol::outcome::Refusal;
+use dandelion_protocol::outcome::RefusalCode;
 use dandelion_protocol::time::Millis;
 use futures::FutureExt;
 use futures::select_biased;
@@ -23,6 +25,7 @@
 use crate::core::Handle;
 use crate::serve::entry;
 use crate::serve::entry::InFlightGuard;
+use crate::serve::resume::Broken;
 use crate::serve::resume::TokenTracker;
 use crate::serve::streams::StreamGuard;
 
@@ -100,7 +103,11 @@
     async fn next(&mut self) -> Result<Option<Vec<u8>>, BodyAborted> {
         while !self.ended {
             let bytes = match self.next_part().await? {
-                Ok(ServePart::Chunk(bytes)) => self.track(bytes)?,
+                Ok(ServePart::Chunk(bytes)) => match self.track(bytes) {
+                    Ok(bytes) => bytes,
+                    Err(Broken::Gap) => return Err(BodyAborted),
+                    Err(Broken::OtherSoftware) => self.resume_stream(other_software()).await?,
+                },
                 Ok(ServePart::End { .. }) => self.end()?,
                 Ok(ServePart::Head { .. }) => return Err(BodyAborted),
                 Ok(ServePart::Failed(refusal)) => self.resume_stream(refusal).await?,
@@ -123,9 +130,9 @@
         }
     }
 
-    fn track(&mut self, bytes: Vec<u8>) -> Result<Vec<u8>, BodyAborted> {
+    fn track(&mut self, bytes: Vec<u8>) -> Result<Vec<u8>, Broken> {
         match &mut self.resumable {
-            Some(resumable) => resumable.tracker.read(bytes).map_err(|_gap| BodyAborted),
+            Some(resumable) => resumable.tracker.read(bytes),
             None => Ok(bytes),
         }
     }
@@ -174,6 +181,16 @@
     }
 }
 
+/// Refusal of an engine that would continue a stream which other software began.
+fn other_software() -> Refusal {
+    let refusal = Refusal::not_run(
+        RefusalCode::UpstreamFailed,
+        "an engine with other software continued the stream",
+        "send the request again if it may run twice",
+    );
+    refusal.with_ran(Ran::Unknown)
+}
+
 async fn next_bytes(
     state: Option<CallerStream>,
 ) -> Option<(Result<Vec<u8>, BodyAborted>, Option<CallerStream>)> {
--- a/crates/dandelion-daemon/src/serve/entry.rs
+++ b/crates/dandelion-daemon/src/serve/entry.rs
@@ -20,6 +20,7 @@
 use dandelion_protocol::outcome::Refusal;
 use dandelion_protocol::outcome::RefusalCode;
 use dandelion_protocol::time::Millis;
+use dandelion_protocol::upstream::UpstreamKind;
 use dandelion_route::digest::ZoneMessage;
 use dandelion_route::entry::Choice;
 use dandelion_route::entry::EntryView;
@@ -44,6 +45,7 @@
 use crate::serve::auth;
 use crate::serve::claim;
 use crate::serve::prepare;
+use crate::serve::resume;
 use crate::serve::resume::TokenTracker;
 use crate::serve::streams::StreamGuard;
 
@@ -130,7 +132,7 @@
     // The key may have been withdrawn after the lookup and before the stream was registered.
     auth::recheck(&core.control.view(), &caller)?;
     let received = prepare::receive(request).await?;
-    let request = prepare::build(
+    let mut request = prepare::build(
         id,
         caller.team,
         service,
@@ -138,6 +140,9 @@
         received,
         secret.as_deref(),
     )?;
+    if service.kind == UpstreamKind::Engine {
+        request.software = resume::continued_software(&request)?;
+    }
     if service.idempotent {
         core.entry.budget().earn();
         return forward(core, service, request, guard).await;
--- a/crates/dandelion-daemon/src/serve/prepare.rs
+++ b/crates/dandelion-daemon/src/serve/prepare.rs
@@ -5,6 +5,7 @@
 use dandelion_protocol::ids::RequestId;
 use dandelion_protocol::ids::ServiceId;
 use dandelion_protocol::ids::TeamId;
+use dandelion_protocol::incarnations::SoftwareVersion;
 use dandelion_protocol::mesh::Header;
 use dandelion_protocol::mesh::ServeRequest;
 use dandelion_protocol::outcome::Refusal;
@@ -139,6 +140,7 @@
         body: received.body,
         timeout,
         idempotent: service.idempotent,
+        software: SoftwareVersion::default(),
     })
 }
 
@@ -198,5 +200,6 @@
         fingerprint: fingerprint(request),
         prefix: Some(PrefixHash::of(&request.body)),
         resumable: request.class == Class::Rollout,
+        software: request.software.clone(),
     }
 }
--- a/crates/dandelion-fakes/src/engine/config.rs
+++ b/crates/dandelion-fakes/src/engine/config.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use dandelion_protocol::ids::WeightVersion;
+use dandelion_protocol::incarnations::SoftwareVersion;
 
 use crate::announce::Identity;
 
@@ -37,6 +38,8 @@
     pub resumes: bool,
     /// Any prompt that contains this text crashes the engine.
     pub poison: Option<String>,
+    /// Version of its software, named in announcements and events.
+    pub software: SoftwareVersion,
 }
 
 impl EngineConfig {
@@ -56,6 +59,7 @@
             checks_fencing: true,
             resumes: true,
             poison: None,
+            software: SoftwareVersion("1".to_owned()),
         }
     }
 }
--- a/crates/dandelion-fakes/src/engine/generate.rs
+++ b/crates/dandelion-fakes/src/engine/generate.rs
@@ -72,8 +72,11 @@
         let index = self.next;
         self.next += 1;
         let token = token(&self.prompt, index);
-        format!("data: {{\"token\":\"{token}\",\"index\":{index},\"version\":{version}}}\n\n")
-            .into_bytes()
+        let software = &state.config.software;
+        format!(
+            "data: {{\"token\":\"{token}\",\"index\":{index},\"version\":{version},\"software\":\"{software}\"}}\n\n"
+        )
+        .into_bytes()
     }
 
     fn finish(&mut self) -> Vec<u8> {
--- a/crates/dandelion-fakes/src/engine/server.rs
+++ b/crates/dandelion-fakes/src/engine/server.rs
@@ -136,5 +136,6 @@
             waiting,
             cache_permille: permille.min(1000) as u16,
         },
+        software: state.config.software.clone(),
     }
 }
--- a/crates/dandelion-fakes/src/plain.rs
+++ b/crates/dandelion-fakes/src/plain.rs
@@ -14,6 +14,7 @@
 use dandelion_net::http::server::Limits;
 use dandelion_net::http::server::Server;
 use dandelion_net::http::server::streamed;
+use dandelion_protocol::incarnations::SoftwareVersion;
 use dandelion_protocol::upstream::Announcement;
 use dandelion_protocol::upstream::ReportedLoad;
 use dandelion_protocol::upstream::UpstreamKind;
@@ -159,6 +160,7 @@
         checks_fencing: false,
         resumes: false,
         leaving: state.leaving.load(Ordering::SeqCst),
+        software: SoftwareVersion::default(),
         load: ReportedLoad {
             running: state.running.load(Ordering::SeqCst),
             ..ReportedLoad::default()
--- a/crates/dandelion-fakes/tests/engine_streams.rs
+++ b/crates/dandelion-fakes/tests/engine_streams.rs
@@ -50,7 +50,7 @@
         let (one, two) = (engine().await, engine().await);
         let complete = generate(&one, &json!({"prompt": "p", "max_tokens": 6})).await;
         let complete = complete.expect("whole");
-        let expected = json!({"token": token("p", 0), "index": 0, "version": 1});
+        let expected = json!({"token": token("p", 0), "index": 0, "version": 1, "software": "1"});
         let end = json!({"done": true, "tokens": 6, "version_start": 1, "version_end": 1});
         assert_eq!(
             (complete.len(), &complete[0], &complete[6]),
--- a/crates/dandelion-net/examples/relay/daemon.rs
+++ b/crates/dandelion-net/examples/relay/daemon.rs
@@ -27,6 +27,7 @@
 use dandelion_protocol::ids::DaemonId;
 use dandelion_protocol::ids::Incarnation;
 use dandelion_protocol::ids::RequestId;
+use dandelion_protocol::incarnations::SoftwareVersion;
 use dandelion_protocol::mesh::CallBody;
 use dandelion_protocol::mesh::Hello;
 use dandelion_protocol::mesh::MESH_VERSION;
@@ -123,6 +124,7 @@
                 .expect("the server has read the body"),
             timeout: Millis::from_secs(60),
             idempotent: false,
+            software: SoftwareVersion::default(),
         };
         let owner = "owner".parse().expect("valid name");
         let mut stream = self
--- a/crates/dandelion-net/tests/common/mod.rs
+++ b/crates/dandelion-net/tests/common/mod.rs
@@ -16,6 +16,7 @@
 use dandelion_protocol::ids::DaemonId;
 use dandelion_protocol::ids::Incarnation;
 use dandelion_protocol::ids::RequestId;
+use dandelion_protocol::incarnations::SoftwareVersion;
 use dandelion_protocol::mesh::CallBody;
 use dandelion_protocol::mesh::Hello;
 use dandelion_protocol::mesh::MESH_VERSION;
@@ -216,5 +217,6 @@
         body: Vec::new(),
         timeout: Millis::from_secs(10),
         idempotent: true,
+        software: SoftwareVersion::default(),
     }
 }
--- a/crates/dandelion-protocol/src/mesh.rs
+++ b/crates/dandelion-protocol/src/mesh.rs
@@ -24,6 +24,7 @@
 use crate::ids::UpstreamId;
 use crate::ids::ZoneId;
 use crate::incarnations::IncarnationReport;
+use crate::incarnations::SoftwareVersion;
 use crate::limits::PermitCall;
 use crate::limits::PermitReply;
 use crate::outcome::Refusal;
@@ -78,6 +79,10 @@
     pub timeout: Millis,
     /// Whether it may run more than once.
     pub idempotent: bool,
+    /// Version of the software that generated the part which it continues; unknown if it continues
+    /// none. Upstreams of that version are preferred.
+    #[serde(default)]
+    pub software: SoftwareVersion,
 }
 
 /// One HTTP header.
--- a/crates/dandelion-protocol/src/upstream.rs
+++ b/crates/dandelion-protocol/src/upstream.rs
@@ -8,6 +8,7 @@
 use crate::ids::UpstreamId;
 use crate::ids::WeightVersion;
 use crate::ids::ZoneId;
+use crate::incarnations::SoftwareVersion;
 
 /// Kind of an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -69,6 +70,10 @@
     pub resumes: bool,
     /// Whether it is leaving; never unset within one incarnation.
     pub leaving: bool,
+    /// Version of its software; unknown if it names none. Its answers name it too, which decides
+    /// whether a stream goes on; this one only helps to find an upstream.
+    #[serde(default)]
+    pub software: SoftwareVersion,
     /// Load at the time of the announcement.
     pub load: ReportedLoad,
 }
--- a/crates/dandelion-rollout/src/attribution.rs
+++ b/crates/dandelion-rollout/src/attribution.rs
@@ -2,6 +2,7 @@
 
 use dandelion_protocol::ids::Incarnation;
 use dandelion_protocol::ids::WeightVersion;
+use dandelion_protocol::incarnations::SoftwareVersion;
 use dandelion_protocol::rollout::Segment;
 use serde::Deserialize;
 use serde::Serialize;
@@ -24,6 +25,9 @@
     pub swap_at: Option<u32>,
     /// Text of these tokens.
     pub text: String,
+    /// Version of the engine's software; unknown if it names none.
+    #[serde(default)]
+    pub software: SoftwareVersion,
 }
 
 /// Why tokens cannot be attributed. Such tokens are never delivered.
@@ -42,6 +46,9 @@
     /// The report skips tokens or repeats some.
     #[error("reports do not follow each other; the attempt is generated again")]
     Gap,
+    /// Other software, or an engine that names none, generated the tokens that it continues.
+    #[error("other software continues the attempt; it is generated again")]
+    OtherSoftware,
     /// The version was never published for the job.
     #[error("engine reports an unpublished version; check which weights it loaded")]
     Unpublished,
@@ -56,6 +63,8 @@
     pub segments: Vec<Segment>,
     /// Numbers of the attempts that generated them, in order.
     pub attempts: Vec<u64>,
+    /// Version of the software that generated it.
+    pub software: SoftwareVersion,
 }
 
 impl Prefix {
@@ -107,6 +116,11 @@
         if report.start != self.prefix.tokens() || report.end < report.start {
             return Err(Discard::Gap);
         }
+        let is_continued = self.prefix.tokens() > 0;
+        let own = self.prefix.attempts.last() == Some(&self.attempt);
+        if is_continued && !own && !self.prefix.software.may_continue_at(&report.software) {
+            return Err(Discard::OtherSoftware);
+        }
         let first = report.first.ok_or(Discard::NoVersion)?;
         let last = report.last.ok_or(Discard::NoVersion)?;
         if first.max(last) > newest {
@@ -116,6 +130,7 @@
         self.push(first, report.start, boundary);
         self.push(last, boundary, report.end);
         self.prefix.text.push_str(&report.text);
+        self.prefix.software = report.software.clone();
         Ok(())
     }
 
--- a/crates/dandelion-rollout/src/coordinator/generation.rs
+++ b/crates/dandelion-rollout/src/coordinator/generation.rs
@@ -10,6 +10,7 @@
 use dandelion_protocol::rollout::SampleId;
 use dandelion_protocol::time::Millis;
 
+use crate::attribution::Discard;
 use crate::attribution::Prefix;
 use crate::attribution::SegmentBuilder;
 use crate::attribution::SegmentReport;
@@ -109,7 +110,11 @@
         attempt.last_progress = now;
         if let Err(reason) = attempt.builder.add(report, newest) {
             self.counts.discard(reason);
-            self.cancel_and_resume(id, out);
+            if reason == Discard::OtherSoftware {
+                self.cancel_and_restart(id, out);
+            } else {
+                self.cancel_and_resume(id, out);
+            }
             return;
         }
         let lowest = crate::staleness::lowest_fresh(newest, self.job.max_staleness);
--- a/crates/dandelion-rollout/tests/attribution.rs
+++ b/crates/dandelion-rollout/tests/attribution.rs
@@ -2,6 +2,7 @@
 
 use dandelion_protocol::ids::Incarnation;
 use dandelion_protocol::ids::WeightVersion;
+use dandelion_protocol::incarnations::SoftwareVersion;
 use dandelion_protocol::rollout::Segment;
 use dandelion_rollout::attribution::Discard;
 use dandelion_rollout::attribution::Prefix;
@@ -19,9 +20,29 @@
         last: Some(WeightVersion(versions.1)),
         swap_at: swap,
         text: "x".repeat((range.1 - range.0) as usize),
+        software: SoftwareVersion("s1".to_owned()),
     }
 }
 
+/// Returns what a builder says to a report of these tokens by this software, after ten of `s1`.
+fn continued_by(attempt: u64, software: &str) -> Result<(), Discard> {
+    let mut builder = fresh();
+    builder.add(&report(1, (0, 10), (4, 4), None), NEWEST)?;
+    let mut next = SegmentBuilder::resume(builder.into_prefix(), attempt);
+    let other = SegmentReport {
+        software: SoftwareVersion(software.to_owned()),
+        ..report(2, (10, 20), (4, 4), None)
+    };
+    next.add(&other, NEWEST)
+}
+
+#[test]
+fn continued_by_other_software() {
+    assert_eq!(continued_by(2, "s1"), Ok(()));
+    assert_eq!(continued_by(2, "s2"), Err(Discard::OtherSoftware));
+    assert_eq!(continued_by(2, ""), Err(Discard::OtherSoftware));
+}
+
 fn segment(version: u64, start: u32, end: u32) -> Segment {
     Segment {
         version: WeightVersion(version),
--- a/crates/dandelion-rollout/tests/bench/engine.rs
+++ b/crates/dandelion-rollout/tests/bench/engine.rs
@@ -5,6 +5,7 @@
 use dandelion_protocol::ids::Incarnation;
 use dandelion_protocol::ids::UpstreamId;
 use dandelion_protocol::ids::WeightVersion;
+use dandelion_protocol::incarnations::SoftwareVersion;
 use dandelion_rollout::attribution::SegmentReport;
 use rand::Rng;
 use rand::rngs::StdRng;
@@ -74,6 +75,7 @@
             last: Some(reported),
             swap_at: (known && !report_ordered).then_some(swap),
             text: text.collect(),
+            software: SoftwareVersion("s1".to_owned()),
         };
         stream.position = end;
         stream.generated += end - start;
--- a/crates/dandelion-rollout/tests/coordinator.rs
+++ b/crates/dandelion-rollout/tests/coordinator.rs
@@ -11,6 +11,7 @@
 use dandelion_protocol::ids::Incarnation;
 use dandelion_protocol::ids::Revision;
 use dandelion_protocol::ids::WeightVersion;
+use dandelion_protocol::incarnations::SoftwareVersion;
 use dandelion_protocol::outcome::Ran;
 use dandelion_protocol::outcome::RefusalCode;
 use dandelion_protocol::rollout::FeedRequest;
@@ -50,6 +51,8 @@
     scores: Vec<AttemptId>,
     answers: Vec<(Ticket, Answer)>,
     stored_groups: Vec<Arc<Group>>,
+    /// Software version of the engines.
+    software: SoftwareVersion,
 }
 
 fn job() -> Job {
@@ -98,6 +101,7 @@
             scores: Vec::new(),
             answers: Vec::new(),
             stored_groups: Vec::new(),
+            software: SoftwareVersion("s1".to_owned()),
         };
         harness.handle_actions(actions);
         harness.answer_proposals();
@@ -187,6 +191,7 @@
                 last: version,
                 swap_at: None,
                 text: "x".repeat((range.1 - range.0) as usize),
+                software: self.software.clone(),
             },
         });
     }
@@ -418,6 +423,24 @@
     );
 }
 
+#[test]
+fn continued_by_other_software() {
+    let mut harness = Harness::open(job());
+    harness.feed(1);
+    let first = harness.generates.remove(0);
+    harness.report(first.attempt, (0, 10), 0);
+    harness.report(first.attempt, (12, 20), 0);
+    let resumed = harness.generates.pop().unwrap();
+    assert_eq!(resumed.resume.software, harness.software);
+    harness.software = SoftwareVersion("s2".to_owned());
+    harness.report(resumed.attempt, (10, 20), 0);
+    let anew = harness.generates.last().unwrap();
+    assert_eq!(
+        (anew.sample.clone(), anew.resume.tokens()),
+        (first.sample, 0)
+    );
+}
+
 #[test]
 fn spent_budget() {
     let mut job = job();
--- a/crates/dandelion-route/benches/decisions.rs
+++ b/crates/dandelion-route/benches/decisions.rs
@@ -7,6 +7,7 @@
 use dandelion_protocol::ids::DaemonId;
 use dandelion_protocol::ids::Incarnation;
 use dandelion_protocol::ids::ServiceId;
+use dandelion_protocol::incarnations::SoftwareVersion;
 use dandelion_protocol::time::Millis;
 use dandelion_protocol::upstream::Announcement;
 use dandelion_protocol::upstream::PriceKind;
@@ -56,6 +57,7 @@
         resumes: true,
         leaving: false,
         load: ReportedLoad::default(),
+        software: SoftwareVersion::default(),
     }
 }
 
@@ -69,6 +71,7 @@
         fingerprint: Fingerprint(n),
         prefix: Some(PrefixHash(n % 500)),
         resumable: false,
+        software: SoftwareVersion::default(),
     }
 }
 
--- a/crates/dandelion-route/examples/model/parts/owner.rs
+++ b/crates/dandelion-route/examples/model/parts/owner.rs
@@ -6,6 +6,7 @@
 use dandelion_protocol::ids::Incarnation;
 use dandelion_protocol::ids::TeamId;
 use dandelion_protocol::ids::UpstreamId;
+use dandelion_protocol::incarnations::SoftwareVersion;
 use dandelion_protocol::time::Millis;
 use dandelion_protocol::upstream::Announcement;
 use dandelion_protocol::upstream::PriceKind;
@@ -53,6 +54,7 @@
         resumes: true,
         leaving: false,
         load: ReportedLoad::default(),
+        software: SoftwareVersion::default(),
     }
 }
 
@@ -107,6 +109,7 @@
             fingerprint: Fingerprint(request.id),
             prefix: self.affinity.then_some(PrefixHash(request.prefix)),
             resumable: request.class == Class::Rollout,
+            software: SoftwareVersion::default(),
         };
         self.feed(now, QueueEvent::Arrive(arrival), decisions);
     }
--- a/crates/dandelion-route/examples/model/parts/poison.rs
+++ b/crates/dandelion-route/examples/model/parts/poison.rs
@@ -8,6 +8,7 @@
 use dandelion_protocol::ids::DaemonId;
 use dandelion_protocol::ids::Incarnation;
 use dandelion_protocol::ids::UpstreamId;
+use dandelion_protocol::incarnations::SoftwareVersion;
 use dandelion_protocol::time::Millis;
 use dandelion_protocol::usage::Class;
 use dandelion_route::poison::Status;
@@ -186,6 +187,7 @@
             fingerprint,
             prefix: None,
             resumable: false,
+            software: SoftwareVersion::default(),
         };
         self.feed(now, owner, QueueEvent::Arrive(arrival));
     }
--- a/crates/dandelion-route/src/balance/pool.rs
+++ b/crates/dandelion-route/src/balance/pool.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeSet;
 
 use dandelion_protocol::ids::UpstreamId;
+use dandelion_protocol::incarnations::SoftwareVersion;
 use dandelion_protocol::time::Millis;
 
 use crate::balance::health::State;
@@ -148,6 +149,26 @@
         holder.or(Some(least))
     }
 
+    /// Chooses a free upstream for a request that continues what this version of the software has
+    /// generated: the one of that version with the least load, else like [`Pool::pick`].
+    pub fn pick_for(
+        &mut self,
+        prefix: Option<PrefixHash>,
+        software: &SoftwareVersion,
+    ) -> Option<u32> {
+        let mut examined = 0;
+        let fits = |index: u32| {
+            let slot = self.slot(index);
+            slot.is_some_and(|slot| software.may_continue_at(&slot.software))
+        };
+        let free = self.by_load.iter().map(|(_, _, index)| *index);
+        let same = software
+            .is_known()
+            .then(|| free.inspect(|_| examined += 1).find(|index| fits(*index)));
+        self.examined += examined;
+        same.flatten().or_else(|| self.pick(prefix))
+    }
+
     pub(super) fn is_within_bound(&self, index: u32) -> bool {
         let Some(slot) = self.slot(index).filter(|slot| slot.is_free()) else {
             return false;
--- a/crates/dandelion-route/src/balance/slot.rs
+++ b/crates/dandelion-route/src/balance/slot.rs
@@ -2,6 +2,7 @@
 
 use dandelion_protocol::ids::Incarnation;
 use dandelion_protocol::ids::UpstreamId;
+use dandelion_protocol::incarnations::SoftwareVersion;
 use dandelion_protocol::time::Millis;
 use dandelion_protocol::upstream::Announcement;
 use dandelion_protocol::upstream::ReportedLoad;
@@ -29,6 +30,8 @@
     pub id: UpstreamId,
     /// Incarnation of the upstream.
     pub boot: Incarnation,
+    /// Version of its software.
+    pub software: SoftwareVersion,
     /// Whether it may get new work: neither leaving nor silent, and with some capacity.
     pub open: bool,
     /// Whether this boot is leaving; never unset.
@@ -57,6 +60,7 @@
         Self {
             id: announcement.upstream.clone(),
             boot: announcement.boot,
+            software: announcement.software.clone(),
             open: announcement.capacity > 0,
             leaving: false,
             inflight: 0,
--- a/crates/dandelion-route/src/queue/dispatch.rs
+++ b/crates/dandelion-route/src/queue/dispatch.rs
@@ -59,7 +59,10 @@
                 actions.push(Action::Refuse { ticket, refusal });
             }
             _ => {
-                if let Some(slot) = self.pool.pick(waiting.arrival.prefix) {
+                if let Some(slot) = self
+                    .pool
+                    .pick_for(waiting.arrival.prefix, &waiting.arrival.software)
+                {
                     self.dispatch(now, index, slot, waiting, false, actions);
                 }
             }
--- a/crates/dandelion-route/src/queue/event.rs
+++ b/crates/dandelion-route/src/queue/event.rs
@@ -3,6 +3,7 @@
 use dandelion_protocol::ids::Incarnation;
 use dandelion_protocol::ids::TeamId;
 use dandelion_protocol::ids::UpstreamId;
+use dandelion_protocol::incarnations::SoftwareVersion;
 use dandelion_protocol::outcome::Refusal;
 use dandelion_protocol::time::Millis;
 use dandelion_protocol::usage::Class;
@@ -35,6 +36,9 @@
     pub prefix: Option<PrefixHash>,
     /// Whether it can be cancelled and later resumed without loss.
     pub resumable: bool,
+    /// Version of the software that generated the part which it continues; unknown if it continues
+    /// none.
+    pub software: SoftwareVersion,
 }
 
 /// How a dispatched request ended.
--- a/crates/dandelion-route/tests/support/fixtures.rs
+++ b/crates/dandelion-route/tests/support/fixtures.rs
@@ -3,6 +3,7 @@
 
 use dandelion_kernel::Machine;
 use dandelion_protocol::ids::Incarnation;
+use dandelion_protocol::incarnations::SoftwareVersion;
 use dandelion_protocol::time::Millis;
 use dandelion_protocol::upstream::Announcement;
 use dandelion_protocol::upstream::PriceKind;
@@ -35,6 +36,7 @@
         resumes: true,
         leaving: false,
         load: ReportedLoad::default(),
+        software: SoftwareVersion::default(),
     }
 }
 
@@ -51,6 +53,7 @@
         fingerprint: Fingerprint(ticket),
         prefix: None,
         resumable: class == Class::Rollout,
+        software: SoftwareVersion::default(),
     }
 }
 
