Gauges of leaving upstreams and stream origins; name the unconfirmed origin

Reading the diff: event 940 was named for the opposite of what it says, and was written for each stream of a cell without another daemon; a request with the event number 0 was taken for one that takes a stream up.

--- a/crates/dandelion-daemon/src/gateway/forward.rs
+++ b/crates/dandelion-daemon/src/gateway/forward.rs
@@ -355,11 +355,10 @@
         let (sent, kept) = Box::pin(join(sent, kept)).await;
         if !kept {
             event!(
-                Event::OriginKept,
+                Event::OriginUnconfirmed,
                 request = self.id,
                 upstream = upstream.id,
-                software = upstream.software,
-                copies = 0
+                software = upstream.software
             );
         }
         sent
--- a/crates/dandelion-daemon/src/gateway/origins.rs
+++ b/crates/dandelion-daemon/src/gateway/origins.rs
@@ -45,6 +45,16 @@
         self.0.lock().expect("no holder of this lock panics")
     }
 
+    /// Returns the number of streams whose origin this daemon knows.
+    pub fn len(&self) -> usize {
+        self.known().len()
+    }
+
+    /// Returns whether this daemon knows no origin.
+    pub fn is_empty(&self) -> bool {
+        self.known().is_empty()
+    }
+
     fn keep(&self, key: StreamKey, origin: StreamOrigin) {
         self.known().keep(clock::boot_now(), key, origin);
     }
@@ -82,11 +92,14 @@
     }
 }
 
-/// Keeps an origin here and at the other daemons that hold it. Returns whether one of them has it
-/// before the first event may have to wait.
+/// Keeps an origin here and at the other daemons that hold it. Returns whether one of them confirmed
+/// that in time, or there is none.
 pub async fn keep(core: &Handle, key: StreamKey, origin: StreamOrigin) -> bool {
     core.gateway.origins.keep(key.clone(), origin.clone());
     let holders = holders(core, &core.control.view(), &key);
+    if holders.is_empty() {
+        return true;
+    }
     let body = CallBody::Origins(OriginCall::Keep { key, origin });
     let kept = |reply| matches!(reply, OriginReply::Kept).then_some(());
     call_any(core, holders, body, KEEP_TIMEOUT, kept)
--- a/crates/dandelion-daemon/src/gateway/streams.rs
+++ b/crates/dandelion-daemon/src/gateway/streams.rs
@@ -36,7 +36,8 @@
         if route.kind != RouteKind::Stream || !route.resumable {
             return Ok(None);
         }
-        let Some(after) = &caller.last_event else {
+        let after = caller.last_event.as_deref().map(str::trim);
+        let Some(after) = after.filter(|after| !matches!(*after, "" | "0")) else {
             let opened = caller.attempt.as_deref().map(|attempt| Self {
                 key: origins::key_of(team, attempt),
                 origin: None,
--- a/crates/dandelion-daemon/src/metrics.rs
+++ b/crates/dandelion-daemon/src/metrics.rs
@@ -24,6 +24,8 @@
     leader_term: IntGauge,
     mesh_bytes: IntCounterVec,
     limited: IntGauge,
+    leaving: IntGauge,
+    origins: IntGauge,
     permits: IntCounterVec,
 }
 
@@ -46,6 +48,14 @@
                 "family",
             )?,
             limited: metrics.gauge("limited_upstreams", "Upstreams that name a limit.")?,
+            leaving: metrics.gauge(
+                "leaving_upstreams",
+                "Upstreams that have told this daemon that they leave and are still known.",
+            )?,
+            origins: metrics.gauge(
+                "stream_origins",
+                "Streams whose origin this daemon knows, so that they can go on.",
+            )?,
             permits: metrics.counters(
                 "permits_total",
                 "Permits granted to this daemon, and asks for permits that were denied or unanswered.",
@@ -82,6 +92,10 @@
         let limited = view.incarnations.iter();
         let limited = limited.filter(|u| limits.limit_of(&view, u).is_some());
         self.limited.set(limited.count() as i64);
+        let leaving = &core.gateway.leaving;
+        let leaving = view.incarnations.iter().filter(|u| leaving.leaves(u));
+        self.leaving.set(leaving.count() as i64);
+        self.origins.set(core.gateway.origins.len() as i64);
         self.update_traffic(core);
         match self.metrics.render() {
             Ok(text) => text,
--- a/crates/dandelion-telemetry/src/events/catalogue.rs
+++ b/crates/dandelion-telemetry/src/events/catalogue.rs
@@ -279,7 +279,7 @@
         "An item's unfinished output was dropped, because no upstream of the software version that generated it could continue it in time; the item starts anew." "none";
     939 Info StreamTakenUp "stream_taken_up"
         "A caller takes up a stream that broke; it goes on at an upstream of the software version that began it." "none";
-    940 Warn OriginKept "origin_kept"
+    940 Warn OriginUnconfirmed "origin_unconfirmed"
         "No other daemon confirmed in time that it keeps the origin of a stream; if this entry is lost, the stream may not go on." "none; if it occurs often, check the mesh between entries and stores";
     941 Info StreamEnded "stream_ended"
         "A stream to a caller ended: complete, broken at the upstream, or left by the caller." "none";
