Score the outputs of batch items before they are listed

Items now may name a scoring request; when the output is complete it is sent through its route by the leader of the stores, under the same checks as a caller's request (quarantine, permits, lease and view at the write), and the digest of its answer is listed with the result. The replicated table records complete outputs that wait for their score, so that a new leader doesn't generate them again, and refuses a completed result without one.

Ruled out: the rollout package's queue (arrival order, fixed limit, discards), marking complete outputs on disks only (a new leader would wait for a survey of all of them).

--- a/crates/dandelion-batch/src/lib.rs
+++ b/crates/dandelion-batch/src/lib.rs
@@ -2,13 +2,15 @@
 //!
 //! [`table`] is replicated among the store daemons. The texts of results, their bodies, are stored
 //! outside of it: [`texts`] manages them on one disk, and [`holders`] decides which store daemons
-//! hold them. [`scheduler`] is a state machine that the leader of the store daemons drives.
+//! hold them. [`scheduler`] and [`scoring`] are state machines that the leader of the store daemons drives.
 
 pub mod holders;
 pub mod scheduler;
+pub mod scoring;
 pub mod table;
 pub mod texts;
 
 pub use scheduler::Scheduler;
+pub use scoring::ScoringQueue;
 pub use table::BatchTable;
 pub use texts::TextStore;
--- a/crates/dandelion-batch/src/table.rs
+++ b/crates/dandelion-batch/src/table.rs
@@ -31,6 +31,9 @@
     pub ended: bool,
     /// For each item, whether it has no result yet.
     open: Vec<bool>,
+    /// Complete outputs that wait for their score, by index of the item.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    unscored: BTreeMap<usize, ListedResult>,
 }
 
 impl StoredJob {
@@ -40,9 +43,15 @@
             job,
             results: Vec::new(),
             ended: false,
+            unscored: BTreeMap::new(),
         }
     }
 
+    /// Returns the complete outputs that wait for their score, by index of the item.
+    pub fn unscored(&self) -> &BTreeMap<usize, ListedResult> {
+        &self.unscored
+    }
+
     /// Returns whether the item at this index exists and has no result yet.
     pub fn is_open(&self, item: usize) -> bool {
         self.open.get(item).copied().unwrap_or(false)
@@ -71,16 +80,38 @@
         &rest[..count.max(1).min(rest.len())]
     }
 
-    fn add_result(&mut self, result: ListedResult) {
-        let at = self.job.items.iter().position(|i| i.id == result.id);
-        let Some(at) = at.filter(|at| self.is_open(*at)) else {
-            return;
+    /// Returns the index of the item that a result is for, if it has none yet.
+    fn open_item(&self, result: &ListedResult) -> Option<usize> {
+        let at = self.job.items.iter().position(|i| i.id == result.id)?;
+        self.is_open(at).then_some(at)
+    }
+
+    fn add_result(&mut self, result: ListedResult) -> Result<(), Rejection> {
+        let Some(at) = self.open_item(&result) else {
+            return Ok(());
         };
-        self.open[at] = false;
         let item = &mut self.job.items[at];
+        if item.scoring.is_some() && result.text.is_some() && result.score.is_none() {
+            return Err(Rejection::invalid(
+                "score",
+                "the item needs a score and the result has none",
+                "list the result once it is scored",
+            ));
+        }
+        self.open[at] = false;
         item.body = Vec::new();
         item.headers = Vec::new();
+        item.scoring = None;
+        self.unscored.remove(&at);
         self.results.push(result);
+        Ok(())
+    }
+
+    /// Records a complete output, unless one is known. The item stays open.
+    fn add_unscored(&mut self, result: ListedResult) {
+        if let Some(at) = self.open_item(&result) {
+            self.unscored.entry(at).or_insert(result);
+        }
     }
 }
 
@@ -96,7 +127,16 @@
 pub enum BatchCommand {
     /// Stores a job unless its id exists; rejected if that job belongs to another team.
     Submit(Box<BatchJob>),
-    /// Appends a result unless its item has one or is unknown.
+    /// Records the complete output of an item that waits for its score, unless one is known or the
+    /// item has a result.
+    Complete {
+        /// Id of the job.
+        job: String,
+        /// Result without its score.
+        result: ListedResult,
+    },
+    /// Appends a result unless its item has one or is unknown; rejected if the item needs a score and
+    /// the result has an output but no score.
     List {
         /// Id of the job.
         job: String,
@@ -158,10 +198,11 @@
                     "choose a new identity",
                 ))
             }
-            BatchCommand::List { job, result } => {
-                self.find_mut(&job)?.add_result(result);
+            BatchCommand::Complete { job, result } => {
+                self.find_mut(&job)?.add_unscored(result);
                 Ok(())
             }
+            BatchCommand::List { job, result } => self.find_mut(&job)?.add_result(result),
             BatchCommand::End { job, team } => {
                 let stored = self.find_mut(&job)?;
                 if stored.job.team != team {
@@ -170,6 +211,7 @@
                     });
                 }
                 stored.ended = true;
+                stored.unscored.clear();
                 Ok(())
             }
             BatchCommand::Forget { job } => {
--- a/crates/dandelion-batch/tests/holders.rs
+++ b/crates/dandelion-batch/tests/holders.rs
@@ -118,6 +118,7 @@
             digest: n,
         }),
         versions: vec![1],
+        score: None,
     });
     results.collect()
 }
--- a/crates/dandelion-batch/tests/scheduler.rs
+++ b/crates/dandelion-batch/tests/scheduler.rs
@@ -57,6 +57,7 @@
         expected: Some(*output),
         model: Some("m".to_owned()),
         group: format!("g{}", n / 2),
+        scoring: None,
     };
     BatchJob {
         id: id.to_owned(),
--- a/crates/dandelion-batch/tests/support/mod.rs
+++ b/crates/dandelion-batch/tests/support/mod.rs
@@ -38,6 +38,7 @@
         expected: Some(100),
         model: None,
         group: format!("g{}", n / 2),
+        scoring: None,
     };
     BatchJob {
         id: id.to_owned(),
--- a/crates/dandelion-batch/tests/table.rs
+++ b/crates/dandelion-batch/tests/table.rs
@@ -7,7 +7,9 @@
 use dandelion_protocol::batch::BatchItem;
 use dandelion_protocol::batch::BatchJob;
 use dandelion_protocol::batch::ListedResult;
+use dandelion_protocol::batch::ScoringRequest;
 use dandelion_protocol::batch::TextRef;
+use dandelion_protocol::codec;
 use dandelion_protocol::control::Rejection;
 use dandelion_protocol::ids::Revision;
 use dandelion_protocol::ids::TeamId;
@@ -29,6 +31,7 @@
         expected: None,
         model: None,
         group: format!("g{}", n / 2),
+        scoring: None,
     };
     BatchJob {
         id: id.to_owned(),
@@ -51,6 +54,7 @@
         id: format!("i{item}"),
         text: Some(TextRef { length: 10, digest }),
         versions: vec![1],
+        score: None,
     }
 }
 
@@ -152,3 +156,53 @@
     assert!(stored.page(4).is_empty());
     assert!(stored.page(99).is_empty());
 }
+
+fn scored_job() -> BatchJob {
+    let mut job = job("j", 4);
+    job.items[1].scoring = Some(ScoringRequest {
+        id: "s1".to_owned(),
+        host: "h.example".to_owned(),
+        path: "/score/1".to_owned(),
+        body: vec![7],
+    });
+    job
+}
+
+#[test]
+fn unscored_result_rejected() {
+    let mut table = BatchTable::default();
+    apply(&mut table, BatchCommand::Submit(Box::new(scored_job()))).unwrap();
+    apply(&mut table, list("j", listed(1, 7))).unwrap_err();
+    let scored = ListedResult {
+        score: Some("d1".to_owned()),
+        ..listed(1, 7)
+    };
+    apply(&mut table, list("j", scored.clone())).unwrap();
+    assert_eq!(table.jobs()["j"].results, [scored]);
+}
+
+#[test]
+fn unscored_output_kept() {
+    let mut table = BatchTable::default();
+    apply(&mut table, BatchCommand::Submit(Box::new(scored_job()))).unwrap();
+    let complete = |digest| BatchCommand::Complete {
+        job: "j".to_owned(),
+        result: listed(1, digest),
+    };
+    apply(&mut table, complete(7)).unwrap();
+    apply(&mut table, complete(8)).unwrap();
+    let bytes = codec::encode(&table).unwrap();
+    let mut table: BatchTable = codec::decode(&bytes).unwrap();
+    let stored = &table.jobs()["j"];
+    assert_eq!(stored.unscored()[&1], listed(1, 7));
+    assert_eq!(stored.body("i1"), Some(&[1][..]));
+    let given_up = ListedResult {
+        text: None,
+        ..listed(1, 7)
+    };
+    apply(&mut table, list("j", given_up)).unwrap();
+    apply(&mut table, complete(9)).unwrap();
+    let stored = &table.jobs()["j"];
+    assert!(stored.unscored().is_empty());
+    assert_eq!(stored.results.len(), 1);
+}
--- a/crates/dandelion-daemon/src/gateway/forward.rs
+++ b/crates/dandelion-daemon/src/gateway/forward.rs
@@ -18,6 +18,7 @@
 use dandelion_platform::headers::Forwarding;
 use dandelion_protocol::ids::Revision;
 use dandelion_protocol::ids::TeamId;
+use dandelion_protocol::ids::Term;
 use dandelion_protocol::ids::UpstreamId;
 use dandelion_protocol::incarnations::UpstreamIncarnation;
 use dandelion_protocol::limits::RatePermit;
@@ -71,17 +72,20 @@
     pub route: &'a RouteRule,
     pub team: Option<&'a TeamId>,
     pub id: &'a str,
-    caller: &'a CallerHeaders,
-    host: &'a str,
-    method: String,
-    target: String,
-    headers: Vec<Header>,
-    body: Vec<u8>,
+    pub caller: &'a CallerHeaders,
+    pub host: &'a str,
+    pub method: String,
+    pub target: String,
+    pub headers: Vec<Header>,
+    pub body: Vec<u8>,
     /// Fingerprint of the content, which is the same for all copies of the request.
     pub content: Fingerprint,
     pub deadline: Instant,
     /// What the request is part of, if it opens or takes up a stream that can go on elsewhere.
     pub stream: Option<StreamPart>,
+    /// Term in which this daemon must lead the store group for the request to be written; none if it
+    /// needs not lead.
+    pub term: Option<Term>,
 }
 
 /// The upstream of an attempt, and the state of the view by which it was chosen.
@@ -125,7 +129,7 @@
 }
 
 /// Outcome of one attempt.
-enum Attempt {
+pub(super) enum Attempt {
     /// The answer for the caller.
     Answer(Response),
     /// The upstream did not run the request.
@@ -175,6 +179,7 @@
         body,
         deadline,
         stream,
+        term: None,
     };
     call.run().await
 }
@@ -251,11 +256,17 @@
         answer::not_run(held.retry)
     }
 
+    /// Returns whether this daemon still has the role in which it sends the request.
+    fn is_in_charge(&self) -> bool {
+        let leads = |term| self.core.stores.leader_term(Millis::ZERO) == Some(term);
+        self.term.is_none_or(leads)
+    }
+
     fn is_repeatable(&self) -> bool {
         self.route.kind == RouteKind::Idempotent
     }
 
-    async fn attempt(&self, placed: Placed) -> Attempt {
+    pub(super) async fn attempt(&self, placed: Placed) -> Attempt {
         let mut in_flight = placed.in_flight;
         let run = ContentRun::begin(self.core, self.content, &placed.upstream, placed.permit);
         let attempt = self.send(run, &mut in_flight, placed.rate_permit).await;
@@ -285,7 +296,7 @@
         };
         let may_send = || {
             let is_permitted = rate_permit.is_none_or(|p| clock::boot_now() <= p.until);
-            is_permitted && gate::may_send(self.core, upstream, self.id)
+            is_permitted && self.is_in_charge() && gate::may_send(self.core, upstream, self.id)
         };
         let sent = self.exchange(upstream, request, &options, may_send);
         let exchange = match sent.await {
--- a/crates/dandelion-daemon/src/gateway/mod.rs
+++ b/crates/dandelion-daemon/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod quarantine;
 mod ready;
 mod retire;
+mod scoring;
 mod state;
 mod streams;
 
@@ -31,4 +32,5 @@
 pub use quarantine::Quarantine;
 pub use quarantine::RECORDERS;
 pub use ready::Ready;
+pub use scoring::send_scoring;
 pub use state::Gateway;
--- a/crates/dandelion-daemon/src/metrics.rs
+++ b/crates/dandelion-daemon/src/metrics.rs
@@ -7,6 +7,7 @@
 use dandelion_telemetry::Metrics;
 use dandelion_telemetry::metrics::MetricsError;
 use dandelion_telemetry::metrics::TeamMetrics;
+use prometheus::Histogram;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
 
@@ -27,6 +28,9 @@
     leaving: IntGauge,
     origins: IntGauge,
     permits: IntCounterVec,
+    scored: Histogram,
+    scoring_tries: IntCounterVec,
+    unscored: IntCounterVec,
 }
 
 impl DaemonMetrics {
@@ -61,6 +65,20 @@
                 "Permits granted to this daemon, and asks for permits that were denied or unanswered.",
                 "outcome",
             )?,
+            scored: metrics.seconds(
+                "item_scored_seconds",
+                "Time from an item's complete output to its score.",
+            )?,
+            scoring_tries: metrics.counters(
+                "scoring_tries_total",
+                "Tries of scoring requests that brought a score, and those before them that did not.",
+                "outcome",
+            )?,
+            unscored: metrics.counters(
+                "items_unscored_total",
+                "Items that were given up because they got no score, by reason.",
+                "reason",
+            )?,
             metrics,
         })
     }
@@ -80,6 +98,19 @@
         self.permits.with_label_values(&[outcome]).inc_by(count);
     }
 
+    /// Counts an item that was scored, this long after its output was complete.
+    pub fn observe_scored(&self, waited: Millis, tries: u32) {
+        self.scored.observe(waited.0 as f64 / 1_000.0);
+        let counter = |outcome| self.scoring_tries.with_label_values(&[outcome]);
+        counter("scored").inc();
+        counter("repeated").inc_by(u64::from(tries.saturating_sub(1)));
+    }
+
+    /// Counts an item that was given up without a score.
+    pub fn count_unscored(&self, reason: &str) {
+        self.unscored.with_label_values(&[reason]).inc();
+    }
+
     /// Updates the gauges and renders all metrics in the text format of Prometheus.
     pub fn render(&self, core: &Handle) -> String {
         self.leased.set(i64::from(core.control.is_leased()));
--- a/crates/dandelion-daemon/src/stores/runner/adopt.rs
+++ b/crates/dandelion-daemon/src/stores/runner/adopt.rs
@@ -19,6 +19,7 @@
 use crate::stores::run::Output;
 use crate::stores::runner::OpenJob;
 use crate::stores::runner::Runner;
+use crate::stores::runner::scoring::UnscoredResult;
 
 /// Time for which a job is retained after this daemon first saw it in the table during its term.
 const RETENTION: Millis = Millis(150_000);
@@ -53,7 +54,7 @@
                 let stored = table.jobs().get(id).filter(|stored| !stored.ended)?;
                 let items = 0..stored.job.items.len();
                 let open: Vec<bool> = items.map(|item| stored.is_open(item)).collect();
-                Some((stored.job.clone(), open))
+                Some((stored.job.clone(), open, stored.unscored().clone()))
             })
         });
         let Some(found) = found else {
@@ -61,9 +62,13 @@
             self.deferred.insert(id.to_owned(), partials);
             return;
         };
-        let Some((job, open)) = found else {
+        let Some((job, mut open, unscored)) = found else {
             return;
         };
+        // The outputs of these are complete.
+        for item in unscored.keys() {
+            open[*item] = false;
+        }
         let job = Arc::new(job);
         let service = self.service_of(&job);
         let items = job.items.iter().enumerate();
@@ -80,13 +85,16 @@
                 job: Arc::clone(&job),
                 opened_at: clock::boot_now(),
                 outputs,
+                unscored: HashMap::new(),
             },
         );
+        self.scoring.open_job(clock::boot_now(), &job, &open);
         event!(
             LogEvent::JobOpened,
             job = id,
             items = job.items.len(),
             open = open.iter().filter(|open| **open).count(),
+            unscored = unscored.len(),
             wanted = job.wanted,
             min_version = job.min_version,
             term = self.term
@@ -97,6 +105,9 @@
             service,
             kept,
         });
+        for (item, result) in unscored {
+            self.score_item(id, item, UnscoredResult::new(result, true));
+        }
     }
 
     /// Removes jobs whose retention is over from the table.
--- a/crates/dandelion-daemon/src/stores/runner/mod.rs
+++ b/crates/dandelion-daemon/src/stores/runner/mod.rs
@@ -3,6 +3,7 @@
 mod adopt;
 mod permits;
 mod results;
+mod scoring;
 mod start;
 mod view;
 
@@ -25,6 +26,9 @@
 use dandelion_batch::scheduler::Permits;
 use dandelion_batch::scheduler::RunId;
 use dandelion_batch::scheduler::Speed;
+use dandelion_batch::scoring::CallId;
+use dandelion_batch::scoring::Outcome;
+use dandelion_batch::scoring::ScoringQueue;
 use dandelion_net::clock;
 use dandelion_protocol::batch::BatchJob;
 use dandelion_protocol::batch::Partial;
@@ -47,6 +51,7 @@
 use crate::stores::orders::LoadOrder;
 use crate::stores::run::Output;
 use crate::stores::run::RunEnd;
+use crate::stores::runner::scoring::UnscoredResult;
 
 /// Longest time without an event for the scheduler; after it the scheduler gets a tick.
 const TICK: Duration = Duration::from_millis(25);
@@ -68,6 +73,9 @@
     Ordered(LoadOrder, OrderOutcome),
     /// Permits for an engine, if there were any, and the time until there may be further ones.
     Permitted(UpstreamIncarnation, Option<Permits>, Millis),
+    /// Enough disks have the output of an item that is to be scored.
+    Stored(String, usize),
+    ScoringEnded(CallId, Outcome),
 }
 
 /// An open job and the output that was generated for it so far.
@@ -77,6 +85,8 @@
     opened_at: Millis,
     /// Outputs of interrupted runs, by index of the item.
     outputs: HashMap<usize, Output>,
+    /// Results that are not stored or not scored yet, by index of the item.
+    unscored: HashMap<usize, UnscoredResult>,
 }
 
 /// A run in progress.
@@ -102,6 +112,9 @@
     /// Open jobs by id.
     jobs: BTreeMap<String, OpenJob>,
     runs: BTreeMap<RunId, ActiveRun>,
+    scoring: ScoringQueue,
+    /// Scoring requests in flight.
+    scoring_calls: BTreeMap<CallId, AbortHandle>,
     /// When this daemon first saw each job of the table.
     first_seen: BTreeMap<String, Millis>,
     /// Jobs to be adopted once the table can be read, with their unfinished outputs by item.
@@ -150,6 +163,8 @@
             scheduler: Scheduler::default(),
             jobs: BTreeMap::new(),
             runs: BTreeMap::new(),
+            scoring: ScoringQueue::default(),
+            scoring_calls: BTreeMap::new(),
             first_seen: BTreeMap::new(),
             deferred: BTreeMap::new(),
             view: Arc::default(),
@@ -174,8 +189,9 @@
             }
             self.wait(&messages).await;
         }
-        for run in self.runs.values() {
-            run.abort.abort();
+        let runs = self.runs.values().map(|run| &run.abort);
+        for abort in runs.chain(self.scoring_calls.values()) {
+            abort.abort();
         }
     }
 
@@ -200,6 +216,7 @@
         while let Ok(event) = events.try_recv() {
             self.handle_event(event);
         }
+        self.advance_scoring();
     }
 
     fn handle_event(&mut self, event: StoreEvent) {
@@ -217,6 +234,7 @@
                     );
                 }
                 self.handle(Event::Ended(&job));
+                self.end_scoring(&job);
                 self.jobs.remove(&job);
                 self.core.stores.partials.delete_job(&job);
             }
@@ -240,6 +258,8 @@
                 permits,
                 wait,
             }),
+            TaskMessage::Stored(job, item) => self.output_stored(job, item),
+            TaskMessage::ScoringEnded(call, outcome) => self.finish_scoring(call, outcome),
         }
     }
 
@@ -304,7 +324,10 @@
                     active.moved.store(true, Ordering::Relaxed);
                 }
             }
-            Action::GiveUp { job, item } => self.give_up(&job, item),
+            Action::GiveUp { job, item } => {
+                self.scoring.skip(&job, item);
+                self.give_up(&job, item, "run_failed");
+            }
             Action::Order {
                 engine,
                 model,
--- a/crates/dandelion-daemon/src/stores/runner/results.rs
+++ b/crates/dandelion-daemon/src/stores/runner/results.rs
@@ -23,6 +23,8 @@
 use crate::stores::run::RunEnd;
 use crate::stores::runner::ActiveRun;
 use crate::stores::runner::Runner;
+use crate::stores::runner::TaskMessage;
+use crate::stores::runner::scoring::UnscoredResult;
 use crate::stores::texts;
 
 /// Delay before a result body that too few disks stored is replicated again.
@@ -68,7 +70,7 @@
                 pause_ms = ended.max_gap.as_millis(),
                 events = ended.output.last.unwrap_or(0)
             );
-            self.publish_result(key, ended.output.clone());
+            self.publish_result(active.item, key, ended.output.clone());
             return;
         }
         event!(
@@ -94,10 +96,12 @@
         }
     }
 
-    /// Replicates an output to enough disks, then lists it as the result of its item.
-    pub(super) fn publish_result(&self, key: TextKey, output: Output) {
+    /// Replicates an output to enough disks, then lists it as the result of its item. An output that
+    /// needs a score is scored meanwhile, and listed once it has it.
+    pub(super) fn publish_result(&mut self, item: usize, key: TextKey, output: Output) {
         let core = self.core.clone();
         let term = self.term;
+        let messages = self.messages.clone();
         let result = ListedResult {
             id: key.item.clone(),
             text: Some(TextRef {
@@ -105,15 +109,27 @@
                 digest: key.digest,
             }),
             versions: output.versions,
+            score: None,
         };
         let job = key.job.clone();
         let text = output.text;
+        let open = self.jobs.get(&job);
+        let is_scored = open.is_some_and(|open| open.job.items[item].scoring.is_some());
+        if is_scored {
+            let unscored = UnscoredResult::new(result.clone(), false);
+            self.score_item(&job, item, unscored);
+        }
         task::spawn(async move {
             let entry = TextEntry { key, text };
             while core.stores.leader_term(Millis::ZERO) == Some(term) {
                 if texts::replicate(&core, entry.clone()).await {
                     drop(entry);
-                    list_result(&core, term, job, result).await;
+                    if is_scored {
+                        // The runner is gone if its term is over.
+                        let _gone = messages.send(TaskMessage::Stored(job, item)).await;
+                    } else {
+                        list_result(&core, term, job, result).await;
+                    }
                     return;
                 }
                 task::sleep(RETRY_DELAY).await;
@@ -122,16 +138,17 @@
     }
 
     /// Lists an item that was given up, without a result body.
-    pub(super) fn give_up(&self, job: &str, item: usize) {
+    pub(super) fn give_up(&self, job: &str, item: usize, reason: &str) {
         let Some(open) = self.jobs.get(job) else {
             return;
         };
         let id = open.job.items[item].id.clone();
-        event!(LogEvent::ItemGivenUp, job = job, item = id);
+        event!(LogEvent::ItemGivenUp, job = job, item = id, reason = reason);
         let result = ListedResult {
             id,
             text: None,
             versions: Vec::new(),
+            score: None,
         };
         let core = self.core.clone();
         let (term, job) = (self.term, job.to_owned());
@@ -140,7 +157,7 @@
 }
 
 /// Lists a result; tries again until it is listed or this daemon no longer leads in `term`.
-async fn list_result(core: &Handle, term: Term, job: String, result: ListedResult) {
+pub(super) async fn list_result(core: &Handle, term: Term, job: String, result: ListedResult) {
     let item = result.id.clone();
     let versions = format!("{:?}", result.versions);
     let command = BatchCommand::List { job, result };
--- /dev/null
+++ b/crates/dandelion-daemon/src/stores/runner/scoring.rs
@@ -0,0 +1,263 @@
+//! Scores complete outputs before they are listed.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use async_std::task;
+use dandelion_batch::scoring::CallId;
+use dandelion_batch::scoring::Outcome;
+use dandelion_batch::scoring::ScoringAction;
+use dandelion_batch::table::BatchCommand;
+use dandelion_net::clock;
+use dandelion_protocol::batch::BatchJob;
+use dandelion_protocol::batch::ListedResult;
+use dandelion_protocol::batch::ScoringRequest;
+use dandelion_protocol::ids::ServiceId;
+use dandelion_protocol::ids::Term;
+use dandelion_protocol::ids::UpstreamId;
+use dandelion_protocol::time::Millis;
+use dandelion_telemetry::Event as LogEvent;
+use dandelion_telemetry::event;
+use futures::future::AbortHandle;
+use futures::future::Abortable;
+use rand::Rng;
+
+use crate::control::View;
+use crate::core::Handle;
+use crate::gateway;
+use crate::stores::runner::Runner;
+use crate::stores::runner::TaskMessage;
+use crate::stores::runner::results::list_result;
+use crate::stores::runner::view::route_of;
+
+/// A result that is listed once its output is stored and scored.
+pub(super) struct UnscoredResult {
+    result: ListedResult,
+    /// Whether enough disks have the output.
+    is_stored: bool,
+}
+
+impl UnscoredResult {
+    pub(super) fn new(result: ListedResult, is_stored: bool) -> Self {
+        Self { result, is_stored }
+    }
+
+    /// Returns the result once it can be listed.
+    fn to_list(&self) -> Option<ListedResult> {
+        let is_complete = self.is_stored && self.result.score.is_some();
+        is_complete.then(|| self.result.clone())
+    }
+}
+
+impl Runner {
+    /// Queues the request that scores an item, whose output is complete.
+    pub(super) fn score_item(&mut self, job: &str, item: usize, unscored: UnscoredResult) {
+        let Some(open) = self.jobs.get_mut(job) else {
+            return;
+        };
+        let batch = Arc::clone(&open.job);
+        open.unscored.insert(item, unscored);
+        let route = batch.items[item].scoring.as_ref();
+        let route = route.and_then(|request| self.scoring_route(request));
+        self.scoring.set_route(job, item, route);
+        self.scoring.push(clock::boot_now(), job, item);
+        self.advance_scoring();
+    }
+
+    /// Passes the routes and slots of a new view to the queue.
+    pub(super) fn refresh_scoring(&mut self, view: &View) {
+        let unscored = self.scoring.unscored();
+        let unscored: Vec<(String, usize)> =
+            unscored.map(|(job, item)| (job.to_owned(), item)).collect();
+        for (job, item) in unscored {
+            let open = self.jobs.get(&job);
+            let request = open.and_then(|open| open.job.items[item].scoring.as_ref());
+            let route = request.and_then(|request| self.scoring_route(request));
+            self.scoring.set_route(&job, item, route);
+        }
+        let mut slots: BTreeMap<&ServiceId, u32> = BTreeMap::new();
+        for upstream in view.incarnations.iter().filter(|u| u.ready) {
+            let slots = slots.entry(&upstream.service).or_default();
+            *slots = slots.saturating_add(upstream.slots);
+        }
+        for (service, slots) in slots {
+            self.scoring.set_slots(service, slots);
+        }
+    }
+
+    /// Returns the service and the attempts of the route of a scoring request.
+    fn scoring_route(&self, request: &ScoringRequest) -> Option<(ServiceId, u32)> {
+        let plan = self.view.plan.as_deref()?;
+        route_of(plan, &request.host, &request.path)
+    }
+
+    /// Sends the scoring requests that may be sent now.
+    pub(super) fn advance_scoring(&mut self) {
+        let mut actions = Vec::new();
+        self.scoring.advance(clock::boot_now(), &mut actions);
+        self.execute_scoring(actions);
+    }
+
+    /// Handles the end of a try.
+    pub(super) fn finish_scoring(&mut self, call: CallId, outcome: Outcome) {
+        if self.scoring_calls.remove(&call).is_none() {
+            return;
+        }
+        let mut actions = Vec::new();
+        let draw = rand::rng().random();
+        self.scoring
+            .finish(clock::boot_now(), call, outcome, draw, &mut actions);
+        self.execute_scoring(actions);
+        self.advance_scoring();
+    }
+
+    /// Notes that enough disks have the output of an item.
+    pub(super) fn output_stored(&mut self, job: String, item: usize) {
+        let open = self.jobs.get_mut(&job);
+        let Some(unscored) = open.and_then(|open| open.unscored.get_mut(&item)) else {
+            return;
+        };
+        unscored.is_stored = true;
+        if unscored.result.score.is_some() {
+            self.list_scored(job, item);
+            return;
+        }
+        let result = unscored.result.clone();
+        let (core, term) = (self.core.clone(), self.term);
+        task::spawn(async move { record_complete(&core, term, job, result).await });
+    }
+
+    /// Cancels the scoring requests of a job that was ended.
+    pub(super) fn end_scoring(&mut self, job: &str) {
+        let mut actions = Vec::new();
+        self.scoring.end_job(job, &mut actions);
+        self.execute_scoring(actions);
+    }
+
+    fn execute_scoring(&mut self, actions: Vec<ScoringAction>) {
+        for action in actions {
+            match action {
+                ScoringAction::Send {
+                    call,
+                    job,
+                    item,
+                    timeout,
+                    avoid,
+                } => self.send_scoring(call, &job, item, timeout, avoid),
+                ScoringAction::Cancel(call) => {
+                    if let Some(abort) = self.scoring_calls.remove(&call) {
+                        abort.abort();
+                    }
+                }
+                ScoringAction::List {
+                    job,
+                    item,
+                    score,
+                    waited,
+                    tries,
+                } => {
+                    event!(
+                        LogEvent::ItemScored,
+                        job = job,
+                        item = self.item_id(&job, item),
+                        waited_ms = waited.0,
+                        tries = tries
+                    );
+                    self.core.metrics.observe_scored(waited, tries);
+                    let open = self.jobs.get_mut(&job);
+                    if let Some(unscored) = open.and_then(|open| open.unscored.get_mut(&item)) {
+                        unscored.result.score = Some(score);
+                    }
+                    self.list_scored(job, item);
+                }
+                ScoringAction::GiveUp { job, item, reason } => {
+                    if let Some(open) = self.jobs.get_mut(&job) {
+                        open.unscored.remove(&item);
+                    }
+                    self.core.metrics.count_unscored(reason);
+                    self.give_up(&job, item, reason);
+                }
+            }
+        }
+    }
+
+    fn send_scoring(
+        &mut self,
+        call: CallId,
+        job: &str,
+        item: usize,
+        timeout: Millis,
+        avoid: Vec<UpstreamId>,
+    ) {
+        let Some(open) = self.jobs.get(job) else {
+            return;
+        };
+        let batch = Arc::clone(&open.job);
+        let (core, term) = (self.core.clone(), self.term);
+        let messages = self.messages.clone();
+        let (abort, registration) = AbortHandle::new_pair();
+        let work = async move {
+            let outcome = send(&core, &batch, item, timeout, &avoid, term).await;
+            // The runner is gone if its term is over.
+            let _gone = messages
+                .send(TaskMessage::ScoringEnded(call, outcome))
+                .await;
+        };
+        task::spawn(Abortable::new(work, registration));
+        self.scoring_calls.insert(call, abort);
+    }
+
+    /// Lists an item if its output is stored and scored.
+    fn list_scored(&mut self, job: String, item: usize) {
+        let Some(open) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        let Some(result) = open.unscored.get(&item).and_then(UnscoredResult::to_list) else {
+            return;
+        };
+        open.unscored.remove(&item);
+        let (core, term) = (self.core.clone(), self.term);
+        task::spawn(async move { list_result(&core, term, job, result).await });
+    }
+
+    fn item_id(&self, job: &str, item: usize) -> String {
+        let open = self.jobs.get(job);
+        open.map_or_else(String::new, |open| open.job.items[item].id.clone())
+    }
+}
+
+/// Sends one try of the request that scores an item.
+async fn send(
+    core: &Handle,
+    job: &BatchJob,
+    item: usize,
+    timeout: Millis,
+    avoid: &[UpstreamId],
+    term: Term,
+) -> Outcome {
+    let item = &job.items[item];
+    let Some(request) = &item.scoring else {
+        return Outcome::Withheld(Millis::ZERO);
+    };
+    let outcome = gateway::send_scoring(core, request, avoid, timeout, term).await;
+    if !matches!(outcome, Outcome::Scored { .. }) {
+        event!(
+            LogEvent::ScoringRetried,
+            job = job.id,
+            item = item.id,
+            request = request.id,
+            outcome = format!("{outcome:?}")
+        );
+    }
+    outcome
+}
+
+/// Records a complete output, so that the next leader scores it and doesn't generate it again.
+async fn record_complete(core: &Handle, term: Term, job: String, result: ListedResult) {
+    let command = BatchCommand::Complete { job, result };
+    while core.stores.leader_term(Millis::ZERO) == Some(term) {
+        if core.stores.change(&command).await.is_ok() {
+            return;
+        }
+    }
+}
--- a/crates/dandelion-daemon/src/stores/runner/view.rs
+++ b/crates/dandelion-daemon/src/stores/runner/view.rs
@@ -55,6 +55,7 @@
             let engines = &self.engines(&view);
             let limited = &self.limited_upstreams(&view);
             self.handle(Event::Engines { engines, limited });
+            self.refresh_scoring(&view);
         }
         if is_replanned {
             let routed = self.jobs.iter();
@@ -78,9 +79,16 @@
 
 /// Returns the service with the highest weight on the job's route.
 fn service_of(plan: &RoutePlan, job: &BatchJob) -> Option<ServiceId> {
-    let route = plan.route(&job.host, &job.path)?;
+    route_of(plan, &job.host, &job.path).map(|(service, _)| service)
+}
+
+/// Returns the service with the highest weight on the route of a host and path, and the attempts of
+/// that route.
+pub(super) fn route_of(plan: &RoutePlan, host: &str, path: &str) -> Option<(ServiceId, u32)> {
+    let route = plan.route(host, path)?;
     let shares = route.shares.iter().filter(|s| s.weight > 0);
-    shares.max_by_key(|s| s.weight).map(|s| s.service.clone())
+    let share = shares.max_by_key(|s| s.weight)?;
+    Some((share.service.clone(), route.attempts))
 }
 
 /// Returns the engines, each with the number of tokens that fit in its memory.
--- a/crates/dandelion-daemon/src/stores/texts/fetch.rs
+++ b/crates/dandelion-daemon/src/stores/texts/fetch.rs
@@ -58,6 +58,7 @@
             id: listed.id,
             text,
             versions: listed.versions,
+            score: listed.score,
         });
     }
     Some(BatchPage {
--- a/crates/dandelion-daemon/src/stores/texts/repair.rs
+++ b/crates/dandelion-daemon/src/stores/texts/repair.rs
@@ -5,8 +5,11 @@
 use async_std::task;
 use dandelion_batch::BatchTable;
 use dandelion_batch::holders::MissingBody;
+use dandelion_batch::holders::body_key;
 use dandelion_batch::holders::survey;
+use dandelion_batch::table::StoredJob;
 use dandelion_protocol::batch::TextCall;
+use dandelion_protocol::batch::TextKey;
 use dandelion_protocol::batch::TextReply;
 use dandelion_protocol::config::Role;
 use dandelion_protocol::ids::DaemonId;
@@ -87,7 +90,7 @@
         let mut budget = REPAIR_BYTES;
         for (job, stored) in table.jobs() {
             let from = verified.get(job).copied().unwrap_or(0);
-            let is_verified = from >= stored.results.len();
+            let is_verified = from >= stored.results.len() && stored.unscored().is_empty();
             if is_verified || budget == 0 || !replica_stores(&view, job, copies).contains(own) {
                 continue;
             }
@@ -98,6 +101,7 @@
             let bytes: u64 = survey.lacking.iter().map(|w| w.length).sum();
             budget = budget.saturating_sub(bytes);
             missing.extend(survey.lacking);
+            missing.extend(unscored_missing(job, stored, |key| texts.holds(key))?);
         }
         Some(missing)
     });
@@ -108,6 +112,24 @@
     missing
 }
 
+/// Returns the outputs waiting for their score that are missing on a disk; none if `holds` has no
+/// answer.
+fn unscored_missing<H>(job: &str, stored: &StoredJob, holds: H) -> Option<Vec<MissingBody>>
+where
+    H: Fn(&TextKey) -> Option<bool>,
+{
+    let mut missing = Vec::new();
+    for result in stored.unscored().values() {
+        if let Some(key) = body_key(job, result)
+            && !holds(&key)?
+        {
+            let length = result.text.map_or(0, |text| text.length);
+            missing.push(MissingBody { key, length });
+        }
+    }
+    Some(missing)
+}
+
 fn delete_removed(core: &Handle) {
     let texts = &core.stores.texts;
     let mut verified = texts.verified.lock().expect("no holder panics");
--- a/crates/dandelion-protocol/src/batch.rs
+++ b/crates/dandelion-protocol/src/batch.rs
@@ -10,6 +10,20 @@
 use crate::mesh::Header;
 use crate::time::Millis;
 
+/// A request that scores the complete output of an item. It is idempotent and belongs to no team.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ScoringRequest {
+    /// Id, the attempt id of each try.
+    pub id: String,
+    /// Host of the request; host and path determine the route.
+    pub host: String,
+    /// Path of the request.
+    pub path: String,
+    /// Body of the request.
+    #[serde(with = "serde_bytes")]
+    pub body: Vec<u8>,
+}
+
 /// One request of a batch job.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BatchItem {
@@ -31,6 +45,9 @@
     /// Group of the item: items of a group share a prompt, and the group is complete when all of
     /// them are done.
     pub group: String,
+    /// Request that scores its output; none if the item needs no score.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub scoring: Option<ScoringRequest>,
 }
 
 /// A batch job, as submitted.
@@ -71,6 +88,8 @@
     pub text: Option<String>,
     /// Versions of the weights that generated the output.
     pub versions: Vec<u64>,
+    /// Digest of the scoring service's answer; none if the item needs no score or was given up.
+    pub score: Option<String>,
 }
 
 /// Result of one item, as it is replicated; its body is stored separately.
@@ -82,6 +101,10 @@
     pub text: Option<TextRef>,
     /// Versions of the weights that generated the output.
     pub versions: Vec<u64>,
+    /// Digest of the scoring service's answer; none if the item needs no score, or none yet, or was
+    /// given up.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub score: Option<String>,
 }
 
 /// Identifies the body of a result among those that several runs of the item have generated.
--- a/crates/dandelion-telemetry/src/events/catalogue.rs
+++ b/crates/dandelion-telemetry/src/events/catalogue.rs
@@ -283,4 +283,8 @@
         "No other daemon confirmed in time that it keeps the origin of a stream; if this entry is lost, the stream may not go on." "none; if it occurs often, check the mesh between entries and stores";
     941 Info StreamEnded "stream_ended"
         "A stream to a caller ended: complete, broken at the upstream, or left by the caller." "none";
+    942 Info ItemScored "item_scored"
+        "The output of an item was scored; the item is listed once enough disks have the output." "none";
+    943 Warn ScoringRetried "scoring_retried"
+        "A request that scores an item brought no score; it is sent again, unless the service has failed it too often or the job ends." "Check the route and the logs of the scoring service.";
 }
--- a/crates/dandelion-telemetry/src/metrics/registry.rs
+++ b/crates/dandelion-telemetry/src/metrics/registry.rs
@@ -2,6 +2,8 @@
 
 use dandelion_protocol::ids::TeamId;
 use dandelion_protocol::usage::Class;
+use prometheus::Histogram;
+use prometheus::HistogramOpts;
 use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
@@ -11,6 +13,7 @@
 use prometheus::core::Collector;
 use thiserror::Error;
 
+use super::team::SECONDS_BUCKETS;
 use super::team::TeamMetrics;
 use super::team::TeamVectors;
 use super::teams::Teams;
@@ -79,6 +82,12 @@
         self.register(IntGauge::new(name, help)?)
     }
 
+    /// Registers a histogram of times in seconds.
+    pub fn seconds(&self, name: &str, help: &str) -> Result<Histogram, MetricsError> {
+        let opts = HistogramOpts::new(name, help).buckets(SECONDS_BUCKETS.to_vec());
+        self.register(Histogram::with_opts(opts)?)
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> Result<String, MetricsError> {
         let families = self.registry.gather();
--- a/crates/dandelion-telemetry/src/metrics/team.rs
+++ b/crates/dandelion-telemetry/src/metrics/team.rs
@@ -15,7 +15,7 @@
 const LABELS: &[&str] = &["team", "class"];
 
 /// Upper bounds of the buckets for times, in seconds.
-const SECONDS_BUCKETS: &[f64] = &[
+pub(super) const SECONDS_BUCKETS: &[f64] = &[
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 300.0,
 ];
 
