Reset the connection of a request that was given up

A request whose answer didn't come in time was dropped with an orderly close: what the kernel had not delivered yet still arrived, seconds later over a slow link, as a complete request that its sender had given up. abandoned_request_arrives failed (an orderly end after 4,252,779 bytes) and passes: the connection is reset, which drops what has not arrived. Found while looking for calls that outlive a lease where the platform checks no fencing token.

--- a/crates/dandelion-net/src/http/client/send.rs
+++ b/crates/dandelion-net/src/http/client/send.rs
@@ -301,7 +301,12 @@
             return Err(SendError::NotSent(Cause::Withheld));
         }
         let mut timer = StepTimer::start(options.progress, options.deadline);
-        write(&mut channel.stream, &encoded.bytes, &mut timer).await?;
+        let stream = channel.stream.clone();
+        if let Err(error) = write(&mut channel.stream, &encoded.bytes, &mut timer).await {
+            // What has not arrived is dropped instead of arriving after the request was given up.
+            socket::reset_on_close(&stream);
+            return Err(error);
+        }
         let origin = Origin {
             client: self.clone(),
             address,
@@ -310,7 +315,11 @@
             probe: options.probe,
         };
         let head = self.read_head(channel.stream, encoded, origin, timer);
-        match head.await {
+        let head = head.await;
+        if head.is_err() {
+            socket::reset_on_close(&stream);
+        }
+        match head {
             Ok(exchange) => Ok(exchange),
             Err(Cause::Silent { .. }) if options.probe => {
                 let alive = self.probe_and_purge(address).await;
