Check lease and turn of a duty immediately before its call is written

Where the platform checks no fencing token, nobody refuses a late call of an earlier holder. The first act of a new holder waits for nothing. Usage calls and engine orders share this code (crate::fenced).

Ruled out: a wait of every new holder (costs loads of weights at each change of the leader). Left: the product's own engine orders go through the owner of an engine, which checks no lease.

--- a/crates/dandelion-daemon/src/core.rs
+++ b/crates/dandelion-daemon/src/core.rs
@@ -26,6 +26,7 @@
 
 use crate::control::Control;
 use crate::duties::FleetView;
+use crate::fenced::Duty;
 use crate::gateway::Gateway;
 use crate::metrics::DaemonMetrics;
 use crate::node::Node;
@@ -75,6 +76,8 @@
     pub gateway: Gateway,
     /// This daemon's part of the store group, which holds the batch jobs.
     pub stores: Stores,
+    /// Turns of this daemon as the control leader, towards the platform.
+    pub duty: Duty,
     /// HTTP client for upstreams and the platform.
     pub client: Client,
     trace: Mutex<TraceRing>,
@@ -100,6 +103,7 @@
     /// Creates the shared state; [`Core::attach`] adds the mesh once it is bound.
     pub fn open(parts: CoreParts, client: Client) -> Arc<Self> {
         let zone = parts.identity.zone.clone();
+        let gap = parts.settings.platform.holder_gap;
         let usage = Usage::open(&parts.identity, parts.settings.platform.window);
         Arc::new(Self {
             identity: parts.identity,
@@ -113,7 +117,8 @@
             metrics: parts.metrics,
             fleet: FleetView::default(),
             gateway: Gateway::default(),
-            stores: Stores::default(),
+            stores: Stores::open(gap),
+            duty: Duty::open(gap),
             client,
             trace: Mutex::new(TraceRing::open(MAX_DECISIONS)),
             mesh: OnceLock::new(),
--- a/crates/dandelion-daemon/src/duties/fleet.rs
+++ b/crates/dandelion-daemon/src/duties/fleet.rs
@@ -36,7 +36,7 @@
 use crate::core::Handle;
 use crate::core::new_request_id;
 use crate::duties::orders;
-use crate::duties::platform::LEASE_MARGIN;
+use crate::fenced::LEASE_MARGIN;
 use crate::operator::local_propagation;
 
 /// Interval between two rounds.
--- a/crates/dandelion-daemon/src/duties/platform.rs
+++ b/crates/dandelion-daemon/src/duties/platform.rs
@@ -1,26 +1,18 @@
 //! Requests to the platform. Each is sent only if the leader lease covers its whole duration.
 
 use std::net::SocketAddr;
-use std::time::Duration;
-use std::time::Instant;
 
 use dandelion_net::http::client;
-use dandelion_net::http::client::SendOptions;
+use dandelion_net::http::client::Cause;
 use dandelion_platform::headers;
 use dandelion_protocol::ids::Term;
 use dandelion_protocol::mesh::Header;
-use dandelion_protocol::time::Millis;
 use dandelion_telemetry::Event;
 use dandelion_telemetry::event;
 
 use crate::core::Handle;
-
-/// Longest time from sending a request to its complete answer.
-pub const SEND_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// Remaining leader lease required to send; longer than [`SEND_TIMEOUT`], so that the request ends
-/// before another daemon can lead.
-pub const LEASE_MARGIN: Millis = Millis(500);
+use crate::fenced;
+use crate::fenced::LEASE_MARGIN;
 
 /// Longest answer of the platform, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 * 1024;
@@ -39,18 +31,14 @@
 pub async fn post(core: &Handle, term: Term, path: &str, body: Vec<u8>) -> Option<PlatformAnswer> {
     let address = core.settings.platform.address?;
     let request = build_request(core, address, term, path, body)?;
-    let options = SendOptions {
-        deadline: Instant::now() + SEND_TIMEOUT,
-        progress: SEND_TIMEOUT,
-        idempotent: true,
-        probe: true,
-    };
-    let held = core.leader_term(LEASE_MARGIN);
-    if held != Some(term) {
-        event!(Event::OrderWithheld, path = path, term = term);
-        return None;
-    }
-    let mut exchange = core.client.send(address, request, &options).await.ok()?;
+    let may_act = || core.duty.begin_act(core.leader_term(LEASE_MARGIN), term);
+    let sent = fenced::send(&core.client, address, request, true, may_act).await;
+    let mut exchange = sent
+        .inspect_err(|error| match error.cause() {
+            Cause::Withheld => event!(Event::OrderWithheld, path = path, term = term),
+            cause => log::debug!("call {path} of the platform: {cause}"),
+        })
+        .ok()?;
     let status = exchange.status();
     let body = exchange.read_all(MAX_ANSWER_BYTES).await.ok()?;
     Some(PlatformAnswer { status, body })
--- a/crates/dandelion-daemon/src/duties/usage.rs
+++ b/crates/dandelion-daemon/src/duties/usage.rs
@@ -25,7 +25,7 @@
 
 use crate::core::Handle;
 use crate::duties::platform;
-use crate::duties::platform::LEASE_MARGIN;
+use crate::fenced::LEASE_MARGIN;
 
 /// Interval at which the windows are checked.
 const TICK: Duration = Duration::from_millis(250);
--- a/crates/dandelion-daemon/src/duties/weights.rs
+++ b/crates/dandelion-daemon/src/duties/weights.rs
@@ -34,7 +34,7 @@
 use dandelion_telemetry::event;
 
 use crate::core::Handle;
-use crate::duties::platform::LEASE_MARGIN;
+use crate::fenced::LEASE_MARGIN;
 
 /// Interval between two rounds.
 const TICK: Duration = Duration::from_millis(250);
--- a/crates/dandelion-daemon/src/lib.rs
+++ b/crates/dandelion-daemon/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod control;
 pub mod core;
 pub mod duties;
+pub mod fenced;
 pub mod gateway;
 pub mod membership;
 pub mod metrics;
--- a/crates/dandelion-daemon/src/settings/args.rs
+++ b/crates/dandelion-daemon/src/settings/args.rs
@@ -228,6 +228,15 @@
         default_value = "60"
     )]
     pub usage_window_s: String,
+    /// Shortest time between two acts of one leader towards the platform or an engine if another
+    /// leader may have acted in between, in milliseconds
+    #[arg(
+        long,
+        env = "DANDELION_HOLDER_GAP_MS",
+        value_name = "MS",
+        default_value = "3000"
+    )]
+    pub holder_gap_ms: String,
 }
 
 /// Sizes, counts and timeouts.
--- a/crates/dandelion-daemon/src/settings/check.rs
+++ b/crates/dandelion-daemon/src/settings/check.rs
@@ -273,6 +273,7 @@
     Ok(PlatformSettings {
         address: address.transpose()?,
         window: Millis::from_secs(window),
+        holder_gap: read::read_millis("--holder-gap-ms", &args.holder_gap_ms, 0..=60_000)?,
     })
 }
 
--- a/crates/dandelion-daemon/src/settings/checked.rs
+++ b/crates/dandelion-daemon/src/settings/checked.rs
@@ -111,6 +111,8 @@
     pub address: Option<SocketAddr>,
     /// Length of a usage window; equal on all daemons of a cell.
     pub window: Millis,
+    /// Shortest time between acts of one leader if another one may have acted in between.
+    pub holder_gap: Millis,
 }
 
 /// Sizes, counts and timeouts.
--- a/crates/dandelion-daemon/src/stores/group.rs
+++ b/crates/dandelion-daemon/src/stores/group.rs
@@ -42,6 +42,7 @@
 use crate::control::ReplicaHandle;
 use crate::core::Handle;
 use crate::core::new_request_id;
+use crate::fenced::Duty;
 use crate::stores::texts::Texts;
 
 /// Subfolder of the store folder for result bodies.
@@ -84,25 +85,28 @@
     pub texts: Texts,
     /// Unfinished outputs on this daemon's disk.
     pub partials: Texts,
+    /// Turns of this daemon as the leader of the group, towards engines.
+    pub duty: Duty,
     events: Sender<StoreEvent>,
     queue: Receiver<StoreEvent>,
 }
 
-impl Default for Stores {
-    fn default() -> Self {
+impl Stores {
+    /// Opens the state of a daemon whose store folder is not open yet. `gap` is the shortest time
+    /// between its orders to engines if another leader may have sent some in between.
+    pub fn open(gap: Millis) -> Self {
         let (events, queue) = async_channel::bounded(EVENT_CAPACITY);
         Self {
             replica: OnceLock::new(),
             serving_term: AtomicU64::new(0),
             texts: Texts::default(),
             partials: Texts::default(),
+            duty: Duty::open(gap),
             events,
             queue,
         }
     }
-}
 
-impl Stores {
     /// Returns the replica, or nothing until the store folder is opened to bootstrap or join the
     /// group.
     pub fn replica(&self) -> Option<&ReplicaHandle> {
--- a/crates/dandelion-daemon/src/stores/orders.rs
+++ b/crates/dandelion-daemon/src/stores/orders.rs
@@ -1,30 +1,21 @@
 //! Orders to engines, sent only while this daemon leads the store group.
 
-use std::time::Duration;
-use std::time::Instant;
-
 use dandelion_batch::scheduler::OrderOutcome;
 use dandelion_net::http::client;
-use dandelion_net::http::client::SendOptions;
+use dandelion_net::http::client::Cause;
 use dandelion_platform::headers;
 use dandelion_platform::orders;
 use dandelion_platform::orders::VersionOrder;
 use dandelion_protocol::ids::Term;
 use dandelion_protocol::incarnations::UpstreamIncarnation;
-use dandelion_protocol::time::Millis;
 use dandelion_telemetry::Event;
 use dandelion_telemetry::event;
 
 use crate::core::Handle;
+use crate::fenced;
+use crate::fenced::LEASE_MARGIN;
 use crate::gateway::observe_leaving;
 
-/// Longest time to send an order and read its answer.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// Remaining leader lease that sending an order requires. It exceeds `ORDER_TIMEOUT`, so that no
-/// order is in flight when the lease ends.
-const ORDER_MARGIN: Millis = Millis(450);
-
 /// Longest answer to an order that is read, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 * 1024;
 
@@ -87,19 +78,19 @@
     let address = load.engine.address;
     let request = client::request(address, "POST", orders::ORDER_PATH, &headers, body);
     let request = request.inspect_err(|cause| log::warn!("{cause}")).ok()?;
-    let options = SendOptions {
-        deadline: Instant::now() + ORDER_TIMEOUT,
-        progress: ORDER_TIMEOUT,
-        idempotent: false,
-        probe: true,
+    let may_act = || {
+        let held = core.stores.leader_term(LEASE_MARGIN);
+        core.stores.duty.begin_act(held, term)
     };
-    if core.stores.leader_term(ORDER_MARGIN) != Some(term) {
-        event!(Event::OrderWithheld, path = orders::ORDER_PATH, term = term);
-        return None;
-    }
-    let sent = core.gateway.client.send(address, request, &options).await;
+    let client = &core.gateway.client;
+    let sent = fenced::send(client, address, request, false, may_act).await;
     let mut exchange = sent
-        .inspect_err(|error| log::debug!("order to {}: {error}", load.engine.id))
+        .inspect_err(|error| match error.cause() {
+            Cause::Withheld => {
+                event!(Event::OrderWithheld, path = orders::ORDER_PATH, term = term);
+            }
+            cause => log::debug!("order to {}: {cause}", load.engine.id),
+        })
         .ok()?;
     observe_leaving(core, &load.engine, &exchange, orders::ORDER_PATH);
     let status = exchange.status();
--- a/crates/dandelion-fleet/src/lib.rs
+++ b/crates/dandelion-fleet/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod orders;
 pub mod plan;
+pub mod turns;
 pub mod usage;
