Let the origin of a later try replace that of an earlier one, in whatever order they arrive

An entry keeps the origin of a stream for each try of an attempt. If the first upstream (version 1) refused and the second (version 2) began the stream, a holder that got the two in the other order kept version 1. Once all entries were killed, only holders were left: the stream was taken up at version 1, answered 200 to its end, with nothing to show that it was joined from two versions. Origins now carry the number of the try, and the highest holds (late_try_replaces_origin failed before; origins_in_any_order). A try at another origin is sent only once every daemon that may have the earlier one has confirmed the new one; otherwise the request is refused as not run. What nobody knows is refused as before, never sent to any version.

--- a/crates/dandelion-daemon/src/gateway/forward.rs
+++ b/crates/dandelion-daemon/src/gateway/forward.rs
@@ -42,7 +42,8 @@
 use crate::gateway::gate;
 use crate::gateway::leaving;
 use crate::gateway::limits;
-use crate::gateway::origins;
+use crate::gateway::origins::Keeping;
+use crate::gateway::origins::Kept;
 use crate::gateway::peer::Incarnation;
 use crate::gateway::place::InFlight;
 use crate::gateway::place::Placed;
@@ -359,12 +360,23 @@
         let origin = StreamOrigin {
             service: upstream.service.clone(),
             software: upstream.software.clone(),
+            number: self.origin().map_or(0, |origin| origin.number),
         };
+        let keeping = Keeping::begin(self.core, &stream.key, &stream.kept, origin);
+        if keeping.replaces && !keeping.replace().await {
+            event!(
+                Event::OriginUnconfirmed,
+                request = self.id,
+                upstream = upstream.id,
+                software = upstream.software,
+                replaces = true
+            );
+            return Err(SendError::NotSent(Cause::Withheld));
+        }
         let peer = Incarnation::of(upstream);
         let sent = client.send_to(upstream.address, request, options, &peer, may_send);
-        let kept = origins::keep(self.core, stream.key.clone(), origin);
-        let (sent, kept) = Box::pin(join(sent, kept)).await;
-        if !kept {
+        let (sent, kept) = Box::pin(join(sent, keeping.keep())).await;
+        if kept == Kept::Unconfirmed {
             event!(
                 Event::OriginUnconfirmed,
                 request = self.id,
--- a/crates/dandelion-daemon/src/gateway/origins.rs
+++ b/crates/dandelion-daemon/src/gateway/origins.rs
@@ -19,6 +19,7 @@
 use dandelion_route::origins::KnownOrigins;
 use dandelion_route::ownership;
 use futures::StreamExt;
+use futures::future::join_all;
 use futures::stream::FuturesUnordered;
 
 use crate::control::View;
@@ -92,19 +93,109 @@
     }
 }
 
-/// Keeps an origin here and at the other daemons that hold it. Returns whether one of them confirmed
-/// that in time, or there is none.
-pub async fn keep(core: &Handle, key: StreamKey, origin: StreamOrigin) -> bool {
-    core.gateway.origins.keep(key.clone(), origin.clone());
-    let holders = holders(core, &core.control.view(), &key);
-    if holders.is_empty() {
-        return true;
+/// What an attempt has made others keep as the origin of its stream.
+#[derive(Debug, Default)]
+pub struct KeptOrigin {
+    /// Origin of the latest try.
+    origin: Option<StreamOrigin>,
+    /// Daemons that may have it, or that of an earlier try.
+    holders: Vec<DaemonId>,
+}
+
+impl KeptOrigin {
+    /// Adds a try. Returns its origin with the number of the try, the daemons to keep it, and whether
+    /// it replaces another origin.
+    fn begin_try(
+        &mut self,
+        mut origin: StreamOrigin,
+        holders: Vec<DaemonId>,
+    ) -> (StreamOrigin, Vec<DaemonId>, bool) {
+        let last = self.origin.as_ref();
+        let replaces = last.is_some_and(|last| !last.is_same(&origin));
+        origin.number = last.map_or(origin.number, |last| last.number) + 1;
+        let added = holders.into_iter();
+        let added: Vec<DaemonId> = added.filter(|id| !self.holders.contains(id)).collect();
+        self.holders.extend(added);
+        self.origin = Some(origin.clone());
+        (origin, self.holders.clone(), replaces)
+    }
+}
+
+/// Whether the origin of a try is known elsewhere.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kept {
+    /// Another daemon confirmed it, or there is none.
+    Confirmed,
+    /// No other daemon confirmed it in time.
+    Unconfirmed,
+}
+
+/// Makes an origin known for a try, before or while its request is sent.
+#[derive(Debug)]
+pub struct Keeping<'a> {
+    core: &'a Handle,
+    key: StreamKey,
+    origin: StreamOrigin,
+    holders: Vec<DaemonId>,
+    /// Whether an earlier try had another origin, which nobody may know any more.
+    pub replaces: bool,
+}
+
+impl<'a> Keeping<'a> {
+    /// Begins a try of an attempt; its origin holds here from now on.
+    pub fn begin(
+        core: &'a Handle,
+        key: &StreamKey,
+        kept: &Mutex<KeptOrigin>,
+        origin: StreamOrigin,
+    ) -> Self {
+        let holders = holders(core, &core.control.view(), key);
+        let mut kept = kept.lock().expect("no holder of this lock panics");
+        let (origin, holders, replaces) = kept.begin_try(origin, holders);
+        core.gateway.origins.keep(key.clone(), origin.clone());
+        Self {
+            core,
+            key: key.clone(),
+            origin,
+            holders,
+            replaces,
+        }
+    }
+
+    /// Keeps the origin at the other daemons; returns once one of them has confirmed it.
+    pub async fn keep(&self) -> Kept {
+        if self.holders.is_empty() {
+            return Kept::Confirmed;
+        }
+        let holders = self.holders.clone();
+        let kept = |reply| matches!(reply, OriginReply::Kept).then_some(());
+        let confirmed = call_any(self.core, holders, self.call(), KEEP_TIMEOUT, kept);
+        match confirmed.await {
+            Some(()) => Kept::Confirmed,
+            None => Kept::Unconfirmed,
+        }
+    }
+
+    /// Replaces the origin of an earlier try at all daemons that may have it; returns whether all
+    /// confirmed that. If one did not, a stream of this try could go on where the earlier one was to
+    /// begin.
+    pub async fn replace(&self) -> bool {
+        let Some(mesh) = self.core.mesh() else {
+            return self.holders.is_empty();
+        };
+        let calls = self.holders.iter();
+        let calls = calls.map(|id| mesh.call(id, self.call(), KEEP_TIMEOUT));
+        let replies = join_all(calls).await;
+        let is_kept = |reply| matches!(reply, Ok(ReplyBody::Origins(OriginReply::Kept)));
+        replies.into_iter().all(is_kept)
+    }
+
+    fn call(&self) -> CallBody {
+        CallBody::Origins(OriginCall::Keep {
+            key: self.key.clone(),
+            origin: self.origin.clone(),
+        })
     }
-    let body = CallBody::Origins(OriginCall::Keep { key, origin });
-    let kept = |reply| matches!(reply, OriginReply::Kept).then_some(());
-    call_any(core, holders, body, KEEP_TIMEOUT, kept)
-        .await
-        .is_some()
 }
 
 /// Finds the origin of a stream: here, at the daemons that hold it, or at any other.
--- a/crates/dandelion-daemon/src/gateway/streams.rs
+++ b/crates/dandelion-daemon/src/gateway/streams.rs
@@ -1,5 +1,7 @@
 //! Callers' streams that can go on at another upstream of the software version that began them.
 
+use std::sync::Mutex;
+
 use dandelion_platform::headers::CallerHeaders;
 use dandelion_protocol::ids::TeamId;
 use dandelion_protocol::incarnations::UpstreamIncarnation;
@@ -13,14 +15,17 @@
 use crate::core::Handle;
 use crate::gateway::forward::Call;
 use crate::gateway::origins;
+use crate::gateway::origins::KeptOrigin;
 
 /// The stream that a request opens or takes up.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub(super) struct StreamPart {
     /// Name of the stream.
     pub key: StreamKey,
     /// Where it began; none if the request opens it.
     pub origin: Option<StreamOrigin>,
+    /// What this attempt has made others keep.
+    pub kept: Mutex<KeptOrigin>,
 }
 
 impl StreamPart {
@@ -41,6 +46,7 @@
             let opened = caller.attempt.as_deref().map(|attempt| Self {
                 key: origins::key_of(team, attempt),
                 origin: None,
+                kept: Mutex::default(),
             });
             return Ok(opened);
         };
@@ -61,6 +67,7 @@
         Ok(Some(Self {
             key,
             origin: Some(origin),
+            kept: Mutex::default(),
         }))
     }
 }
--- a/crates/dandelion-protocol/src/streams.rs
+++ b/crates/dandelion-protocol/src/streams.rs
@@ -18,6 +18,17 @@
     pub service: ServiceId,
     /// Version of its upstream's software.
     pub software: SoftwareVersion,
+    /// Number of the try of the attempt that it was kept for, from 1 on; a later try replaces an earlier
+    /// one. 0 from a daemon of an earlier version.
+    #[serde(default)]
+    pub number: u32,
+}
+
+impl StreamOrigin {
+    /// Returns whether a stream that began at one of two origins may go on at the other.
+    pub fn is_same(&self, other: &Self) -> bool {
+        self.service == other.service && self.software == other.software
+    }
 }
 
 /// A call between daemons about the origin of a stream.
--- a/crates/dandelion-route/src/origins.rs
+++ b/crates/dandelion-route/src/origins.rs
@@ -26,8 +26,15 @@
 }
 
 impl KnownOrigins {
-    /// Keeps the origin of a stream. The one that was kept last holds.
-    pub fn keep(&mut self, now: Millis, key: StreamKey, origin: StreamOrigin) {
+    /// Keeps the origin of a stream. Of two that differ, that of the later try holds, whichever
+    /// arrives first.
+    pub fn keep(&mut self, now: Millis, key: StreamKey, mut origin: StreamOrigin) {
+        if let Some((known, _)) = self.origins.get(&key) {
+            if !known.is_same(&origin) && known.number >= origin.number {
+                return;
+            }
+            origin.number = origin.number.max(known.number);
+        }
         self.order.push_back((now, key.clone()));
         self.origins.insert(key, (origin, now));
         while let Some((at, key)) = self.order.front() {
--- a/crates/dandelion-route/tests/origins.rs
+++ b/crates/dandelion-route/tests/origins.rs
@@ -5,11 +5,20 @@
 use dandelion_protocol::streams::StreamOrigin;
 use dandelion_protocol::time::Millis;
 use dandelion_route::origins::KnownOrigins;
+use quickcheck::quickcheck;
 
 fn origin(software: &str) -> StreamOrigin {
     StreamOrigin {
         service: "llm".parse().unwrap(),
         software: SoftwareVersion(software.to_owned()),
+        number: 0,
+    }
+}
+
+fn of_try(software: &str, number: u32) -> StreamOrigin {
+    StreamOrigin {
+        number,
+        ..origin(software)
     }
 }
 
@@ -38,3 +47,28 @@
     assert!(known.len() <= 32_768, "{}", known.len());
     assert!(known.find(Millis(20_000), &key(49_999)).is_some());
 }
+
+#[test]
+fn late_try_replaces_origin() {
+    let mut known = KnownOrigins::default();
+    known.keep(Millis(0), key(1), of_try("v2", 2));
+    known.keep(Millis(10), key(1), of_try("v1", 1));
+    assert_eq!(known.find(Millis(10), &key(1)), Some(&of_try("v2", 2)));
+    // A stream that is taken up keeps its origin for longer.
+    known.keep(Millis(100_000), key(1), of_try("v2", 1));
+    assert_eq!(known.find(Millis(200_000), &key(1)), Some(&of_try("v2", 2)));
+}
+
+#[test]
+fn origins_in_any_order() {
+    fn prop(order: Vec<u8>) -> bool {
+        let mut known = KnownOrigins::default();
+        for number in &order {
+            let number = u32::from(number % 8) + 1;
+            known.keep(Millis(0), key(1), of_try(&format!("v{number}"), number));
+        }
+        let latest = order.iter().map(|number| u32::from(number % 8) + 1).max();
+        known.find(Millis(0), &key(1)).map(|origin| origin.number) == latest
+    }
+    quickcheck(prop as fn(Vec<u8>) -> bool);
+}
