Refuse reports that can't be an upstream's, and forget those that were recorded

Another writer's entry among the reports was taken as it came. A start of u64::MAX made every later report of that upstream, or of its address, count as outdated for good, and an end with it the same; a number of u64::MAX within an incarnation likewise (LOST: an upstream that serves and isn't used). Slots, versions and token counts near the maximum overflowed sums of the scheduler (a panic in debug, a wrong sum in release). Port 0, addresses that no host has and the address of a daemon were sent to. The map of addresses and that of upstreams grew with every new name.

A report is now checked before it is recorded or forwarded (start at most an hour ahead, number within the time since the start, at most 65,536 slots, a usable address, bounded names, models and versions), and again by the replicated table against the time of its command, so that older daemons' proposals are covered. What an older daemon recorded is dropped when it would reject a possible report. Both maps are bounded.

--- a/crates/dandelion-batch/src/scheduler/engine.rs
+++ b/crates/dandelion-batch/src/scheduler/engine.rs
@@ -155,7 +155,7 @@
     /// sent until it has received an event or ended.
     pub fn add_run(&mut self, model: Option<&str>, tokens: u64) {
         self.runs += 1;
-        self.tokens += tokens;
+        self.tokens = self.tokens.saturating_add(tokens);
         if let Some(model) = model {
             *self.by_model.entry(model.to_owned()).or_insert(0) += 1;
         }
@@ -209,7 +209,7 @@
 
     /// Returns whether another run with this number of tokens fits in its memory.
     pub fn fits_memory(&self, tokens: u64) -> bool {
-        self.runs == 0 || self.memory == 0 || self.tokens + tokens <= self.memory
+        self.runs == 0 || self.memory == 0 || self.tokens.saturating_add(tokens) <= self.memory
     }
 
     /// Returns the share of its slots in use.
--- a/crates/dandelion-batch/src/scheduler/job.rs
+++ b/crates/dandelion-batch/src/scheduler/job.rs
@@ -202,5 +202,5 @@
 /// Returns the predicted tokens of prompt and output, at most `limit`: those of the prompt and the
 /// longest output.
 fn predicted_tokens(limit: u64, output: u64) -> u64 {
-    limit.min(PREDICTED_TOKENS + output)
+    limit.min(PREDICTED_TOKENS.saturating_add(output))
 }
--- a/crates/dandelion-batch/src/scheduler/weight_loads.rs
+++ b/crates/dandelion-batch/src/scheduler/weight_loads.rs
@@ -190,20 +190,17 @@
     let need = need.copied().unwrap_or_default();
     let loads = |e: &Engine| e.loading.as_ref().is_some_and(|l| l.model == *model);
     let covers = |e: &&Engine| loads(e) || e.versions.get(model) >= Some(&target.version);
-    let slots: u32 = engines
-        .values()
-        .filter(covers)
-        .map(|engine| engine.life.slots)
-        .sum();
+    let slots_of = |engine: &Engine| u64::from(engine.life.slots);
+    let slots: u64 = engines.values().filter(covers).map(slots_of).sum();
     let urgency = if need.waiting { WAITING_BONUS } else { 0.0 };
-    let all: u32 = engines.values().map(|engine| engine.life.slots).sum();
+    let all: u64 = engines.values().map(slots_of).sum();
     // The next step of a model without any step so far may need every slot.
     let items = if need.items == 0 {
         all as usize
     } else {
         need.items
     };
-    f64::from(slots) / items.max(1) as f64 - urgency
+    slots as f64 / items.max(1) as f64 - urgency
 }
 
 /// Returns the engine for which a load of a model's target version costs the least: one that is of
@@ -238,7 +235,8 @@
         .values()
         .filter(may_load)
         .min_by_key(|engine| {
-            let versions = engine.versions.values().sum::<u64>();
+            let versions = engine.versions.values();
+            let versions = versions.fold(0, |sum: u64, version| sum.saturating_add(*version));
             let (usable, runs) = (is_usable(engine), engine.runs_of(model));
             (usable, runs, versions, engine.life.id.clone())
         })
--- a/crates/dandelion-batch/tests/scheduler.rs
+++ b/crates/dandelion-batch/tests/scheduler.rs
@@ -568,3 +568,34 @@
     while runs(&harness.tick(5)).is_empty() {}
     assert!(harness.now.0 - refused_at.0 <= 150, "{:?}", harness.now);
 }
+
+#[test]
+fn largest_numbers() {
+    let mut harness = Harness::open(3);
+    let largest = |n| UpstreamIncarnation {
+        slots: u32::MAX,
+        ..life(n)
+    };
+    let lives: Vec<_> = (1..=3).map(|n| (largest(n), Some(u64::MAX))).collect();
+    harness.handle(Event::Engines {
+        engines: &lives,
+        limited: &BTreeSet::new(),
+    });
+    for n in 1..=3 {
+        harness.handle(Event::Reported(&IncarnationReport {
+            sequence: u64::MAX,
+            versions: [("m".to_owned(), u64::MAX), ("o".to_owned(), u64::MAX)].into(),
+            ..report(n, 1)
+        }));
+    }
+    harness.handle(Event::Named {
+        model: "m",
+        version: u64::MAX,
+    });
+    let mut job = job("a", &[u64::MAX, u64::MAX, 1, 1], u64::MAX, u32::MAX);
+    for item in &mut job.items {
+        item.tokens = u64::MAX;
+    }
+    let started = harness.submit(&job);
+    assert_eq!(started.len(), job.items.len());
+}
--- a/crates/dandelion-control/src/tables/upstreams.rs
+++ b/crates/dandelion-control/src/tables/upstreams.rs
@@ -9,8 +9,10 @@
 use dandelion_kernel::TableEntry;
 use dandelion_protocol::control::Rejection;
 use dandelion_protocol::ids::UpstreamId;
+use dandelion_protocol::incarnations::ReportError;
 use dandelion_protocol::incarnations::UpstreamEnd;
 use dandelion_protocol::incarnations::UpstreamIncarnation;
+use dandelion_protocol::incarnations::is_start;
 use dandelion_protocol::time::WallMillis;
 use linkme::distributed_slice;
 use serde::Deserialize;
@@ -19,6 +21,12 @@
 /// Most ended incarnations that are remembered; the one that started earliest is removed first.
 const MAX_ENDED: usize = 4_096;
 
+/// Most upstreams, silent ones included; further ones are rejected until some have ended.
+const MAX_KNOWN: usize = 32_768;
+
+/// Most addresses that are remembered; the one whose incarnation started earliest is removed first.
+const MAX_ADDRESSES: usize = 65_536;
+
 /// Most silent incarnations that are remembered; the one that started earliest counts as ended.
 const MAX_SILENT: usize = 4_096;
 
@@ -49,6 +57,9 @@
     ended_floor: WallMillis,
     /// Start of the newest incarnation that reported each address.
     addresses: BTreeMap<SocketAddr, WallMillis>,
+    /// Known upstream at each address; made anew from `known` after the table was read.
+    #[serde(skip)]
+    occupants: BTreeMap<SocketAddr, UpstreamId>,
 }
 
 /// A change of the known upstreams.
@@ -81,7 +92,21 @@
         reporting.map(|known| &known.life)
     }
 
-    fn report(&mut self, mut life: UpstreamIncarnation, sequence: u64) -> Result<(), Rejection> {
+    fn report(
+        &mut self,
+        mut life: UpstreamIncarnation,
+        sequence: u64,
+        now: WallMillis,
+    ) -> Result<(), Rejection> {
+        life.check(sequence, now).map_err(invalid_report)?;
+        self.drop_impossible(&life, now);
+        if !self.known.contains_key(&life.id) && self.known.len() >= MAX_KNOWN {
+            return Err(Rejection::invalid(
+                "report",
+                "too many upstreams are known",
+                "find out who reports upstreams that don't exist",
+            ));
+        }
         let ended = self.ended.get(&life.id);
         let known = self.known.get(&life.id);
         let older = |known: &UpstreamRecord| {
@@ -93,14 +118,16 @@
             .addresses
             .get(&life.address)
             .is_some_and(|born| *born > life.born);
-        let is_other =
-            |known: &UpstreamRecord| known.life.address == life.address && known.life.id != life.id;
-        let others = self.known.values().filter(|known| is_other(known));
-        let displaced: Vec<UpstreamIncarnation> = others.map(|known| known.life.clone()).collect();
+        let occupant = self.occupants.get(&life.address);
+        let displaced = occupant.filter(|id| **id != life.id);
+        let displaced = displaced.and_then(|id| self.known.get(id));
+        let displaced = displaced.map(|known| known.life.clone());
         let outdated = ended.is_some_and(|born| *born >= life.born)
             || known.map_or(life.born <= self.ended_floor, older)
             || taken
-            || displaced.iter().any(|other| other.born >= life.born);
+            || displaced
+                .as_ref()
+                .is_some_and(|other| other.born >= life.born);
         if outdated {
             return Err(Rejection::invalid(
                 "report",
@@ -115,11 +142,14 @@
             }
         }
         let (address, born) = (life.address, life.born);
-        for other in displaced {
-            self.known.remove(&other.id);
+        if let Some(other) = displaced {
+            self.remove_known(&other.id);
             self.mark_ended(other.id, other.born);
         }
+        self.remove_known(&life.id);
+        self.occupants.insert(address, life.id.clone());
         self.addresses.insert(address, born);
+        self.evict_address();
         let record = UpstreamRecord {
             life,
             sequence,
@@ -129,6 +159,58 @@
         Ok(())
     }
 
+    /// Indexes the known upstreams by address if that was not done since the table was read.
+    fn index(&mut self) {
+        if self.occupants.is_empty() {
+            let known = self.known.values();
+            self.occupants = known
+                .map(|known| (known.life.address, known.life.id.clone()))
+                .collect();
+        }
+    }
+
+    fn remove_known(&mut self, id: &UpstreamId) {
+        if let Some(record) = self.known.remove(id) {
+            self.occupants.remove(&record.life.address);
+        }
+    }
+
+    /// Drops what would reject a report but can't be true: a daemon of an earlier version may have
+    /// recorded it.
+    fn drop_impossible(&mut self, life: &UpstreamIncarnation, now: WallMillis) {
+        let is_possible = |born: &WallMillis| is_start(*born, now);
+        if !self.ended.get(&life.id).is_none_or(is_possible) {
+            self.ended.remove(&life.id);
+        }
+        if !self.addresses.get(&life.address).is_none_or(is_possible) {
+            self.addresses.remove(&life.address);
+        }
+        if !is_possible(&self.ended_floor) {
+            self.ended_floor = WallMillis::default();
+        }
+        let rejecting = [Some(&life.id), self.occupants.get(&life.address)];
+        for id in rejecting
+            .map(Option::<&UpstreamId>::cloned)
+            .into_iter()
+            .flatten()
+        {
+            let known = self.known.get(&id);
+            if known.is_some_and(|known| known.life.check(known.sequence, now).is_err()) {
+                self.remove_known(&id);
+            }
+        }
+    }
+
+    /// Drops the address whose incarnation started earliest if there are too many.
+    fn evict_address(&mut self) {
+        if self.addresses.len() > MAX_ADDRESSES {
+            let oldest = self.addresses.iter().min_by_key(|(_, born)| **born);
+            if let Some(address) = oldest.map(|(address, _)| *address) {
+                self.addresses.remove(&address);
+            }
+        }
+    }
+
     fn forget(&mut self, id: &UpstreamId, born: WallMillis) {
         let known = self.known.get_mut(id);
         if let Some(known) = known.filter(|known| known.life.born == born) {
@@ -138,21 +220,25 @@
         if silent.clone().count() > MAX_SILENT {
             let oldest = silent.min_by_key(|known| known.life.born);
             if let Some(life) = oldest.map(|known| known.life.clone()) {
-                self.known.remove(&life.id);
+                self.remove_known(&life.id);
                 self.mark_ended(life.id, life.born);
             }
         }
     }
 
-    fn end(&mut self, end: &UpstreamEnd) {
+    fn end(&mut self, end: &UpstreamEnd, now: WallMillis) -> Result<(), Rejection> {
+        if end.born.is_some_and(|born| !is_start(born, now)) {
+            return Err(invalid_report(ReportError::Start));
+        }
         let known = self.known.get(&end.id).map(|known| known.life.born);
         let Some(born) = end.born.or(known) else {
-            return;
+            return Ok(());
         };
         if known.is_some_and(|known| known <= born) {
-            self.known.remove(&end.id);
+            self.remove_known(&end.id);
         }
         self.mark_ended(end.id.clone(), born);
+        Ok(())
     }
 
     fn mark_ended(&mut self, id: UpstreamId, born: WallMillis) {
@@ -168,6 +254,10 @@
     }
 }
 
+fn invalid_report(error: ReportError) -> Rejection {
+    Rejection::invalid("report", &error.to_string(), "correct the report")
+}
+
 impl Table for UpstreamsTable {
     const NAME: &'static str = "lives";
     const DISTRIBUTED: bool = true;
@@ -175,13 +265,15 @@
     type Command = UpstreamsCommand;
     type Reply = ();
 
-    fn apply(&mut self, _: &ApplyContext<'_>, command: UpstreamsCommand) -> Result<(), Rejection> {
+    fn apply(
+        &mut self,
+        context: &ApplyContext<'_>,
+        command: UpstreamsCommand,
+    ) -> Result<(), Rejection> {
+        self.index();
         match command {
-            UpstreamsCommand::Report { life, sequence } => self.report(life, sequence),
-            UpstreamsCommand::End(end) => {
-                self.end(&end);
-                Ok(())
-            }
+            UpstreamsCommand::Report { life, sequence } => self.report(life, sequence, context.at),
+            UpstreamsCommand::End(end) => self.end(&end, context.at),
             UpstreamsCommand::Forget { id, born } => {
                 self.forget(&id, born);
                 Ok(())
--- a/crates/dandelion-control/tests/upstreams.rs
+++ b/crates/dandelion-control/tests/upstreams.rs
@@ -7,6 +7,7 @@
 use dandelion_control::tables::UpstreamsTable;
 use dandelion_kernel::ApplyContext;
 use dandelion_kernel::Table;
+use dandelion_protocol::codec;
 use dandelion_protocol::control::Rejection;
 use dandelion_protocol::ids::Revision;
 use dandelion_protocol::incarnations::SoftwareVersion;
@@ -232,3 +233,138 @@
     }
     quickcheck(prop as fn(Vec<(u8, u8, bool, u8)>) -> bool);
 }
+
+/// Wall-clock time of the commands below.
+const NOW: u64 = 1_773_188_804_599;
+
+fn apply_now(table: &mut UpstreamsTable, command: UpstreamsCommand) -> Result<(), Rejection> {
+    let context = ApplyContext {
+        revision: Revision(1),
+        at: WallMillis(NOW),
+        author: "",
+    };
+    table.apply(&context, command)
+}
+
+fn report_now(
+    table: &mut UpstreamsTable,
+    life: UpstreamIncarnation,
+    sequence: u64,
+) -> Result<(), Rejection> {
+    apply_now(table, UpstreamsCommand::Report { life, sequence })
+}
+
+#[test]
+fn odd_report_blocks_upstream() {
+    let honest = || life("i", NOW - 5_000, A, true);
+    let odd = [
+        (life("i", u64::MAX, A, true), 1),
+        (life("i", NOW + 86_400_000, A, true), 1),
+        (life("j", u64::MAX, A, true), 1),
+        (life("i", NOW - 5_000, A, true), u64::MAX),
+        (life("i", NOW - 5_000, "10.0.0.1:0", true), 1),
+        (life("i", NOW - 5_000, "0.0.0.0:80", true), 1),
+        (
+            UpstreamIncarnation {
+                slots: u32::MAX,
+                ..honest()
+            },
+            1,
+        ),
+    ];
+    for (odd, sequence) in odd {
+        let mut table = UpstreamsTable::default();
+        report_now(&mut table, odd.clone(), sequence).unwrap_err();
+        assert_eq!(table.incarnations().count(), 0, "{odd:?}");
+        report_now(&mut table, honest(), 4).unwrap();
+        report_now(&mut table, odd, sequence).unwrap_err();
+        report_now(&mut table, honest(), 5).unwrap();
+    }
+}
+
+#[test]
+fn odd_end_blocks_upstream() {
+    let mut table = UpstreamsTable::default();
+    let end = UpstreamEnd {
+        id: "i".parse().unwrap(),
+        born: Some(WallMillis(u64::MAX)),
+    };
+    apply_now(&mut table, UpstreamsCommand::End(end)).unwrap_err();
+    report_now(&mut table, life("i", NOW - 5_000, A, true), 1).unwrap();
+}
+
+/// A table that a daemon without these checks has written, as it comes from a snapshot.
+#[test]
+fn recorded_odd_report_blocks_upstream() {
+    let mut table = UpstreamsTable::default();
+    let context = ApplyContext {
+        revision: Revision(1),
+        at: WallMillis(u64::MAX),
+        author: "",
+    };
+    for odd in [life("i", u64::MAX, B, true), life("j", u64::MAX, A, true)] {
+        let command = UpstreamsCommand::Report {
+            life: odd,
+            sequence: 1,
+        };
+        table.apply(&context, command).unwrap();
+    }
+    let end = UpstreamEnd {
+        id: "k".parse().unwrap(),
+        born: Some(WallMillis(u64::MAX)),
+    };
+    table.apply(&context, UpstreamsCommand::End(end)).unwrap();
+    let bytes = codec::encode(&table).unwrap();
+    let mut table: UpstreamsTable = codec::decode(&bytes).unwrap();
+    for id in ["i", "k"] {
+        let address = if id == "i" { A } else { "10.0.0.3:80" };
+        report_now(&mut table, life(id, NOW - 5_000, address, true), 1).unwrap();
+        assert_eq!(ready(&table, id), Some(true));
+    }
+}
+
+#[test]
+fn reports_without_end() {
+    let mut table = UpstreamsTable::default();
+    let mut rejected = 0;
+    for number in 0..40_000_u32 {
+        let [_, a, b, c] = number.to_be_bytes();
+        let address = format!("10.{a}.{b}.{c}:80");
+        let odd = life(&format!("i{number}"), NOW, &address, true);
+        rejected += u32::from(report_now(&mut table, odd, 1).is_err());
+    }
+    assert_eq!(rejected, 40_000 - 32_768);
+}
+
+/// Whatever odd reports and ends come first, an honest upstream at an address of its own is known
+/// afterwards.
+#[test]
+fn honest_after_odd() {
+    fn prop(odd: Vec<(bool, u8, u64, u64, u16)>) -> bool {
+        let mut table = UpstreamsTable::default();
+        for (is_end, id, born, sequence, port) in odd {
+            let id = format!("i{}", id % 2);
+            // Odd starts are spread over the whole range, and some are just too late.
+            let born = if born % 3 == 0 {
+                u64::MAX - born
+            } else {
+                NOW + 3_600_001 + born % 1_000
+            };
+            let command = if is_end {
+                UpstreamsCommand::End(UpstreamEnd {
+                    id: id.parse().unwrap(),
+                    born: Some(WallMillis(born)),
+                })
+            } else {
+                UpstreamsCommand::Report {
+                    life: life(&id, born, &format!("10.0.0.1:{port}"), true),
+                    sequence,
+                }
+            };
+            let _rejected = apply_now(&mut table, command);
+        }
+        let honest = life("i0", NOW - 1, "10.0.0.1:80", true);
+        report_now(&mut table, honest, 1).is_ok() && ready(&table, "i0") == Some(true)
+    }
+    quickcheck(prop as fn(Vec<(bool, u8, u64, u64, u16)>) -> bool);
+}
--- a/crates/dandelion-daemon/src/gateway/control.rs
+++ b/crates/dandelion-daemon/src/gateway/control.rs
@@ -11,6 +11,7 @@
 use dandelion_control::tables::ReplacePlan;
 use dandelion_control::tables::VersionsTable;
 use dandelion_kernel::TableSet;
+use dandelion_net::clock;
 use dandelion_net::http::server::Handler;
 use dandelion_platform::ControlCall;
 use dandelion_platform::DecodeError;
@@ -143,7 +144,20 @@
         Ok(report) => report,
         Err(error) => return unreadable(id, &error),
     };
+    if let Err(error) = report.check(clock::wall_now()) {
+        event!(Event::ReportRefused, upstream = id, reason = error);
+        return answer::status(400);
+    }
     let view = core.control.view();
+    let address = report.life.address.to_string();
+    if view.members.iter().any(|m| m.address == address) {
+        event!(
+            Event::ReportRefused,
+            upstream = id,
+            reason = "address_of_a_daemon"
+        );
+        return answer::status(400);
+    }
     let Some(plan) = &view.plan else {
         // Without a plan it is not known whether the upstream's service exists.
         return answer::not_run(answer::RETRY_DELAY);
--- a/crates/dandelion-route/tests/origins.rs
+++ b/crates/dandelion-route/tests/origins.rs
@@ -62,13 +62,13 @@
 #[test]
 fn origins_in_any_order() {
     fn prop(order: Vec<u8>) -> bool {
+        let numbers: Vec<u32> = order.into_iter().map(|n| u32::from(n % 8) + 1).collect();
         let mut known = KnownOrigins::default();
-        for number in &order {
-            let number = u32::from(number % 8) + 1;
-            known.keep(Millis(0), key(1), of_try(&format!("v{number}"), number));
+        for number in &numbers {
+            known.keep(Millis(0), key(1), of_try(&format!("v{number}"), *number));
         }
-        let latest = order.iter().map(|number| u32::from(number % 8) + 1).max();
-        known.find(Millis(0), &key(1)).map(|origin| origin.number) == latest
+        let latest = numbers.iter().max();
+        known.find(Millis(0), &key(1)).map(|origin| &origin.number) == latest
     }
     quickcheck(prop as fn(Vec<u8>) -> bool);
 }
