Score an output only once it is recorded as complete

The request went out at the last event, while the output was still being written to the disks. If the leader was lost in between, the next one generated the item again, although its scorer had been called: an answer to that first call, late on a reused connection, would have been the score of another text (MIXED), and work was done twice. The request now follows the record of the complete output in the replicated table, so an item that was sent for scoring is never generated again, by design. Price: one entry of the log and its commit between output and request.

--- a/crates/dandelion-daemon/src/stores/runner/adopt.rs
+++ b/crates/dandelion-daemon/src/stores/runner/adopt.rs
@@ -19,7 +19,6 @@
 use crate::stores::run::Output;
 use crate::stores::runner::OpenJob;
 use crate::stores::runner::Runner;
-use crate::stores::runner::scoring::UnscoredResult;
 
 /// Time for which a job is retained after this daemon first saw it in the table during its term.
 const RETENTION: Millis = Millis(150_000);
@@ -106,7 +105,7 @@
             kept,
         });
         for (item, result) in unscored {
-            self.score_item(id, item, UnscoredResult::new(result, true));
+            self.score_item(id, item, result);
         }
     }
 
--- a/crates/dandelion-daemon/src/stores/runner/mod.rs
+++ b/crates/dandelion-daemon/src/stores/runner/mod.rs
@@ -31,6 +31,7 @@
 use dandelion_batch::scoring::ScoringQueue;
 use dandelion_net::clock;
 use dandelion_protocol::batch::BatchJob;
+use dandelion_protocol::batch::ListedResult;
 use dandelion_protocol::batch::Partial;
 use dandelion_protocol::config::Role;
 use dandelion_protocol::ids::Revision;
@@ -51,7 +52,6 @@
 use crate::stores::orders::LoadOrder;
 use crate::stores::run::Output;
 use crate::stores::run::RunEnd;
-use crate::stores::runner::scoring::UnscoredResult;
 
 /// Longest time without an event for the scheduler; after it the scheduler gets a tick.
 const TICK: Duration = Duration::from_millis(25);
@@ -73,8 +73,8 @@
     Ordered(LoadOrder, OrderOutcome),
     /// Permits for an engine, if there were any, and the time until there may be further ones.
     Permitted(UpstreamIncarnation, Option<Permits>, Millis),
-    /// Enough disks have the output of an item that is to be scored.
-    Stored(String, usize),
+    /// The output of an item of a job is stored and recorded as complete, and is to be scored.
+    Completed(String, usize, ListedResult),
     ScoringEnded(CallId, Outcome),
 }
 
@@ -85,8 +85,8 @@
     opened_at: Millis,
     /// Outputs of interrupted runs, by index of the item.
     outputs: HashMap<usize, Output>,
-    /// Results that are not stored or not scored yet, by index of the item.
-    unscored: HashMap<usize, UnscoredResult>,
+    /// Results that are not scored yet, by index of the item.
+    unscored: HashMap<usize, ListedResult>,
 }
 
 /// A run in progress.
@@ -258,7 +258,7 @@
                 permits,
                 wait,
             }),
-            TaskMessage::Stored(job, item) => self.output_stored(job, item),
+            TaskMessage::Completed(job, item, result) => self.score_item(&job, item, result),
             TaskMessage::ScoringEnded(call, outcome) => self.finish_scoring(call, outcome),
         }
     }
--- a/crates/dandelion-daemon/src/stores/runner/results.rs
+++ b/crates/dandelion-daemon/src/stores/runner/results.rs
@@ -24,7 +24,7 @@
 use crate::stores::runner::ActiveRun;
 use crate::stores::runner::Runner;
 use crate::stores::runner::TaskMessage;
-use crate::stores::runner::scoring::UnscoredResult;
+use crate::stores::runner::scoring::record_complete;
 use crate::stores::texts;
 
 /// Delay before a result body that too few disks stored is replicated again.
@@ -97,8 +97,8 @@
     }
 
     /// Replicates an output to enough disks, then lists it as the result of its item. An output that
-    /// needs a score is scored meanwhile, and listed once it has it.
-    pub(super) fn publish_result(&mut self, item: usize, key: TextKey, output: Output) {
+    /// needs a score is recorded as complete instead, and then scored.
+    pub(super) fn publish_result(&self, item: usize, key: TextKey, output: Output) {
         let core = self.core.clone();
         let term = self.term;
         let messages = self.messages.clone();
@@ -115,20 +115,17 @@
         let text = output.text;
         let open = self.jobs.get(&job);
         let is_scored = open.is_some_and(|open| open.job.items[item].scoring.is_some());
-        if is_scored {
-            let unscored = UnscoredResult::new(result.clone(), false);
-            self.score_item(&job, item, unscored);
-        }
         task::spawn(async move {
             let entry = TextEntry { key, text };
             while core.stores.leader_term(Millis::ZERO) == Some(term) {
                 if texts::replicate(&core, entry.clone()).await {
                     drop(entry);
-                    if is_scored {
-                        // The runner is gone if its term is over.
-                        let _gone = messages.send(TaskMessage::Stored(job, item)).await;
-                    } else {
+                    if !is_scored {
                         list_result(&core, term, job, result).await;
+                    } else if record_complete(&core, term, &job, &result).await {
+                        let completed = TaskMessage::Completed(job, item, result);
+                        // The runner is gone if its term is over.
+                        let _gone = messages.send(completed).await;
                     }
                     return;
                 }
--- a/crates/dandelion-daemon/src/stores/runner/scoring.rs
+++ b/crates/dandelion-daemon/src/stores/runner/scoring.rs
@@ -30,33 +30,15 @@
 use crate::stores::runner::results::list_result;
 use crate::stores::runner::view::route_of;
 
-/// A result that is listed once its output is stored and scored.
-pub(super) struct UnscoredResult {
-    result: ListedResult,
-    /// Whether enough disks have the output.
-    is_stored: bool,
-}
-
-impl UnscoredResult {
-    pub(super) fn new(result: ListedResult, is_stored: bool) -> Self {
-        Self { result, is_stored }
-    }
-
-    /// Returns the result once it can be listed.
-    fn to_list(&self) -> Option<ListedResult> {
-        let is_complete = self.is_stored && self.result.score.is_some();
-        is_complete.then(|| self.result.clone())
-    }
-}
-
 impl Runner {
-    /// Queues the request that scores an item, whose output is complete.
-    pub(super) fn score_item(&mut self, job: &str, item: usize, unscored: UnscoredResult) {
+    /// Queues the request that scores an item, whose output is recorded as complete: whatever happens
+    /// to this daemon, the item isn't generated again, so that the score is that of the listed output.
+    pub(super) fn score_item(&mut self, job: &str, item: usize, result: ListedResult) {
         let Some(open) = self.jobs.get_mut(job) else {
             return;
         };
         let batch = Arc::clone(&open.job);
-        open.unscored.insert(item, unscored);
+        open.unscored.insert(item, result);
         let route = batch.items[item].scoring.as_ref();
         let route = route.and_then(|request| self.scoring_route(request));
         self.scoring.set_route(job, item, route);
@@ -111,22 +93,6 @@
         self.advance_scoring();
     }
 
-    /// Notes that enough disks have the output of an item.
-    pub(super) fn output_stored(&mut self, job: String, item: usize) {
-        let open = self.jobs.get_mut(&job);
-        let Some(unscored) = open.and_then(|open| open.unscored.get_mut(&item)) else {
-            return;
-        };
-        unscored.is_stored = true;
-        if unscored.result.score.is_some() {
-            self.list_scored(job, item);
-            return;
-        }
-        let result = unscored.result.clone();
-        let (core, term) = (self.core.clone(), self.term);
-        task::spawn(async move { record_complete(&core, term, job, result).await });
-    }
-
     /// Cancels the scoring requests of a job that was ended.
     pub(super) fn end_scoring(&mut self, job: &str) {
         let mut actions = Vec::new();
@@ -164,11 +130,7 @@
                         tries = tries
                     );
                     self.core.metrics.observe_scored(waited, tries);
-                    let open = self.jobs.get_mut(&job);
-                    if let Some(unscored) = open.and_then(|open| open.unscored.get_mut(&item)) {
-                        unscored.result.score = Some(score);
-                    }
-                    self.list_scored(job, item);
+                    self.list_scored(job, item, score);
                 }
                 ScoringAction::GiveUp { job, item, reason } => {
                     if let Some(open) = self.jobs.get_mut(&job) {
@@ -207,15 +169,13 @@
         self.scoring_calls.insert(call, abort);
     }
 
-    /// Lists an item if its output is stored and scored.
-    fn list_scored(&mut self, job: String, item: usize) {
-        let Some(open) = self.jobs.get_mut(&job) else {
-            return;
-        };
-        let Some(result) = open.unscored.get(&item).and_then(UnscoredResult::to_list) else {
+    /// Lists an item with its score.
+    fn list_scored(&mut self, job: String, item: usize, score: String) {
+        let open = self.jobs.get_mut(&job);
+        let Some(mut result) = open.and_then(|open| open.unscored.remove(&item)) else {
             return;
         };
-        open.unscored.remove(&item);
+        result.score = Some(score);
         let (core, term) = (self.core.clone(), self.term);
         task::spawn(async move { list_result(&core, term, job, result).await });
     }
@@ -252,12 +212,22 @@
     outcome
 }
 
-/// Records a complete output, so that the next leader scores it and doesn't generate it again.
-async fn record_complete(core: &Handle, term: Term, job: String, result: ListedResult) {
-    let command = BatchCommand::Complete { job, result };
+/// Records a complete output; tries again until it is recorded or this daemon no longer leads in
+/// `term`. Returns whether it is recorded.
+pub(super) async fn record_complete(
+    core: &Handle,
+    term: Term,
+    job: &str,
+    result: &ListedResult,
+) -> bool {
+    let command = BatchCommand::Complete {
+        job: job.to_owned(),
+        result: result.clone(),
+    };
     while core.stores.leader_term(Millis::ZERO) == Some(term) {
         if core.stores.change(&command).await.is_ok() {
-            return;
+            return true;
         }
     }
+    false
 }
