Count complete groups of scored jobs as they change

The order of the scoring queue counted the complete groups of a job anew for each waiting output: 900 outputs in 450 groups took a leader 405,000 steps for each answer. Nothing is ranked while no service has room.

--- a/crates/dandelion-batch/src/scoring/priority.rs
+++ b/crates/dandelion-batch/src/scoring/priority.rs
@@ -14,12 +14,20 @@
     unscored: u32,
 }
 
+impl Rest {
+    fn is_none(self) -> bool {
+        self == Self::default()
+    }
+}
+
 /// How far the groups of a job are.
 #[derive(Debug, Clone)]
 pub struct GroupProgress {
     /// Index of the group of each item.
     groups: Vec<usize>,
     rest: Vec<Rest>,
+    /// Number of groups without a rest.
+    complete: usize,
     /// Number of complete groups that the trainer waits for.
     wanted: u32,
     /// When the results are due.
@@ -54,9 +62,11 @@
             rest[group].generating += u32::from(*is_open);
             groups.push(group);
         }
+        let complete = rest.iter().filter(|rest| rest.is_none()).count();
         Self {
             groups,
             rest,
+            complete,
             wanted: job.wanted,
             due,
         }
@@ -64,41 +74,51 @@
 
     /// Counts an item whose output is complete and is to be scored.
     pub fn completed(&mut self, item: usize) {
-        if let Some(rest) = self.rest_of(item) {
+        self.change(item, |rest| {
             rest.generating = rest.generating.saturating_sub(1);
             rest.unscored += 1;
-        }
+        });
     }
 
     /// Counts an item that was given up before its output was complete.
     pub fn skipped(&mut self, item: usize) {
-        if let Some(rest) = self.rest_of(item) {
+        self.change(item, |rest| {
             rest.generating = rest.generating.saturating_sub(1);
-        }
+        });
     }
 
     /// Counts an item that was scored, or given up after its output was complete.
     pub fn settled(&mut self, item: usize) {
-        if let Some(rest) = self.rest_of(item) {
-            rest.unscored = rest.unscored.saturating_sub(1);
-        }
+        self.change(item, |rest| rest.unscored = rest.unscored.saturating_sub(1));
     }
 
     /// Returns the priority of the request that scores an item.
     pub fn priority(&self, item: usize) -> Priority {
         let rest = self.groups.get(item).map(|group| self.rest[*group]);
         let rest = rest.unwrap_or_default();
-        let complete = self.rest.iter().filter(|r| **r == Rest::default()).count();
         Priority {
-            is_surplus: complete >= self.wanted as usize,
+            is_surplus: self.complete >= self.wanted as usize,
             is_generating: rest.generating > 0,
             due: self.due,
             missing: rest.generating + rest.unscored,
         }
     }
 
-    fn rest_of(&mut self, item: usize) -> Option<&mut Rest> {
-        let group = *self.groups.get(item)?;
-        self.rest.get_mut(group)
+    /// Changes what is left of an item's group.
+    fn change<F>(&mut self, item: usize, change: F)
+    where
+        F: FnOnce(&mut Rest),
+    {
+        let group = self.groups.get(item);
+        let Some(rest) = group.and_then(|group| self.rest.get_mut(*group)) else {
+            return;
+        };
+        let was_complete = rest.is_none();
+        change(rest);
+        match (was_complete, rest.is_none()) {
+            (false, true) => self.complete += 1,
+            (true, false) => self.complete -= 1,
+            (true, true) | (false, false) => (),
+        }
     }
 }
--- a/crates/dandelion-batch/src/scoring/queue.rs
+++ b/crates/dandelion-batch/src/scoring/queue.rs
@@ -290,6 +290,9 @@
     /// Sends what may be sent now, and gives up what was kept for too long.
     pub fn advance(&mut self, now: Millis, actions: &mut Vec<ScoringAction>) {
         self.expire(now, actions);
+        if !self.shares.values().any(CallShare::has_room) {
+            return;
+        }
         for (_, id, index) in self.ready(now) {
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
