--- a/crates/dandelion-route/src/origins.rs
+++ b/crates/dandelion-route/src/origins.rs
@@ -30,7 +30,7 @@
     /// arrives first.
     pub fn keep(&mut self, now: Millis, key: StreamKey, mut origin: StreamOrigin) {
         if let Some((known, _)) = self.origins.get(&key) {
-            if !known.is_same(&origin) && known.number >= origin.number {
+            if !known.is_same(&origin) && known.number > origin.number {
                 return;
             }
             origin.number = origin.number.max(known.number);
--- a/crates/dandelion-route/tests/origins.rs
+++ b/crates/dandelion-route/tests/origins.rs
@@ -72,3 +72,12 @@
     }
     quickcheck(prop as fn(Vec<u8>) -> bool);
 }
+
+/// Entries of an earlier version number no tries.
+#[test]
+fn unnumbered_tries() {
+    let mut known = KnownOrigins::default();
+    known.keep(Millis(0), key(1), origin("v1"));
+    known.keep(Millis(10), key(1), origin("v2"));
+    assert_eq!(known.find(Millis(10), &key(1)), Some(&origin("v2")));
+}
