Place items once for all events that have arrived

Cause: the scheduler looked at every engine, item and load after each event.

Test events_share_pass (new call, so not seen failing).

--- a/crates/dandelion-batch/src/scheduler/machine.rs
+++ b/crates/dandelion-batch/src/scheduler/machine.rs
@@ -70,6 +70,16 @@
 
     /// Handles an event at `now` and appends the resulting actions to `actions`.
     pub fn handle(&mut self, now: Millis, event: Event<'_>, actions: &mut Vec<Action>) {
+        if self.record(now, event, actions) {
+            self.advance(now, actions);
+        }
+    }
+
+    /// Handles an event like [`Self::handle`], but starts no runs or loads. Returns whether
+    /// [`Self::advance`] may start some now. It looks at all engines and items, so it is called once
+    /// for all events that have arrived: with thousands of engines their reports alone would
+    /// otherwise take a core.
+    pub fn record(&mut self, now: Millis, event: Event<'_>, actions: &mut Vec<Action>) -> bool {
         match event {
             Event::Opened {
                 job,
@@ -97,7 +107,7 @@
                     item.keep(now, output);
                 }
                 // The end of the run, which follows, places the item again.
-                return;
+                return false;
             }
             Event::Routed { job, service } => self.set_service(job, service),
             Event::Ended(job) => self.end_job(job, actions),
@@ -129,7 +139,7 @@
             Event::Progress { run, speed } => {
                 self.record_progress(now, run, speed.event_interval(), actions);
                 // Progress frees no slot, so there is nothing new to schedule.
-                return;
+                return false;
             }
             Event::RunEnded { run, outcome } => self.end_run(now, run, &outcome, actions),
             Event::OrderEnded {
@@ -145,10 +155,11 @@
             }
             Event::Tick => (),
         }
-        self.advance(now, actions);
+        true
     }
 
-    fn advance(&mut self, now: Millis, actions: &mut Vec<Action>) {
+    /// Starts the loads and runs that are possible now.
+    pub fn advance(&mut self, now: Millis, actions: &mut Vec<Action>) {
         for engine in self.engines.values_mut() {
             engine.finish_load(now);
         }
--- a/crates/dandelion-batch/tests/scheduler.rs
+++ b/crates/dandelion-batch/tests/scheduler.rs
@@ -152,6 +152,32 @@
     assert_eq!(next[0].2, started[0].2);
 }
 
+/// Ends of runs and reports that arrive together start nothing one by one, and everything at the end.
+#[test]
+fn events_share_pass() {
+    let mut harness = Harness::open(10);
+    let started = runs(&harness.submit(&job("j", &[100; 100], 1, 50)));
+    assert_eq!(started.len(), 40);
+    let mut actions = Vec::new();
+    for (run, _, _) in &started {
+        let outcome = finished();
+        let ended = Event::RunEnded { run: *run, outcome };
+        assert!(harness.scheduler.record(harness.now, ended, &mut actions));
+    }
+    let later = report(3, 1);
+    let reported = Event::Reported(&later);
+    assert!(
+        harness
+            .scheduler
+            .record(harness.now, reported, &mut actions)
+    );
+    assert_eq!(actions, []);
+    harness.scheduler.advance(harness.now, &mut actions);
+    assert_eq!(runs(&actions).len(), 40);
+    let full = |n| harness.scheduler.engines()[&life(n).id].runs == SLOTS;
+    assert!((1..=10).all(full));
+}
+
 /// The trainer waits for two of three groups: those with the shortest items go first, and of their
 /// items the longest.
 #[test]
--- a/crates/dandelion-daemon/src/stores/runner/mod.rs
+++ b/crates/dandelion-daemon/src/stores/runner/mod.rs
@@ -126,6 +126,8 @@
     leaving_version: u64,
     /// Whether the view was new enough to choose engines by it.
     is_current: bool,
+    /// Whether the scheduler has recorded events that may make runs or loads possible.
+    is_advanceable: bool,
     messages: Sender<TaskMessage>,
     /// When the control daemons were last notified that this daemon leads.
     last_announced: Millis,
@@ -171,6 +173,7 @@
             limits_version: 0,
             leaving_version: 0,
             is_current: false,
+            is_advanceable: false,
             messages,
             last_announced: Millis::ZERO,
         }
@@ -183,6 +186,7 @@
             && !self.core.is_stopping()
         {
             self.refresh();
+            self.advance();
             if self.is_due() {
                 self.announce_leader();
                 self.expire();
@@ -216,6 +220,7 @@
         while let Ok(event) = events.try_recv() {
             self.handle_event(event);
         }
+        self.advance();
         self.advance_scoring();
     }
 
@@ -286,10 +291,25 @@
         }
     }
 
+    /// Passes an event to the scheduler. What it makes possible is started by [`Self::advance`].
     fn handle(&mut self, event: Event<'_>) {
         let mut actions = Vec::new();
-        self.scheduler
-            .handle(clock::boot_now(), event, &mut actions);
+        let now = clock::boot_now();
+        self.is_advanceable |= self.scheduler.record(now, event, &mut actions);
+        self.execute_all(actions);
+    }
+
+    /// Starts the runs and loads that the events since the previous call make possible.
+    fn advance(&mut self) {
+        if !std::mem::take(&mut self.is_advanceable) {
+            return;
+        }
+        let mut actions = Vec::new();
+        self.scheduler.advance(clock::boot_now(), &mut actions);
+        self.execute_all(actions);
+    }
+
+    fn execute_all(&mut self, actions: Vec<Action>) {
         for action in actions {
             self.execute(action);
         }
