Limit the loads at a time to what the engines' loads bear

Cause: a fifth of the engines may load at a time. What the loads share doesn't grow with the engines (12 at a time are free of slowdown on the large site, with 59 engines and with 998): at a thousand engines 200 loads ran at once, took many times the expected second, and the scheduler took the engines for loaded.

LoadLimit learns the number: 16 at first, a tenth more each second while loads end when expected, 0.7 of it if more than one of four was late, at most a fifth of the engines as before. An engine whose load should have ended gets one run until that begins or a report shows the version (before: all its slots), and the expected end of a late load is put off by 100 ms, doubled each time.

--- a/crates/dandelion-batch/src/scheduler/engine.rs
+++ b/crates/dandelion-batch/src/scheduler/engine.rs
@@ -30,8 +30,11 @@
 /// is taken to be still running.
 const LOAD_SLACK: Millis = Millis(1_000);
 
+/// Time after the expected end of a load in which another sign that it is still running counts.
+const MAX_LATENESS: Millis = Millis(3_000);
+
 /// When a refused run shows that a load is still running, the load is expected to last at least
-/// this much longer.
+/// this much longer; doubles with each further refusal.
 const LOAD_EXTENSION: Millis = Millis(100);
 
 /// A load of a version in progress.
@@ -45,6 +48,10 @@
     pub since: Millis,
     /// Expected end; before the order is accepted, when the order counts as lost.
     pub until: Millis,
+    /// Whether it is known to have taken longer than expected.
+    pub is_late: bool,
+    /// Number of times that its expected end was put off.
+    pub extensions: u32,
 }
 
 /// An engine as the scheduler sees it.
@@ -68,6 +75,8 @@
     pub loading: Option<Loading>,
     /// Latest load whose expected end has passed.
     loaded: Option<Loading>,
+    /// Whether neither a run nor a report has shown that the latest load has ended.
+    is_unproven: bool,
     /// Time before which no order is sent.
     pub order_after: Millis,
     /// Moving average of the event interval in milliseconds, and when it was last measured.
@@ -94,6 +103,7 @@
             tokens: 0,
             loading: None,
             loaded: None,
+            is_unproven: false,
             order_after: Millis::ZERO,
             interval: None,
             paused_until: Millis::ZERO,
@@ -189,7 +199,8 @@
 
     /// Returns whether it may have a sufficient version of a model and is not loading that model; a
     /// load blocks only runs of its own model. An engine that has not reported its version of the
-    /// model gets a single run, whose answer names the version.
+    /// model gets a single run, whose answer names the version; so does one whose load should have
+    /// ended, because it may take longer.
     pub fn may_serve(&self, now: Millis, model: Option<&str>, min_version: u64) -> bool {
         let Some(model) = model else {
             return true;
@@ -201,7 +212,10 @@
         if loads {
             return false;
         }
+        let is_loaded = |load: &Loading| load.model == model;
+        let is_unproven = self.is_unproven && self.loaded.as_ref().is_some_and(is_loaded);
         match self.versions.get(model) {
+            Some(_) if is_unproven && self.runs_of(model) > 0 => false,
             Some(version) => *version >= min_version,
             None => self.runs_of(model) == 0,
         }
@@ -251,15 +265,41 @@
         self.interval = Some((average + INTERVAL_WEIGHT * (interval - average), now));
     }
 
-    /// Ends a load whose expected end has passed: the engine is assumed to have the version.
-    pub fn finish_load(&mut self, now: Millis) {
-        if let Some(loading) = self.loading.take_if(|l| now >= l.until) {
-            let known = self.versions.entry(loading.model.clone()).or_insert(1);
-            *known = (*known).max(loading.version);
-            self.loaded = Some(loading);
+    /// Ends a load whose expected end has passed: the engine is assumed to have the version. Returns
+    /// whether one has ended for the first time.
+    pub fn finish_load(&mut self, now: Millis) -> bool {
+        let Some(loading) = self.loading.take_if(|l| now >= l.until) else {
+            return false;
+        };
+        let known = self.versions.entry(loading.model.clone()).or_insert(1);
+        *known = (*known).max(loading.version);
+        let is_first = !loading.is_late;
+        self.loaded = Some(loading);
+        self.is_unproven = true;
+        is_first
+    }
+
+    /// Records that the engine runs items of a model with this version or a newer one.
+    pub fn prove_load(&mut self, model: &str, version: u64) {
+        let ends = |load: &Loading| load.model == model && version >= load.version;
+        if self.loaded.as_ref().is_some_and(ends) {
+            self.is_unproven = false;
         }
     }
 
+    /// Records that the latest load, whose expected end has passed, is still running. Returns whether
+    /// that wasn't known before.
+    pub fn mark_late(&mut self, now: Millis) -> bool {
+        let recent = self
+            .loaded
+            .as_mut()
+            .filter(|l| now < l.until + MAX_LATENESS && !l.is_late);
+        recent.is_some_and(|load| {
+            load.is_late = true;
+            true
+        })
+    }
+
     /// Treats a refused run as a sign that the load of its model is still running, if one is in
     /// progress or should have ended shortly before. Returns the time that the load has taken so
     /// far, or `None` if there is no such load.
@@ -270,8 +310,10 @@
             Some(_) => return None,
             None => self.loaded.take_if(is_recent)?,
         };
-        loading.until = loading.until.max(now + LOAD_EXTENSION);
         let elapsed = Millis(now.0.saturating_sub(loading.since.0));
+        let extension = Millis(LOAD_EXTENSION.0 << loading.extensions.min(4));
+        loading.until = loading.until.max(now + extension);
+        loading.extensions += 1;
         self.loading = Some(loading);
         Some(elapsed)
     }
--- a/crates/dandelion-batch/src/scheduler/machine.rs
+++ b/crates/dandelion-batch/src/scheduler/machine.rs
@@ -19,6 +19,7 @@
 use crate::scheduler::permits;
 use crate::scheduler::placement;
 use crate::scheduler::weight_loads;
+use crate::scheduler::weight_loads::LoadLimit;
 use crate::scheduler::weight_loads::LoadTime;
 use crate::scheduler::weight_loads::Need;
 use crate::scheduler::weight_loads::TargetVersion;
@@ -49,6 +50,7 @@
     /// Number of items of the largest step of each model.
     step_sizes: BTreeMap<String, usize>,
     load_time: LoadTime,
+    load_limit: LoadLimit,
     last_run: u64,
 }
 
@@ -150,7 +152,8 @@
             } => {
                 if let Some(engine) = self.engines.get_mut(engine) {
                     let load = (model, version);
-                    weight_loads::record_outcome(now, engine, load, outcome, &mut self.load_time);
+                    let (time, limit) = (&mut self.load_time, &mut self.load_limit);
+                    weight_loads::record_outcome(now, engine, load, outcome, time, limit);
                 }
             }
             Event::Tick => (),
@@ -161,10 +164,13 @@
     /// Starts the loads and runs that are possible now.
     pub fn advance(&mut self, now: Millis, actions: &mut Vec<Action>) {
         for engine in self.engines.values_mut() {
-            engine.finish_load(now);
+            if engine.finish_load(now) {
+                self.load_limit.record_end();
+            }
         }
         let needs = self.needs();
-        let loads = weight_loads::choose_loads(now, &mut self.engines, &self.targets, &needs);
+        let (engines, limit) = (&mut self.engines, &mut self.load_limit);
+        let loads = weight_loads::choose_loads(now, engines, &self.targets, &needs, limit);
         actions.extend(loads.into_iter().map(|load| Action::Order {
             keep: !needs.get(&load.model).is_some_and(|need| need.pure),
             engine: load.engine,
@@ -277,6 +283,8 @@
         if let (Some(model), Some(job)) = (&run.model, self.jobs.get(&run.job)) {
             let known = engine.versions.entry(model.clone()).or_insert(1);
             *known = (*known).max(job.min_version);
+            let known = *known;
+            engine.prove_load(model, known);
         }
     }
 
@@ -392,6 +400,7 @@
             if loaded {
                 engine.loading = None;
             }
+            engine.prove_load(model, *version);
             engine.versions.insert(model.clone(), *version);
         }
     }
@@ -467,6 +476,9 @@
                 }
             }
             RunOutcome::Refused => {
+                if engine.mark_late(now) {
+                    self.load_limit.record_late();
+                }
                 let elapsed = model.and_then(|model| engine.extend_load(now, &model));
                 match elapsed {
                     Some(elapsed) => self.load_time.raise(elapsed),
--- a/crates/dandelion-batch/src/scheduler/weight_loads.rs
+++ b/crates/dandelion-batch/src/scheduler/weight_loads.rs
@@ -77,6 +77,74 @@
     }
 }
 
+/// Initial limit on the loads at a time in a cell with many engines.
+const INITIAL_LIMIT: f64 = 16.0;
+
+/// Lowest limit.
+const MIN_LIMIT: f64 = 4.0;
+
+/// Time between two changes of the limit, in which loads started under it end.
+const LIMIT_PERIOD: Millis = Millis(1_000);
+
+/// Factor by which the limit grows while loads end when they are expected to.
+const LIMIT_GROWTH: f64 = 1.1;
+
+/// Factor by which it shrinks otherwise.
+const LIMIT_FACTOR: f64 = 0.7;
+
+/// The limit shrinks if more than one of this many loads took longer than expected.
+const LATE_RATIO: u32 = 4;
+
+/// Limit on the loads at a time in a cell with hundreds of engines. What loads share, such as the
+/// store that they read from, doesn't grow with the number of engines, so the limit is learnt: it
+/// grows while loads end when they are expected to.
+#[derive(Debug, Clone, Copy)]
+pub struct LoadLimit {
+    limit: f64,
+    /// Loads since the latest change whose expected end has passed.
+    ended: u32,
+    /// Loads since then that were still running after it.
+    late: u32,
+    changed: Millis,
+}
+
+impl Default for LoadLimit {
+    fn default() -> Self {
+        Self {
+            limit: INITIAL_LIMIT,
+            ended: 0,
+            late: 0,
+            changed: Millis::ZERO,
+        }
+    }
+}
+
+impl LoadLimit {
+    /// Counts a load whose expected end has passed.
+    pub fn record_end(&mut self) {
+        self.ended += 1;
+    }
+
+    /// Counts a load that is still running after its expected end.
+    pub fn record_late(&mut self) {
+        self.late += 1;
+    }
+
+    /// Returns the number of loads that may run at a time on this number of engines.
+    fn loads(&mut self, now: Millis, engines: usize) -> usize {
+        let most = ((engines + ENGINES_PER_LOAD / 2) / ENGINES_PER_LOAD).max(1);
+        if now >= self.changed + LIMIT_PERIOD && self.ended > 0 {
+            let is_slow = self.late * LATE_RATIO > self.ended;
+            let factor = if is_slow { LIMIT_FACTOR } else { LIMIT_GROWTH };
+            // A lower number of engines doesn't make the limit forget what it has learnt.
+            let highest = (most as f64).max(INITIAL_LIMIT);
+            self.limit = (self.limit * factor).clamp(MIN_LIMIT, highest);
+            (self.ended, self.late, self.changed) = (0, 0, now);
+        }
+        most.min(self.limit as usize)
+    }
+}
+
 /// A load to be ordered.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Load {
@@ -114,8 +182,8 @@
 
 /// Chooses the engines that are to load now.
 ///
-/// Only about a fifth of the engines may load at a time, since more loads slow each other down, and
-/// several models share these loads. The model with the lowest coverage comes first. Of the
+/// Only about a fifth of the engines may load at a time, and no more than the limit, since more loads
+/// slow each other down, and several models share these loads. The model with the lowest coverage comes first. Of the
 /// engines, those whose version is too old for the current step come first: they load while they
 /// are of no use to the model, and can serve two steps afterwards.
 pub fn choose_loads(
@@ -123,10 +191,11 @@
     engines: &mut BTreeMap<UpstreamId, Engine>,
     targets: &BTreeMap<String, TargetVersion>,
     needs: &BTreeMap<String, Need>,
+    limit: &mut LoadLimit,
 ) -> Vec<Load> {
     let loading = engines.values().filter(|e| e.is_loading(now)).count();
     let serving = engines.values().filter(|e| !e.versions.is_empty()).count();
-    let limit = ((serving + ENGINES_PER_LOAD / 2) / ENGINES_PER_LOAD).max(1);
+    let limit = limit.loads(now, serving);
     let mut loads = Vec::new();
     for _ in loading..limit {
         let Some((id, model, version)) = next_load(now, engines, targets, needs) else {
@@ -139,6 +208,8 @@
                 version,
                 since: now,
                 until: now + ORDER_TIMEOUT,
+                is_late: false,
+                extensions: 0,
             });
             loads.push(Load {
                 engine: engine.life.clone(),
@@ -250,6 +321,7 @@
     load: (&str, u64),
     outcome: OrderOutcome,
     load_time: &mut LoadTime,
+    limit: &mut LoadLimit,
 ) {
     let (model, version) = load;
     engine.order_after = now + MIN_ORDER_GAP;
@@ -260,6 +332,8 @@
                 version,
                 since: now,
                 until: now + load_time.next_estimate(),
+                is_late: false,
+                extensions: 0,
             });
         }
         OrderOutcome::Holds => {
@@ -267,6 +341,9 @@
             engine.versions.insert(model.to_owned(), version);
         }
         OrderOutcome::Busy => {
+            if engine.mark_late(now) {
+                limit.record_late();
+            }
             engine.loading = None;
             engine.order_after = now + BUSY_DELAY;
         }
