Test a loaded engine by a run that began after the load

Cause: since an engine whose load should have ended gets one run of the model until that begins. Runs that go on through a load counted as that run, so the engine got no other until they ended or a report came, up to two seconds later.

Test load_beside_run: no run after the load without the change, one with it, and the rest once that begins. loads_within_bounds holds.

--- a/crates/dandelion-batch/src/scheduler/engine.rs
+++ b/crates/dandelion-batch/src/scheduler/engine.rs
@@ -77,6 +77,8 @@
     loaded: Option<Loading>,
     /// Whether neither a run nor a report has shown that the latest load has ended.
     is_unproven: bool,
+    /// Whether a run that can show it was sent. Runs that began before the load can't.
+    is_tested: bool,
     /// Time before which no order is sent.
     pub order_after: Millis,
     /// Moving average of the event interval in milliseconds, and when it was last measured.
@@ -104,6 +106,7 @@
             loading: None,
             loaded: None,
             is_unproven: false,
+            is_tested: false,
             order_after: Millis::ZERO,
             interval: None,
             paused_until: Millis::ZERO,
@@ -168,6 +171,7 @@
         self.tokens = self.tokens.saturating_add(tokens);
         if let Some(model) = model {
             *self.by_model.entry(model.to_owned()).or_insert(0) += 1;
+            self.is_tested |= self.is_unproven(model);
         }
         self.probing = self.failures > 0 || self.refusals > 0;
     }
@@ -180,6 +184,15 @@
             *runs = runs.saturating_sub(1);
         }
         self.probing = false;
+        if model.is_some_and(|model| self.is_unproven(model)) {
+            self.is_tested = false;
+        }
+    }
+
+    /// Returns whether the latest load was one of the model and has not been shown to have ended.
+    fn is_unproven(&self, model: &str) -> bool {
+        let is_loaded = |load: &Loading| load.model == model;
+        self.is_unproven && self.loaded.as_ref().is_some_and(is_loaded)
     }
 
     /// Returns the number of runs in progress of a model.
@@ -212,10 +225,8 @@
         if loads {
             return false;
         }
-        let is_loaded = |load: &Loading| load.model == model;
-        let is_unproven = self.is_unproven && self.loaded.as_ref().is_some_and(is_loaded);
         match self.versions.get(model) {
-            Some(_) if is_unproven && self.runs_of(model) > 0 => false,
+            Some(_) if self.is_tested && self.is_unproven(model) => false,
             Some(version) => *version >= min_version,
             None => self.runs_of(model) == 0,
         }
@@ -275,7 +286,7 @@
         *known = (*known).max(loading.version);
         let is_first = !loading.is_late;
         self.loaded = Some(loading);
-        self.is_unproven = true;
+        (self.is_unproven, self.is_tested) = (true, false);
         is_first
     }
 
--- a/crates/dandelion-batch/tests/scheduler.rs
+++ b/crates/dandelion-batch/tests/scheduler.rs
@@ -595,6 +595,37 @@
     assert!(harness.now.0 - refused_at.0 <= 150, "{:?}", harness.now);
 }
 
+/// A run that goes on through a load says nothing about its end, and doesn't keep the engine from the
+/// run that does.
+#[test]
+fn load_beside_run() {
+    let mut harness = Harness::open(0);
+    harness.handle(Event::Engines {
+        engines: &[(life(1), Some(1_000_000))],
+        limited: &BTreeSet::new(),
+    });
+    harness.handle(Event::Reported(&two_models(1, 1, 1)));
+    let first = runs(&harness.submit(&job_of("a", "j1", 1, 1)));
+    harness.handle(Event::Began(first[0].0));
+    let named = harness.handle(Event::Named {
+        model: "a",
+        version: 2,
+    });
+    assert_eq!(orders(&named).len(), 1);
+    harness.handle(Event::OrderEnded {
+        engine: &"e1".parse().unwrap(),
+        model: "a",
+        version: 2,
+        outcome: OrderOutcome::Accepted,
+    });
+    assert!(runs(&harness.submit(&job_of("a", "j2", 3, 2))).is_empty());
+    let probe = runs(&harness.tick(1_100));
+    assert_eq!(probe.len(), 1);
+    assert!(runs(&harness.tick(25)).is_empty());
+    let rest = runs(&harness.handle(Event::Began(probe[0].0)));
+    assert_eq!(rest.len(), 2);
+}
+
 #[test]
 fn largest_numbers() {
     let mut harness = Harness::open(3);
