--- a/crates/dandelion-batch/src/scheduler/weight_loads.rs
+++ b/crates/dandelion-batch/src/scheduler/weight_loads.rs
@@ -120,7 +120,8 @@
 }
 
 impl LoadLimit {
-    /// Counts a load whose expected end has passed.
+    /// Counts a load whose expected end has passed. One that a report showed to have ended before isn't
+    /// counted.
     pub fn record_end(&mut self) {
         self.ended += 1;
     }
@@ -183,9 +184,9 @@
 /// Chooses the engines that are to load now.
 ///
 /// Only about a fifth of the engines may load at a time, and no more than the limit, since more loads
-/// slow each other down, and several models share these loads. The model with the lowest coverage comes first. Of the
-/// engines, those whose version is too old for the current step come first: they load while they
-/// are of no use to the model, and can serve two steps afterwards.
+/// slow each other down, and several models share these loads. The model with the lowest coverage
+/// comes first. Of the engines, those whose version is too old for the current step come first: they
+/// load while they are of no use to the model, and can serve two steps afterwards.
 pub fn choose_loads(
     now: Millis,
     engines: &mut BTreeMap<UpstreamId, Engine>,
--- a/crates/dandelion-load/src/scenarios/score.rs
+++ b/crates/dandelion-load/src/scenarios/score.rs
@@ -57,7 +57,8 @@
 /// Each such item of a job is one that the service always fails.
 const FAILING_PERIOD: usize = 10;
 /// Probabilities that a scoring request fails once, hangs, is refused, is cut off, gets the answer to
-/// another one, or one without a digest. Items that don't always fail do so less often than given up.
+/// another one, or one without a digest. A request that isn't made to fail always fails less often than
+/// its item would be given up for.
 const FAULT_RATE: f64 = 0.05;
 const JOB_INTERVAL: Duration = Duration::from_millis(1_500);
 const ITEMS: usize = 20;
