Review: two losses in a row end the control group for good (CONFIG)

What breaks: a control daemon is replaced as planned, and another one loses its disk 0.5 s after the new one has had its time to catch up. Two of three voters are then gone; no config is read back and no request served any more.

--- a/review/standins/src/cell.rs
+++ b/review/standins/src/cell.rs
@@ -109,6 +109,12 @@
 /// Time from the end of a process to its next start.
 const RESTART_DELAY: Duration = Duration::from_secs(1);
 
+/// Control daemons, and stores, at the start.
+const CONTROL: u8 = 3;
+
+/// Control daemons, and stores, that may be added.
+const SPARE: u8 = 1;
+
 const ZONES: [&str; 3] = ["za", "zb", "zc"];
 
 fn address(role: Role, number: u8, port: u16) -> SocketAddr {
@@ -121,11 +127,13 @@
         let folder = std::env::temp_dir().join(format!("dandelion-review-{}", std::process::id()));
         fs::create_dir_all(&folder)?;
         let count = |role, count| (1..=count).map(move |number| (role, number));
-        let machines = count(Role::Control, 3)
-            .chain(count(Role::Store, 3))
+        let machines = count(Role::Control, CONTROL)
+            .chain(count(Role::Store, CONTROL))
             .chain(count(Role::Entry, entries));
         let machines: Vec<(Role, u8)> = machines.collect();
-        let ports = free_ports(&machines)?;
+        let spare = [Role::Control, Role::Store];
+        let spare = spare.into_iter().map(|role| (role, CONTROL + SPARE));
+        let ports = free_ports(&machines.iter().copied().chain(spare).collect::<Vec<_>>())?;
         let mut cell = Self {
             folder,
             deploy: fs::read_to_string("deploy/system.toml")?,
@@ -175,9 +183,9 @@
         SocketAddr::from((Ipv4Addr::new(127, 0, 104, 1), self.ports.platform()))
     }
 
-    /// Returns the addresses of the control daemons for operators and upstreams.
+    /// Returns the addresses of the control daemons for operators and upstreams, spare ones included.
     pub fn control(&self) -> Vec<SocketAddr> {
-        (1..=3)
+        (1..=CONTROL + SPARE)
             .map(|n| address(Role::Control, n, self.ports.control()))
             .collect()
     }
@@ -207,7 +215,8 @@
         let line = line.unwrap_or_default().trim_end_matches('"');
         let ip = address(machine.role, machine.number, 0).ip().to_string();
         let listen = |port: u16| format!("{ip}:{port}");
-        let seeds: Vec<String> = self.control().iter().map(ToString::to_string).collect();
+        let seeds = self.control().into_iter().take(usize::from(CONTROL));
+        let seeds: Vec<String> = seeds.map(|s| s.to_string()).collect();
         let name = format!("{}-{}", machine.role.name(), machine.number);
         let folder = self.folder.join(&name).display().to_string();
         let zone = ZONES[usize::from(machine.number - 1) % 3];
@@ -271,6 +280,25 @@
         self.spawn(index)
     }
 
+    /// Adds a machine whose disk is empty to the deployment.
+    pub fn add(&mut self, role: Role, number: u8) -> io::Result<()> {
+        self.machines.push(Machine {
+            role,
+            number,
+            child: None,
+            first: false,
+            killed: None,
+        });
+        self.spawn(self.machines.len() - 1)
+    }
+
+    /// Deletes the disk of a machine whose process has ended.
+    pub fn wipe(&self, role: Role, number: u8) -> io::Result<()> {
+        let name = format!("{}-{number}", role.name());
+        self.record.note(&format!("{name} loses its disk"));
+        fs::remove_dir_all(self.folder.join(name))
+    }
+
     /// Kills a machine's process.
     pub fn kill(&mut self, role: Role, number: u8) -> io::Result<()> {
         let index = self.index(role, number);
@@ -375,6 +403,26 @@
         self.operate(fixtures::REPLACE_PLAN_PATH, plan, Duration::from_secs(20))
     }
 
+    /// Returns the plan as the control daemons read it; none if none of them does within `limit`.
+    pub fn read_plan(&self, limit: Duration) -> Option<Vec<u8>> {
+        let until = Instant::now() + limit;
+        let headers = [("Host".to_owned(), "control".to_owned())];
+        let path = fixtures::REPLACE_PLAN_PATH.replace("Replace", "Read");
+        let request = http::request("GET", &path, &headers, b"");
+        while Instant::now() < until {
+            for address in self.control() {
+                let answer = http::call(address, &request, false, Duration::from_secs(1));
+                if let Ok(answer) = answer.as_ref()
+                    && answer.status() == 200
+                {
+                    return Some(answer.body.clone());
+                }
+            }
+            thread::sleep(Duration::from_millis(200));
+        }
+        None
+    }
+
     /// Waits until an entry says that it is ready.
     pub fn wait_ready(&self, number: u8) -> io::Result<()> {
         let until = Instant::now() + Duration::from_secs(20);
