--- a/review/standins/src/cell.rs
+++ b/review/standins/src/cell.rs
@@ -231,13 +231,17 @@
             ("{{listen.control}}", listen(self.ports.control())),
             ("{{data_directory}}", folder),
             ("{{seeds}}", seeds.join(",")),
-            ("{{initial_bootstrap}}", machine.first.to_string()),
             ("{{tolerate.machines}}", "1".to_owned()),
             ("{{cloud_api.address}}", self.platform().to_string()),
             ("{{bounds.report_window_s}}", "5".to_owned()),
             ("{{bounds.lease_ms}}", "3000".to_owned()),
         ];
+        let mut flag = "";
         let words = line.split(' ').map(|word| {
+            let of_flag = std::mem::replace(&mut flag, word);
+            if of_flag == "--first-start" {
+                return machine.first.to_string();
+            }
             let replaced = values.iter().fold(word.to_owned(), |word, (name, value)| {
                 word.replace(name, value)
             });
