--- a/review/standins/src/bin/planned_stop.rs
+++ b/review/standins/src/bin/planned_stop.rs
@@ -59,9 +59,9 @@
             zone,
             slots,
             cell.control(),
-            move |stream, _| {
+            move |stream, born| {
                 // A broken connection ends its service.
-                let _broken = serve(stream, &arrived);
+                let _broken = serve(stream, born, &arrived);
             },
         )?;
     }
@@ -154,10 +154,10 @@
     http::request("POST", target, &headers, b"body")
 }
 
-fn serve(mut stream: TcpStream, arrived: &Arrived) -> io::Result<()> {
+fn serve(mut stream: TcpStream, born: u64, arrived: &Arrived) -> io::Result<()> {
     while let Some(request) = http::read_message(&mut stream, false)? {
         if request.target() == STATE_PATH {
-            stream.write_all(&http::answer(200, &[], b"{}"))?;
+            stream.write_all(&http::answer(200, &[], &fixtures::engine_report(born)))?;
             continue;
         }
         let id = request.header(headers::ATTEMPT).unwrap_or_default();
--- a/review/standins/src/bin/replaced_voter.rs
+++ b/review/standins/src/bin/replaced_voter.rs
@@ -46,9 +46,9 @@
 fn run(cell: &mut Cell, trouble: bool) -> io::Result<bool> {
     cell.configure(&plan(1)?)?;
     for (name, zone) in [("app-1", "za"), ("app-2", "zb")] {
-        upstream::start(name, "app", zone, 6, cell.control(), |stream, _| {
+        upstream::start(name, "app", zone, 6, cell.control(), |stream, born| {
             // A broken connection ends its service.
-            let _broken = serve(stream);
+            let _broken = serve(stream, born);
         })?;
     }
     cell.wait_ready(1)?;
@@ -134,10 +134,10 @@
         .count()
 }
 
-fn serve(mut stream: TcpStream) -> io::Result<()> {
+fn serve(mut stream: TcpStream, born: u64) -> io::Result<()> {
     while let Some(request) = http::read_message(&mut stream, false)? {
         if request.target() == STATE_PATH {
-            stream.write_all(&http::answer(200, &[], b"{}"))?;
+            stream.write_all(&http::answer(200, &[], &fixtures::engine_report(born)))?;
             continue;
         }
         let id = request.header(headers::ATTEMPT).unwrap_or_default();
--- a/review/standins/src/bin/spoilt_head.rs
+++ b/review/standins/src/bin/spoilt_head.rs
@@ -79,9 +79,9 @@
             zone,
             SLOTS,
             cell.control(),
-            move |stream, _| {
+            move |stream, born| {
                 // A broken connection ends its service.
-                let _broken = serve(stream, &id, is_faulty, &seen, &record);
+                let _broken = serve(stream, born, &id, is_faulty, &seen, &record);
             },
         )?;
     }
@@ -159,6 +159,7 @@
 
 fn serve(
     mut stream: TcpStream,
+    born: u64,
     name: &str,
     is_faulty: bool,
     seen: &Mutex<Seen>,
@@ -166,7 +167,7 @@
 ) -> io::Result<()> {
     while let Some(request) = http::read_message(&mut stream, false)? {
         if request.target() == STATE_PATH {
-            stream.write_all(&http::answer(200, &[], b"{}"))?;
+            stream.write_all(&http::answer(200, &[], &fixtures::engine_report(born)))?;
             continue;
         }
         let item = request.header(headers::ATTEMPT).unwrap_or_default();
--- a/review/standins/src/upstream.rs
+++ b/review/standins/src/upstream.rs
@@ -6,8 +6,6 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::SystemTime;
@@ -23,8 +21,8 @@
 /// Time between two reports.
 const REPORT_PERIOD: Duration = Duration::from_millis(1_200);
 
-/// Starts an upstream that serves each connection by `serve`, which gets the number of the
-/// connection, and reports it to the control daemons from then on.
+/// Starts an upstream that serves each connection by `serve`, which gets the time of the upstream's
+/// start, and reports it to the control daemons from then on.
 pub fn start<F>(
     name: &str,
     service: &str,
@@ -34,7 +32,7 @@
     serve: F,
 ) -> io::Result<UpstreamIncarnation>
 where
-    F: Fn(TcpStream, usize) + Send + Sync + 'static,
+    F: Fn(TcpStream, u64) + Send + Sync + 'static,
 {
     let listener = TcpListener::bind((Ipv4Addr::new(127, 0, 105, 1), 0))?;
     let born = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -51,13 +49,11 @@
         software: SoftwareVersion("v1".to_owned()),
     };
     let serve = Arc::new(serve);
-    let count = AtomicUsize::new(0);
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let serve = Arc::clone(&serve);
-            let number = count.fetch_add(1, Ordering::SeqCst);
             let _nodelay = stream.set_nodelay(true);
-            thread::spawn(move || serve(stream, number));
+            thread::spawn(move || serve(stream, born));
         }
     });
     let reported = life.clone();
