--- a/review/standins/src/bin/late_stream.rs
+++ b/review/standins/src/bin/late_stream.rs
@@ -1,6 +1,7 @@
-//! An item of a batch job that comes again in the next job, at a replica that sends its earlier answer a
+//! Items of a batch job that come again in the next job, at a replica that sends their earlier answers a
 //! second time.
 
+use std::collections::BTreeSet;
 use std::io;
 use std::io::Write;
 use std::net::TcpStream;
@@ -27,19 +28,22 @@
 const SLOTS: u32 = 12;
 
 /// Items of the first job, which only show that all is well.
-const EARLIER: usize = 100;
+const EARLIER: usize = 240;
+
+/// Steps of two jobs each. In some the extra answer comes before that of another item, which is noticed.
+const STEPS: usize = 3;
 
 /// Events of an output.
 const EVENTS: u64 = 10;
 
-/// Event after which a channel is reset under the first run of [`ITEM`].
-const RESET_AFTER: u64 = 5;
+/// Event after which the first run of a [`SHORT`] item breaks off.
+const BROKEN_AFTER: u64 = 5;
 
-/// Item whose channel is reset, and whose second answer comes twice.
-const ITEM: &str = "item-x";
+/// Items of which the first run breaks off and the answer to the second one comes twice, one a step.
+const SHORT: &str = "short";
 
-/// Item of its group that takes long, so that the group comes again in the next job.
-const LONG: &str = "item-w";
+/// Items of their groups that take long, so that the group comes again in the next job.
+const LONG: &str = "long";
 
 /// Events of the long item.
 const LONG_EVENTS: u64 = 2_000;
@@ -47,8 +51,8 @@
 /// Time from an event to the next one.
 const EVENT_TIME: Duration = Duration::from_millis(20);
 
-/// Time from the end of a step to the next one.
-const STEP: Duration = Duration::from_millis(4_500);
+/// Time from the end of a job to the next one.
+const PAUSE: Duration = Duration::from_millis(4_500);
 
 fn main() {
     cell::run(2, run)
@@ -57,10 +61,10 @@
 /// What the replicas share.
 #[derive(Debug, Default)]
 struct Trouble {
-    /// Whether the first run of [`ITEM`] has been reset.
-    is_reset: bool,
-    /// Whether an answer was sent a second time.
-    is_repeated: bool,
+    /// Items whose first run has broken off.
+    broken: BTreeSet<String>,
+    /// Answers that were sent a second time.
+    repeated: usize,
 }
 
 fn run(cell: &mut Cell, trouble: bool) -> io::Result<bool> {
@@ -103,35 +107,39 @@
     let earlier: Vec<(String, String)> = (0..EARLIER)
         .map(|number| (format!("earlier-{number}"), "earlier".to_owned()))
         .collect();
-    submit(cell, "job-0", &earlier)?;
-    wait_results(cell, "job-0", EARLIER)?;
-    end(cell, "job-0")?;
-    thread::sleep(STEP);
-    let item = |id: &str, group: &str| (id.to_owned(), group.to_owned());
-    let step = [
-        item("item-a", "group-a"),
-        item(ITEM, "group-x"),
-        item("item-b", "group-b"),
-        item(LONG, "group-x"),
-    ];
-    submit(cell, "job-1", &step)?;
-    let first = wait_results(cell, "job-1", 3)?;
-    thread::sleep(Duration::from_millis(500));
-    end(cell, "job-1")?;
-    thread::sleep(STEP);
-    submit(
-        cell,
-        "job-2",
-        &[item(ITEM, "group-x"), item(LONG, "group-x")],
-    )?;
-    let second = wait_results(cell, "job-2", 1)?;
-    end(cell, "job-2")?;
-    let is_repeated = state.lock().expect("no replica panics").is_repeated;
-    if trouble && !is_repeated {
+    submit(cell, "job-earlier", &earlier)?;
+    wait_results(cell, "job-earlier", EARLIER)?;
+    end(cell, "job-earlier")?;
+    thread::sleep(PAUSE);
+    let mut jobs = Vec::new();
+    for step in 0..STEPS {
+        let item = |id: &str, group: &str| (format!("{id}-{step}"), format!("{group}-{step}"));
+        let again = [item(SHORT, "group-s"), item(LONG, "group-s")];
+        let [short, long] = again.clone();
+        let first = [
+            item("other-a", "group-a"),
+            short,
+            item("other-b", "group-b"),
+            long,
+        ];
+        let job = format!("job-{step}a");
+        submit(cell, &job, &first)?;
+        jobs.push((job.clone(), wait_results(cell, &job, 3)?));
+        thread::sleep(EVENT_TIME * 10);
+        end(cell, &job)?;
+        thread::sleep(PAUSE);
+        let job = format!("job-{step}b");
+        submit(cell, &job, &again)?;
+        jobs.push((job.clone(), wait_results(cell, &job, 1)?));
+        end(cell, &job)?;
+        thread::sleep(PAUSE);
+    }
+    let repeated = state.lock().expect("no replica panics").repeated;
+    if trouble && repeated == 0 {
         return Err(io::Error::other("no answer was sent a second time"));
     }
     let mut wrong = 0;
-    for (job, results) in [("job-1", first), ("job-2", second)] {
+    for (job, results) in jobs {
         for (id, text) in results {
             let whole: Vec<String> = (1..=EVENTS).map(|event| piece(&id, event)).collect();
             if text != whole.join("\n") {
@@ -234,20 +242,20 @@
                     self.name
                 ));
                 stream.write_all(&bytes)?;
-                self.state.lock().expect("no replica panics").is_repeated = true;
+                self.state.lock().expect("no replica panics").repeated += 1;
             }
             let Some(sent) = self.run_item(&mut stream, &request)? else {
                 return Ok(());
             };
             let is_resumed = request.header(headers::LAST_EVENT).is_some();
-            if self.trouble && item == ITEM && is_resumed {
+            if self.trouble && item.starts_with(SHORT) && is_resumed {
                 extra = Some(sent);
             }
         }
         Ok(())
     }
 
-    /// Answers a run with a complete stream and returns what was sent; none if the channel was reset.
+    /// Answers a run with a complete stream and returns what was sent; none if it broke off.
     fn run_item(&self, stream: &mut TcpStream, request: &Message) -> io::Result<Option<Vec<u8>>> {
         let item = request.header(headers::ATTEMPT).unwrap_or_default();
         let after = request.header(headers::LAST_EVENT);
@@ -264,16 +272,21 @@
         );
         let mut sent = head.into_bytes();
         stream.write_all(&sent)?;
-        let events = if item == LONG { LONG_EVENTS } else { EVENTS };
+        let events = if item.starts_with(LONG) {
+            LONG_EVENTS
+        } else {
+            EVENTS
+        };
         for event in after + 1..=events {
             thread::sleep(EVENT_TIME);
             let text = format!("id: {event}\ndata: {}\n\n", piece(item, event));
             let chunk = format!("{:x}\r\n{text}\r\n", text.len());
             stream.write_all(chunk.as_bytes())?;
             sent.extend_from_slice(chunk.as_bytes());
-            if self.trouble && item == ITEM && event == RESET_AFTER && self.is_first_reset() {
+            let may_break = self.trouble && item.starts_with(SHORT) && event == BROKEN_AFTER;
+            if may_break && self.is_first(item) {
                 self.record
-                    .note(&format!("the channel of {item} to {} breaks", self.name));
+                    .note(&format!("{} breaks off its answer to {item}", self.name));
                 return Ok(None);
             }
         }
@@ -282,8 +295,8 @@
         Ok(Some(sent))
     }
 
-    fn is_first_reset(&self) -> bool {
+    fn is_first(&self, item: &str) -> bool {
         let mut state = self.state.lock().expect("no replica panics");
-        !std::mem::replace(&mut state.is_reset, true)
+        state.broken.insert(item.to_owned())
     }
 }
