--- a/review/standins/src/bin/replaced_voter.rs
+++ b/review/standins/src/bin/replaced_voter.rs
@@ -62,7 +62,8 @@
         return Err(io::Error::other("too few requests are served at the start"));
     }
     if trouble {
-        cell.add(Role::Control, 4)?;
+        // Each in the zone of the one that it replaces.
+        cell.add(Role::Control, 6)?;
         cell.add(Role::Control, 5)?;
         thread::sleep(CATCH_UP + SLACK);
         stop(cell, 3)?;
--- a/review/standins/src/cell.rs
+++ b/review/standins/src/cell.rs
@@ -113,7 +113,7 @@
 const CONTROL: u8 = 3;
 
 /// Control daemons, and stores, that may be added.
-const SPARE: u8 = 2;
+const SPARE: u8 = 3;
 
 const ZONES: [&str; 3] = ["za", "zb", "zc"];
 
