--- a/review/standins/src/bin/late_stream.rs
+++ b/review/standins/src/bin/late_stream.rs
@@ -28,10 +28,10 @@
 const SLOTS: u32 = 12;
 
 /// Items of the first job, which only show that all is well.
-const EARLIER: usize = 240;
+const EARLIER: usize = 400;
 
 /// Steps of two jobs each. In some the extra answer comes before that of another item, which is noticed.
-const STEPS: usize = 3;
+const STEPS: usize = 5;
 
 /// Events of an output.
 const EVENTS: u64 = 10;
