--- a/review/standins/src/bin/late_stream.rs
+++ b/review/standins/src/bin/late_stream.rs
@@ -31,7 +31,7 @@
 const EARLIER: usize = 400;
 
 /// Steps of two jobs each. In some the extra answer comes before that of another item, which is noticed.
-const STEPS: usize = 5;
+const STEPS: usize = 4;
 
 /// Events of an output.
 const EVENTS: u64 = 10;
--- a/review/standins/src/bin/spoilt_head.rs
+++ b/review/standins/src/bin/spoilt_head.rs
@@ -25,7 +25,7 @@
 const HOST: &str = "assay.example";
 const KEY: &str = "a-key-of-the-only-tenant";
 const JOB: &str = "5e1f00d1";
-const ITEMS: usize = 240;
+const ITEMS: usize = 330;
 const SLOTS: u32 = 12;
 
 /// Time after the acceptance at which the results are due.
@@ -34,7 +34,7 @@
 /// Time of steady state in which an open item must have been at a replica.
 const IDLE: Duration = Duration::from_secs(5);
 
-/// Runs on the first replica that are answered with bytes that are no answer: 2 of about 80, all at one of
+/// Runs on the first replica that are answered with bytes that are no answer: 2 of about 110, all at one of
 /// three replicas.
 const SPOILT: [usize; 2] = [5, 15];
 
