--- a/crates/dandelion-daemon/src/gateway/detoured.rs
+++ b/crates/dandelion-daemon/src/gateway/detoured.rs
@@ -112,7 +112,7 @@
         Ok(guard) => guard,
         Err(decline) => return finish(parts, DetourEnd::Declined(decline)).await,
     };
-    match forward(core, request, detour).await {
+    match Box::pin(forward(core, request, detour)).await {
         Ok((response, upstream)) => {
             // If the entry is gone, nobody needs the rest of the answer.
             let _gone = relay(response, &upstream, parts).await;
--- a/crates/dandelion-daemon/src/gateway/state.rs
+++ b/crates/dandelion-daemon/src/gateway/state.rs
@@ -8,6 +8,7 @@
 use dandelion_net::http::BufferBudget;
 use dandelion_net::http::client::Client;
 use dandelion_net::http::client::ClientOptions;
+use dandelion_platform::headers;
 use dandelion_protocol::ids::DaemonId;
 use dandelion_protocol::ids::UpstreamId;
 use dandelion_protocol::time::Millis;
@@ -78,6 +79,7 @@
             idle_limit: MAX_IDLE,
             idle_time: IDLE_TIMEOUT,
             asked_time: ASKED_TIMEOUT,
+            id_header: headers::ATTEMPT,
             ..ClientOptions::default()
         };
         Self {
--- a/crates/dandelion-daemon/src/stores/run.rs
+++ b/crates/dandelion-daemon/src/stores/run.rs
@@ -25,6 +25,8 @@
 use dandelion_protocol::incarnations::UpstreamIncarnation;
 use dandelion_protocol::limits::RatePermit;
 use dandelion_protocol::time::Millis;
+use dandelion_telemetry::Event;
+use dandelion_telemetry::event;
 use http_types::Request;
 use thiserror::Error;
 
@@ -124,6 +126,13 @@
         Ok(())
     }
 
+    /// Returns whether an event of this number comes next. The first one of a run from the start is 1;
+    /// an answer that begins later lacks events, or is that to another run of the item.
+    pub fn is_next(&self, event: Option<u64>) -> bool {
+        let last = self.last.unwrap_or(0);
+        event == last.checked_add(1)
+    }
+
     fn add_version(&mut self, version: u64) {
         if !self.versions.contains(&version) {
             self.versions.push(version);
@@ -218,7 +227,16 @@
             client.send_if(address, request, &options, may_send).await
         };
         sent.map_err(|error| {
-            log::debug!("item {} at {}: {error}", self.id(), self.engine.id);
+            if matches!(error.cause(), Cause::Crossed { .. }) {
+                event!(
+                    Event::AnswerBroken,
+                    request = self.id(),
+                    upstream = self.engine.id,
+                    reason = error
+                );
+            } else {
+                log::debug!("item {} at {}: {error}", self.id(), self.engine.id);
+            }
             match error {
                 SendError::NotSent(Cause::Withheld) => RunOutcome::Withheld,
                 SendError::NotSent(Cause::OtherPeer) => RunOutcome::Mistaken,
@@ -393,13 +411,15 @@
     /// version are missing or the version of the weights is not acceptable.
     fn process_event(&mut self, event: &StreamEvent, output: &mut Output) -> Option<RunOutcome> {
         self.version = event.version.or(self.version);
-        let expected = output.last.map(|last| last + 1);
-        let follows = match (expected, event.id) {
-            (Some(expected), Some(id)) => id == expected,
-            (None, Some(_)) => true,
-            (_, None) => false,
-        };
-        if !follows {
+        if !output.is_next(event.id) {
+            event!(
+                Event::AnswerBroken,
+                request = self.run.id(),
+                upstream = self.run.engine.id,
+                after = output.last.unwrap_or(0),
+                event = event.id.unwrap_or(0),
+                reason = "its events are not those that come next"
+            );
             return Some(RunOutcome::Broken { reached: true });
         }
         let Some(version) = self.version else {
--- a/crates/dandelion-net/src/http/client/exchange.rs
+++ b/crates/dandelion-net/src/http/client/exchange.rs
@@ -16,6 +16,7 @@
 use crate::http::buffer::BufferError;
 use crate::http::client::error::Cause;
 use crate::http::client::error::SendError;
+use crate::http::client::pool::Carried;
 use crate::http::client::pool::Channel;
 use crate::http::client::send::Client;
 use crate::http::client::send::timeout_cause;
@@ -38,6 +39,8 @@
     pub address: SocketAddr,
     /// Process at the other end, if known.
     pub peer: Option<u64>,
+    /// Requests that were sent on the connection, this one included.
+    pub carried: Carried,
     /// Whether the connection is returned to the pool after the answer.
     pub pooled: bool,
     /// Whether a probe may follow if the connection goes silent.
@@ -194,6 +197,7 @@
             let channel = Channel {
                 stream: self.stream.clone(),
                 peer: self.origin.peer,
+                carried: std::mem::take(&mut self.origin.carried),
             };
             self.origin.client.release(self.origin.address, channel);
         }
--- a/crates/dandelion-net/src/http/client/pool.rs
+++ b/crates/dandelion-net/src/http/client/pool.rs
@@ -2,6 +2,9 @@
 
 use std::collections::HashMap;
 use std::hash::BuildHasher;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::hash::RandomState;
 use std::net::SocketAddr;
 use std::sync::Mutex;
@@ -15,6 +18,10 @@
 
 const SHARDS: usize = 16;
 
+/// Requests after which a connection is closed instead of reused, so that what it has carried takes
+/// two kilobytes at most.
+const MAX_CARRIED: usize = 256;
+
 /// A clean connection that waits for its next request.
 #[derive(Debug)]
 struct Idle {
@@ -40,12 +47,43 @@
     pub asked: Duration,
 }
 
-/// A connection, and which process is known to be at its other end.
+/// A connection, which process is known to be at its other end, and what it has carried.
 #[derive(Debug, Clone)]
 pub struct Channel {
     pub stream: TcpStream,
     /// Key of the process; none if it was not asked.
     pub peer: Option<u64>,
+    /// Requests that were sent on it.
+    pub carried: Carried,
+}
+
+/// Ids of the requests that a connection has carried, as hashes. An upstream may send an answer twice,
+/// the second time before the answer to a later request; its id tells the two apart only if no id
+/// comes twice on a connection.
+#[derive(Debug, Clone, Default)]
+pub struct Carried(Vec<u64>);
+
+impl Carried {
+    /// Records the id of a request that is about to be written.
+    pub fn push(&mut self, id: &str) {
+        self.0.push(hash_of(id));
+    }
+
+    /// Returns whether a request with this id may have been sent on the connection. Two ids with one
+    /// hash only cost a connection.
+    pub fn has(&self, id: &str) -> bool {
+        self.0.contains(&hash_of(id))
+    }
+
+    fn is_full(&self) -> bool {
+        self.0.len() >= MAX_CARRIED
+    }
+}
+
+fn hash_of(id: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish()
 }
 
 /// The idle connections of the addresses that hash to this shard.
@@ -97,13 +135,22 @@
     }
 
     /// Takes a connection that is not stale, not closed and has no unsolicited bytes waiting; only one
-    /// to the process `peer` if that is named.
-    pub fn acquire(&self, address: SocketAddr, peer: Option<u64>) -> Option<Channel> {
+    /// to the process `peer` if that is named, and none that has carried a request with this id.
+    pub fn acquire(
+        &self,
+        address: SocketAddr,
+        peer: Option<u64>,
+        id: Option<&str>,
+    ) -> Option<Channel> {
         loop {
             let idle = {
                 let mut shard = lock(self.shard(address));
                 let list = shard.idle.get_mut(&address)?;
-                let fits = |idle: &Idle| peer.is_none() || idle.channel.peer == peer;
+                let fits = |idle: &Idle| {
+                    let channel = &idle.channel;
+                    let is_new = id.is_none_or(|id| !channel.carried.has(id));
+                    is_new && (peer.is_none() || channel.peer == peer)
+                };
                 let at = list.iter().rposition(fits)?;
                 list.remove(at)
             };
@@ -113,8 +160,12 @@
         }
     }
 
-    /// Stores a clean connection for reuse, or drops it if the address has enough of them.
+    /// Stores a clean connection for reuse. Drops it if the address has enough of them, or if it has
+    /// carried as many requests as are recorded.
     pub fn release(&self, address: SocketAddr, channel: Channel) {
+        if channel.carried.is_full() {
+            return;
+        }
         let mut shard = lock(self.shard(address));
         shard.sweep(self.times);
         let list = shard.idle.entry(address).or_default();
--- a/crates/dandelion-net/src/http/client/send.rs
+++ b/crates/dandelion-net/src/http/client/send.rs
@@ -20,6 +20,7 @@
 use crate::http::client::links;
 use crate::http::client::peer::AnyPeer;
 use crate::http::client::peer::Peer;
+use crate::http::client::pool::Carried;
 use crate::http::client::pool::Channel;
 use crate::http::client::pool::IdleTimes;
 use crate::http::client::pool::Pool;
@@ -51,6 +52,8 @@
     pub idle_time: Duration,
     /// The same for a connection whose other end was asked who it is, which costs a request.
     pub asked_time: Duration,
+    /// Header, in lower case, with the id of a request, which upstreams echo in its answer.
+    pub id_header: &'static str,
 }
 
 impl Default for ClientOptions {
@@ -61,6 +64,7 @@
             idle_limit: 64,
             idle_time: Duration::from_secs(20),
             asked_time: Duration::from_secs(20),
+            id_header: REQUEST_ID,
         }
     }
 }
@@ -152,9 +156,10 @@
         P: Peer + Sync,
         F: Fn() -> bool + Sync,
     {
-        let encoded = encode(request).await.map_err(SendError::NotSent)?;
+        let encoded = self.encode(request).await.map_err(SendError::NotSent)?;
         let mut first_error = None;
-        if let Some(channel) = self.pool.acquire(address, peer.key()) {
+        let id = encoded.id.as_deref();
+        if let Some(channel) = self.pool.acquire(address, peer.key(), id) {
             let attempt = self.attempt(address, channel, &encoded, options, &may_send);
             match attempt.await {
                 Err(error) if may_resend(&error, options) => first_error = Some(error),
@@ -188,7 +193,8 @@
             BufferedConnection::new(stream).head(MAX_HEAD).await
         };
         let answered = timeout(self.options.probe_time, answered).await;
-        matches!(answered, Ok(Ok(Some(head))) if check_response(&head, false).is_ok())
+        let id_header = self.options.id_header;
+        matches!(answered, Ok(Ok(Some(head))) if check_response(&head, false, id_header).is_ok())
     }
 
     /// Returns whether `address` accepts a new connection. A process that has ended, or whose VM
@@ -245,6 +251,7 @@
         Ok(Channel {
             stream,
             peer: peer.key(),
+            carried: Carried::default(),
         })
     }
 
@@ -258,7 +265,7 @@
     where
         P: Peer + Sync,
     {
-        let encoded = encode(question).await?;
+        let encoded = self.encode(question).await?;
         let limit = self.options.connect_time;
         let mut timer = StepTimer::start(limit, Instant::now() + limit);
         let written = write(&mut stream, &encoded.bytes, &mut timer).await;
@@ -267,6 +274,7 @@
             client: self.clone(),
             address,
             peer: None,
+            carried: Carried::default(),
             pooled: false,
             probe: false,
         };
@@ -302,6 +310,9 @@
             return Err(SendError::NotSent(Cause::Withheld));
         }
         let mut timer = StepTimer::start(options.progress, options.deadline);
+        if let Some(id) = &encoded.id {
+            channel.carried.push(id);
+        }
         let stream = channel.stream.clone();
         if let Err(elapsed) = timer.step(links::pass()).await {
             return Err(SendError::Unknown(timeout_cause(elapsed)));
@@ -315,6 +326,7 @@
             client: self.clone(),
             address,
             peer: channel.peer,
+            carried: channel.carried,
             pooled: true,
             probe: options.probe,
         };
@@ -348,8 +360,8 @@
         let head = head
             .map_err(|error| head_cause(&error))?
             .ok_or_else(|| Cause::Closed("closed before the answer's head".to_owned()))?;
-        let checked = check_response(&head, encoded.bodiless)?;
-        check_id(encoded.id.as_deref(), checked.id.as_deref())?;
+        let checked = check_response(&head, encoded.bodiless, self.options.id_header)?;
+        check_id(encoded.id.as_deref(), checked.id.as_deref(), &origin.carried)?;
         Exchange::open(conn, head, checked, origin, timer).await
     }
 
@@ -363,6 +375,21 @@
         alive
     }
 
+    async fn encode(&self, request: Request) -> Result<Encoded, Cause> {
+        let id = request.header(self.options.id_header);
+        let id = id.map(|v| v.as_str().to_owned());
+        let bodiless = request.method() == Method::Head;
+        let mut bytes = Vec::new();
+        let mut encoder = async_h1::client::Encoder::new(request);
+        let read = encoder.read_to_end(&mut bytes).await;
+        read.map_err(|error| Cause::Request(error.to_string()))?;
+        Ok(Encoded {
+            bytes,
+            id,
+            bodiless,
+        })
+    }
+
     pub(super) fn release(&self, address: SocketAddr, channel: Channel) {
         self.pool.release(address, channel);
     }
@@ -384,27 +411,20 @@
     }
 }
 
-fn check_id(sent: Option<&str>, got: Option<&str>) -> Result<(), Cause> {
-    match (sent, got) {
-        (Some(sent), Some(got)) if sent != got => Err(Cause::Crossed {
-            sent: sent.to_owned(),
-            got: got.to_owned(),
-        }),
-        _ => Ok(()),
+/// Refuses an answer to another request. An upstream that sends no ids is trusted; a request without
+/// an id can get the late answer to an earlier one of its connection.
+fn check_id(sent: Option<&str>, got: Option<&str>, carried: &Carried) -> Result<(), Cause> {
+    let is_own = match (sent, got) {
+        (Some(sent), Some(got)) => sent == got,
+        (None, Some(got)) => !carried.has(got),
+        (_, None) => true,
+    };
+    if is_own {
+        return Ok(());
     }
-}
-
-async fn encode(request: Request) -> Result<Encoded, Cause> {
-    let id = request.header(REQUEST_ID).map(|v| v.as_str().to_owned());
-    let bodiless = request.method() == Method::Head;
-    let mut bytes = Vec::new();
-    let mut encoder = async_h1::client::Encoder::new(request);
-    let read = encoder.read_to_end(&mut bytes).await;
-    read.map_err(|error| Cause::Request(error.to_string()))?;
-    Ok(Encoded {
-        bytes,
-        id,
-        bodiless,
+    Err(Cause::Crossed {
+        sent: sent.unwrap_or_default().to_owned(),
+        got: got.unwrap_or_default().to_owned(),
     })
 }
 
--- a/crates/dandelion-net/src/http/head.rs
+++ b/crates/dandelion-net/src/http/head.rs
@@ -22,7 +22,8 @@
     "upgrade",
     "proxy-connection",
 ];
-/// Header in which an upstream echoes the id of the request that it answers.
+/// Header in which an upstream echoes the id of the request that it answers, unless a client is told
+/// another one.
 pub const REQUEST_ID: &str = "x-request-id";
 
 /// How the end of a message body is found.
@@ -106,8 +107,13 @@
     })
 }
 
-/// Checks the head of an answer; `bodiless` is set if it answers a `HEAD` request.
-pub fn check_response(head: &[u8], bodiless: bool) -> Result<ResponseHead, HeadError> {
+/// Checks the head of an answer; `bodiless` is set if it answers a `HEAD` request. `id_header` is the
+/// header in which an upstream echoes the id of a request.
+pub fn check_response(
+    head: &[u8],
+    bodiless: bool,
+    id_header: &'static str,
+) -> Result<ResponseHead, HeadError> {
     check_lines(head)?;
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut response = httparse::Response::new(&mut headers);
@@ -125,7 +131,7 @@
     Ok(ResponseHead {
         framing,
         close: has_token(response.headers, "connection", "close"),
-        id: single_value(response.headers, REQUEST_ID)?.map(text),
+        id: single_value(response.headers, id_header)?.map(text),
     })
 }
 
