--- a/crates/dandelion-daemon/src/stores/run.rs
+++ b/crates/dandelion-daemon/src/stores/run.rs
@@ -178,6 +178,18 @@
     pub max_gap: Duration,
 }
 
+impl RunEnd {
+    /// Returns the end of a run whose task failed; it may have reached the engine, and its output is
+    /// lost.
+    pub fn failed() -> Self {
+        Self {
+            outcome: RunOutcome::Broken { reached: true },
+            output: Output::default(),
+            max_gap: Duration::ZERO,
+        }
+    }
+}
+
 impl ItemRun {
     /// Runs the item and reports its progress to `observer`.
     pub async fn run<W>(self, core: &Handle, observer: W) -> RunEnd
@@ -247,7 +259,8 @@
         })
     }
 
-    fn id(&self) -> &str {
+    /// Returns the id of the item.
+    pub fn id(&self) -> &str {
         &self.job.items[self.item].id
     }
 
--- a/crates/dandelion-daemon/src/stores/runner/mod.rs
+++ b/crates/dandelion-daemon/src/stores/runner/mod.rs
@@ -1,6 +1,7 @@
 //! Drives the scheduler of batch jobs while this daemon leads the store group.
 
 mod adopt;
+mod guard;
 mod permits;
 mod results;
 mod scoring;
--- a/crates/dandelion-daemon/src/stores/runner/scoring.rs
+++ b/crates/dandelion-daemon/src/stores/runner/scoring.rs
@@ -27,9 +27,13 @@
 use crate::gateway;
 use crate::stores::runner::Runner;
 use crate::stores::runner::TaskMessage;
+use crate::stores::runner::guard::guarded;
 use crate::stores::runner::results::list_result;
 use crate::stores::runner::view::route_of;
 
+/// Delay after a scoring request whose task failed.
+const FAILED_DELAY: Millis = Millis(500);
+
 impl Runner {
     /// Queues the request that scores an item, whose output is recorded as complete: whatever happens
     /// to this daemon, the item isn't generated again, so that the score is that of the listed output.
@@ -159,7 +163,10 @@
         let messages = self.messages.clone();
         let (abort, registration) = AbortHandle::new_pair();
         let work = async move {
-            let outcome = send(&core, &batch, item, timeout, &avoid, term).await;
+            let id = &batch.items[item].id;
+            let work = Box::pin(send(&core, &batch, item, timeout, &avoid, term));
+            let outcome = guarded("a scoring request", id, work).await;
+            let outcome = outcome.unwrap_or(Outcome::Withheld(FAILED_DELAY));
             // The runner is gone if its term is over.
             let _gone = messages
                 .send(TaskMessage::ScoringEnded(call, outcome))
--- a/crates/dandelion-daemon/src/stores/runner/start.rs
+++ b/crates/dandelion-daemon/src/stores/runner/start.rs
@@ -6,6 +6,7 @@
 
 use async_channel::Sender;
 use async_std::task;
+use dandelion_batch::scheduler::OrderOutcome;
 use dandelion_batch::scheduler::RunId;
 use dandelion_batch::scheduler::Speed;
 use dandelion_net::clock;
@@ -23,10 +24,12 @@
 use crate::stores::partials;
 use crate::stores::run::ItemRun;
 use crate::stores::run::Output;
+use crate::stores::run::RunEnd;
 use crate::stores::run::RunObserver;
 use crate::stores::runner::ActiveRun;
 use crate::stores::runner::Runner;
 use crate::stores::runner::TaskMessage;
+use crate::stores::runner::guard::guarded;
 
 /// Reports the progress of a run to the runner. A message that finds the queue full is dropped: the
 /// next one or the end of the run conveys the same.
@@ -120,7 +123,10 @@
         };
         let engine = item_run.engine.id.clone();
         let work = async move {
-            let ended = item_run.run(&core, observer).await;
+            let name = item_run.id().to_owned();
+            let work = Box::pin(item_run.run(&core, observer));
+            let ended = guarded("the run of an item", &name, work).await;
+            let ended = ended.unwrap_or_else(RunEnd::failed);
             // The runner is gone if its term is over.
             let _gone = messages.send(TaskMessage::Ended(run, ended)).await;
         };
@@ -144,7 +150,9 @@
         let messages = self.messages.clone();
         let term = self.term;
         task::spawn(async move {
-            let outcome = orders::send_order(&core, term, &load).await;
+            let order = Box::pin(orders::send_order(&core, term, &load));
+            let outcome = guarded("an order to an engine", load.engine.id.as_str(), order).await;
+            let outcome = outcome.unwrap_or(OrderOutcome::Failed);
             // The runner is gone if its term is over.
             let _gone = messages.send(TaskMessage::Ordered(load, outcome)).await;
         });
--- a/crates/dandelion-net/src/http/framing.rs
+++ b/crates/dandelion-net/src/http/framing.rs
@@ -111,7 +111,8 @@
 }
 
 fn next_trailer(line: usize, total: usize, byte: u8) -> Result<State, ChunkError> {
-    if byte == b'\n' || line >= MAX_LINE || total >= MAX_TRAILERS {
+    // The decoder's type for header values holds ASCII only, and panics otherwise.
+    if byte == b'\n' || !byte.is_ascii() || line >= MAX_LINE || total >= MAX_TRAILERS {
         return Err(ChunkError);
     }
     Ok(State::Trailer {
--- a/crates/dandelion-net/src/http/head.rs
+++ b/crates/dandelion-net/src/http/head.rs
@@ -46,6 +46,9 @@
     /// Not an HTTP/1.1 head.
     #[error("the head is not valid HTTP/1.1 ({0}); send a well-formed HTTP/1.1 message")]
     Malformed(String),
+    /// A header has bytes outside ASCII.
+    #[error("header {0} has bytes outside ASCII; encode them or leave the header out")]
+    NotAscii(String),
     /// A line does not end with CR LF.
     #[error("a head line does not end with CR LF; end every line with CR LF")]
     BareLineFeed,
@@ -98,6 +101,7 @@
     let mut request = httparse::Request::new(&mut headers);
     let status = request.parse(head).map_err(malformed)?;
     check_complete(status, head.len(), request.version)?;
+    check_ascii(request.headers)?;
     single_value(request.headers, "host")?;
     let framing = framing(request.headers)?.unwrap_or(Framing::Empty);
     Ok(RequestHead {
@@ -119,6 +123,7 @@
     let mut response = httparse::Response::new(&mut headers);
     let status = response.parse(head).map_err(malformed)?;
     check_complete(status, head.len(), response.version)?;
+    check_ascii(response.headers)?;
     let code = response.code.unwrap_or_default();
     if code < 200 {
         return Err(HeadError::Interim(code));
@@ -178,6 +183,14 @@
     Ok(())
 }
 
+/// Refuses what the decoder's type for header values can't hold: it panics.
+fn check_ascii(headers: &[Header<'_>]) -> Result<(), HeadError> {
+    match headers.iter().find(|h| !h.value.is_ascii()) {
+        Some(header) => Err(HeadError::NotAscii(header.name.to_ascii_lowercase())),
+        None => Ok(()),
+    }
+}
+
 fn framing(headers: &[Header<'_>]) -> Result<Option<Framing>, HeadError> {
     let length = single_value(headers, "content-length")?;
     let encoding = single_value(headers, "transfer-encoding")?;
--- a/crates/dandelion-net/tests/endless_answers.rs
+++ b/crates/dandelion-net/tests/endless_answers.rs
@@ -76,6 +76,54 @@
     }
 }
 
+/// Every other place where bytes may come without end is bounded, too.
+#[test]
+fn endless_framing_given_up() {
+    let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let with_body = format!("{chunked}4\r\ngood\r\n");
+    let with_last = format!("{with_body}0\r\n");
+    for (start, piece) in [
+        ("", "x"),
+        ("", "HTTP/1.1 100 Continue\r\n\r\n"),
+        ("", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"),
+        ("HTTP/1.1 200 OK\r\n\r\n", "x"),
+        ("HTTP/1.0 200 OK\r\n\r\n", "x"),
+        (chunked, "0"),
+        (chunked, "4;x"),
+        (&with_body, "x"),
+        (&with_last, "x"),
+        (&with_last, "x: y\r\n"),
+    ] {
+        let (result, requests) = run(vec![
+            Step::Write(start.as_bytes().to_vec()),
+            Step::Repeat(piece.as_bytes().to_vec()),
+        ]);
+        assert!(
+            matches!(result, Err(SendError::Unknown(_))),
+            "{start:?} {piece:?}: {result:?}"
+        );
+        assert_eq!(requests, 2, "an answer without end was requested again");
+    }
+}
+
+/// Bytes without end after an answer are not read: the answer is whole, and its connection is dropped.
+#[test]
+fn endless_surplus_unread() {
+    block_on(async {
+        let flooded = vec![
+            Step::Write(with_length(4, "good")),
+            Step::Repeat(b"x".to_vec()),
+        ];
+        let next = vec![Step::Write(with_length(4, "next"))];
+        let server = RawServer::bind(vec![flooded, next]).await.unwrap();
+        let client = Client::new(ClientOptions::default());
+        assert_eq!(fetch(&client, &server).await, Ok(4));
+        async_std::task::sleep(Duration::from_millis(200)).await;
+        assert_eq!(fetch(&client, &server).await, Ok(4));
+        assert_eq!(server.connections(), 2);
+    });
+}
+
 #[test]
 fn announced_length_refused_unread() {
     let (result, _) = run(vec![Step::Write(with_length(LIMIT + 1, "")), Step::Hang]);
--- a/crates/dandelion-telemetry/src/events/catalogue.rs
+++ b/crates/dandelion-telemetry/src/events/catalogue.rs
@@ -72,6 +72,8 @@
         "The daemon received the signal to reload its settings." "none";
     108 Warn LinesLeftOut "log_lines_left_out"
         "Lines of one kind were dropped from the log, because there were too many in a second." "none; warnings and errors have a budget of their own";
+    109 Error TaskFailed "task_failed"
+        "A task of this daemon failed by a panic; what it held was given back." "Report it with the lines before it: it is a fault of the daemon.";
 
     201 Info LeaderElected "leader_elected"
         "A control leader was elected." "none";
