Bound the outputs of all running items together

Runs now share the memory that is set aside for long answers, beyond 64 KiB each; a run that finds none breaks off and its item runs elsewhere. Test endless_outputs_share_memory (40 outputs at once hold the budget at most). Outputs that wait in the scheduler between two runs are not counted.

--- a/crates/dandelion-daemon/src/stores/run.rs
+++ b/crates/dandelion-daemon/src/stores/run.rs
@@ -10,6 +10,7 @@
 use dandelion_batch::scheduler::RunOutcome;
 use dandelion_batch::scheduler::Speed;
 use dandelion_net::clock;
+use dandelion_net::http::BufferShare;
 use dandelion_net::http::client;
 use dandelion_net::http::client::Cause;
 use dandelion_net::http::client::Exchange;
@@ -200,13 +201,15 @@
         let mut max_gap = Duration::ZERO;
         let sent = self.send(core).await;
         let outcome = match sent {
-            Ok(mut exchange) => match self.check_response(core, &mut exchange).await {
-                Some(outcome) => outcome,
-                None => {
-                    self.read(&mut exchange, &mut output, &mut max_gap, observer)
+            Ok(mut exchange) => {
+                if let Some(outcome) = self.check_response(core, &mut exchange).await {
+                    outcome
+                } else {
+                    let share = BufferShare::of(&core.gateway.buffers);
+                    self.read(&mut exchange, &mut output, share, &mut max_gap, observer)
                         .await
                 }
-            },
+            }
             Err(outcome) => outcome,
         };
         RunEnd {
@@ -313,6 +316,7 @@
         &self,
         exchange: &mut Exchange,
         output: &mut Output,
+        share: BufferShare,
         max_gap: &mut Duration,
         observer: W,
     ) -> RunOutcome
@@ -324,6 +328,7 @@
             .and_then(|v| v.trim().parse().ok());
         let mut stream = StreamReader {
             run: self,
+            share,
             version,
             observer,
             first_at: None,
@@ -341,6 +346,8 @@
 /// Reads the event stream of a run.
 struct StreamReader<'a, W> {
     run: &'a ItemRun,
+    /// What the output holds of the memory for long answers.
+    share: BufferShare,
     version: Option<u64>,
     observer: W,
     /// When the first event arrived.
@@ -381,6 +388,11 @@
                     return outcome;
                 }
             }
+            if let Err(error) = self.share.grow_to(output.text.len() + reader.buffered()) {
+                log::warn!("item {} at {}: {error}", self.run.id(), self.run.engine.id);
+                *output = Output::default().continued_at(&output.software);
+                return broken;
+            }
             self.report();
             if self.last_checkpoint.elapsed() >= CHECKPOINT_PERIOD {
                 self.last_checkpoint = Instant::now();
--- a/crates/dandelion-net/src/http/buffer.rs
+++ b/crates/dandelion-net/src/http/buffer.rs
@@ -55,13 +55,46 @@
     }
 }
 
+/// What one reader holds of a budget, given back when it is dropped.
+#[derive(Debug)]
+pub struct BufferShare {
+    budget: BufferBudget,
+    reserved: usize,
+}
+
+impl BufferShare {
+    /// Holds nothing of a budget yet.
+    pub fn of(budget: &BufferBudget) -> Self {
+        Self {
+            budget: budget.clone(),
+            reserved: 0,
+        }
+    }
+
+    /// Makes room for `bytes` in all. A refusal leaves the share as it was.
+    pub fn grow_to(&mut self, bytes: usize) -> Result<(), BufferError> {
+        let counted = bytes.saturating_sub(UNCOUNTED_BYTES);
+        let missing = counted.saturating_sub(self.reserved);
+        if !self.budget.reserve(missing) {
+            return Err(BufferError::NoMemory);
+        }
+        self.reserved += missing;
+        Ok(())
+    }
+}
+
+impl Drop for BufferShare {
+    fn drop(&mut self) {
+        self.budget.release(self.reserved);
+    }
+}
+
 /// A body that is being buffered.
 #[derive(Debug)]
 pub struct BodyBuffer {
     bytes: Vec<u8>,
     limit: usize,
-    budget: Option<BufferBudget>,
-    reserved: usize,
+    share: Option<BufferShare>,
 }
 
 impl BodyBuffer {
@@ -70,15 +103,14 @@
         Self {
             bytes: Vec::new(),
             limit,
-            budget: None,
-            reserved: 0,
+            share: None,
         }
     }
 
     /// Makes an empty buffer for at most `limit` bytes, counted against a budget.
     pub fn within(limit: usize, budget: &BufferBudget) -> Self {
         let mut buffer = Self::new(limit);
-        buffer.budget = Some(budget.clone());
+        buffer.share = Some(BufferShare::of(budget));
         buffer
     }
 
@@ -93,13 +125,8 @@
         if length > self.limit {
             return Err(BufferError::TooLong(self.limit));
         }
-        if let Some(budget) = &self.budget {
-            let counted = length.saturating_sub(UNCOUNTED_BYTES);
-            let missing = counted.saturating_sub(self.reserved);
-            if !budget.reserve(missing) {
-                return Err(BufferError::NoMemory);
-            }
-            self.reserved += missing;
+        if let Some(share) = &mut self.share {
+            share.grow_to(length)?;
         }
         self.bytes.extend_from_slice(piece);
         Ok(())
@@ -121,14 +148,6 @@
     }
 }
 
-impl Drop for BodyBuffer {
-    fn drop(&mut self) {
-        if let Some(budget) = &self.budget {
-            budget.release(self.reserved);
-        }
-    }
-}
-
 struct BufferReader {
     buffer: BodyBuffer,
     consumed: usize,
--- a/crates/dandelion-net/src/http/mod.rs
+++ b/crates/dandelion-net/src/http/mod.rs
@@ -11,6 +11,7 @@
 pub use buffer::BodyBuffer;
 pub use buffer::BufferBudget;
 pub use buffer::BufferError;
+pub use buffer::BufferShare;
 pub use framing::FramingParser;
 pub use head::Framing;
 pub use head::HeadError;
--- a/crates/dandelion-net/tests/body_buffers.rs
+++ b/crates/dandelion-net/tests/body_buffers.rs
@@ -4,6 +4,7 @@
 use dandelion_net::http::BodyBuffer;
 use dandelion_net::http::BufferBudget;
 use dandelion_net::http::BufferError;
+use dandelion_net::http::BufferShare;
 
 const BUDGET: usize = 256 * 1024;
 const LIMIT: usize = 1024 * 1024;
@@ -62,3 +63,21 @@
     drop(body);
     assert_eq!(budget.free(), BUDGET);
 }
+
+/// Outputs without end were bounded one by one only; many at once took more memory than a VM has.
+#[test]
+fn endless_outputs_share_memory() {
+    let budget = BufferBudget::new(BUDGET);
+    let mut shares: Vec<BufferShare> = (0..40).map(|_| BufferShare::of(&budget)).collect();
+    let mut held = 0;
+    for share in &mut shares {
+        let mut bytes = 0;
+        while share.grow_to(bytes + PIECE.len()).is_ok() {
+            bytes += PIECE.len();
+        }
+        held += bytes;
+    }
+    assert!(held <= BUDGET + 40 * 64 * 1024, "{held} bytes are held");
+    drop(shares);
+    assert_eq!(budget.free(), BUDGET);
+}
