--- a/crates/dandelion-daemon/src/settings/check.rs
+++ b/crates/dandelion-daemon/src/settings/check.rs
@@ -159,6 +159,7 @@
         bootstrap,
         peers,
         feed_period: read::read_millis("--feed-period-ms", &args.feed_period_ms, 50..=10_000)?,
+        catch_up: read::read_seconds("--catch-up-s", &args.catch_up_s, 1..=3_600)?,
     })
 }
 
