--- a/crates/dandelion-daemon/src/gateway/forward.rs
+++ b/crates/dandelion-daemon/src/gateway/forward.rs
@@ -15,6 +15,7 @@
 use dandelion_net::http::client::SendError;
 use dandelion_net::http::client::SendOptions;
 use dandelion_net::http::is_hop_header;
+use dandelion_net::http::target;
 use dandelion_platform::headers;
 use dandelion_platform::headers::CallerHeaders;
 use dandelion_platform::headers::Forwarding;
@@ -235,11 +236,7 @@
     let Ok(body) = request.body_bytes().await else {
         return answer::status(400);
     };
-    let url = request.url();
-    let target = match url.query() {
-        Some(query) => format!("{}?{query}", url.path()),
-        None => url.path().to_owned(),
-    };
+    let target = target(&request);
     let host = caller.host.to_ascii_lowercase();
     let method = request.method().to_string();
     let content = Fingerprint::of(team, &host, &method, &target, &body);
--- a/crates/dandelion-daemon/src/gateway/front.rs
+++ b/crates/dandelion-daemon/src/gateway/front.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use dandelion_net::http::server::Handler;
+use dandelion_net::http::target;
 use dandelion_platform::CallerCall;
 use dandelion_platform::calls;
 use dandelion_platform::headers;
@@ -90,7 +91,9 @@
     caller: &CallerHeaders,
     request: Request,
 ) -> Response {
-    let Some(route) = plan.route(&caller.host, request.url().path()) else {
+    let target = target(&request);
+    let path = target.split('?').next().unwrap_or_default();
+    let Some(route) = plan.route(&caller.host, path) else {
         return refuse(caller, "no_route", answer::status(404));
     };
     let team = team(plan, caller);
--- a/crates/dandelion-net/src/http/client/request.rs
+++ b/crates/dandelion-net/src/http/client/request.rs
@@ -14,6 +14,7 @@
 use crate::http::client::error::Cause;
 use crate::http::head::is_hop_header;
 use crate::http::head::is_valid_header;
+use crate::http::raw_target;
 
 /// Makes a request from its parts without sending it. Hop-by-hop headers and headers with control
 /// characters are refused.
@@ -41,6 +42,7 @@
         .map_err(|error| Cause::Request(error.to_string()))?;
     let mut request = Request::new(method, url);
     request.set_body(Body::from_bytes(body));
+    raw_target::keep(&mut request, path);
     for header in headers {
         check_header(&header.name, &header.value)?;
         let name = HeaderName::from_str(&header.name).map_err(invalid)?;
--- a/crates/dandelion-net/src/http/client/send.rs
+++ b/crates/dandelion-net/src/http/client/send.rs
@@ -27,6 +27,7 @@
 use crate::http::head::HeadError;
 use crate::http::head::REQUEST_ID;
 use crate::http::head::check_response;
+use crate::http::raw_target::target;
 use crate::http::wire::BufferedConnection;
 use crate::http::wire::MAX_HEAD;
 use crate::socket;
@@ -361,7 +362,11 @@
             .map_err(|error| head_cause(&error))?
             .ok_or_else(|| Cause::Closed("closed before the answer's head".to_owned()))?;
         let checked = check_response(&head, encoded.bodiless, self.options.id_header)?;
-        check_id(encoded.id.as_deref(), checked.id.as_deref(), &origin.carried)?;
+        check_id(
+            encoded.id.as_deref(),
+            checked.id.as_deref(),
+            &origin.carried,
+        )?;
         Exchange::open(conn, head, checked, origin, timer).await
     }
 
@@ -379,10 +384,14 @@
         let id = request.header(self.options.id_header);
         let id = id.map(|v| v.as_str().to_owned());
         let bodiless = request.method() == Method::Head;
+        let line = format!("{} {} HTTP/1.1", request.method(), target(&request));
         let mut bytes = Vec::new();
         let mut encoder = async_h1::client::Encoder::new(request);
         let read = encoder.read_to_end(&mut bytes).await;
         read.map_err(|error| Cause::Request(error.to_string()))?;
+        // The encoder writes the target as its URL has it.
+        let line_end = bytes.iter().position(|b| *b == b'\r').unwrap_or(0);
+        bytes.splice(..line_end, line.into_bytes());
         Ok(Encoded {
             bytes,
             id,
--- a/crates/dandelion-net/src/http/mod.rs
+++ b/crates/dandelion-net/src/http/mod.rs
@@ -5,6 +5,7 @@
 pub mod client;
 mod framing;
 mod head;
+mod raw_target;
 pub mod server;
 mod wire;
 
@@ -18,3 +19,4 @@
 pub use head::check_request;
 pub use head::check_response;
 pub use head::is_hop_header;
+pub use raw_target::target;
--- a/crates/dandelion-net/src/http/server/incoming.rs
+++ b/crates/dandelion-net/src/http/server/incoming.rs
@@ -19,6 +19,7 @@
 use crate::http::head::Framing;
 use crate::http::head::RequestHead;
 use crate::http::head::check_request;
+use crate::http::raw_target;
 use crate::http::server::listener::Limits;
 use crate::http::wire::BufferedConnection;
 use crate::http::wire::MAX_HEAD;
@@ -97,6 +98,7 @@
             return Incoming::Closed;
         };
     }
+    let target = raw_target::of_head(&head).map(str::to_owned);
     let parser = FramingParser::new(checked.framing);
     let source = BufferedConnection {
         stream: conn.stream.clone(),
@@ -107,7 +109,10 @@
     let reader_state = std::mem::replace(&mut *lock(&reader_state), empty_state());
     conn.buffered = reader_state.buffered;
     match decoded {
-        Decoded::Complete(request) if reader_state.parser.is_done() => {
+        Decoded::Complete(mut request) if reader_state.parser.is_done() => {
+            if let Some(target) = target {
+                raw_target::keep(&mut request, &target);
+            }
             Incoming::Request(request, !checked.close)
         }
         Decoded::Complete(_) | Decoded::Closed => Incoming::Closed,
