Count a body in two segments once, open stores again, compare ids in one place

A record that stands in two segments after a write that failed and was repeated was counted for the first one only; the second one was deleted with the next job that ended, and with it the body that the index had there (record_in_two_segments). A failed append is cut off, so that a full disk leaves no segment for each try. The daemon's own comparisons of ids are gone, as the client makes them.

--- a/crates/dandelion-batch/src/texts.rs
+++ b/crates/dandelion-batch/src/texts.rs
@@ -155,9 +155,25 @@
     /// Adds synced records to the index.
     pub fn commit(&mut self, written: Written) {
         for (key, location) in written.records {
-            if let Some(segment) = self.segments.get_mut(&location.segment) {
-                segment.live += usize::from(self.index.insert(key, location).is_none());
-            }
+            self.insert(key, location);
+        }
+    }
+
+    /// Adds a record to the index in the place of an earlier one of its key, and counts both for their
+    /// segments.
+    fn insert(&mut self, key: TextKey, location: Location) {
+        let Some(segment) = self.segments.get_mut(&location.segment) else {
+            return;
+        };
+        segment.live += 1;
+        if let Some(former) = self.index.insert(key, location) {
+            self.discount(former);
+        }
+    }
+
+    fn discount(&mut self, location: Location) {
+        if let Some(segment) = self.segments.get_mut(&location.segment) {
+            segment.live = segment.live.saturating_sub(1);
         }
     }
 
@@ -186,10 +202,8 @@
         let of_job = |key: &TextKey| key.job == job;
         let keys: Vec<TextKey> = self.index.keys().filter(|k| of_job(k)).cloned().collect();
         for key in keys {
-            let location = self.index.remove(&key);
-            let segment = location.and_then(|l| self.segments.get_mut(&l.segment));
-            if let Some(segment) = segment {
-                segment.live = segment.live.saturating_sub(1);
+            if let Some(location) = self.index.remove(&key) {
+                self.discount(location);
             }
         }
         let empty = |(number, segment): (&u64, &Segment)| {
@@ -227,7 +241,10 @@
         };
         if let Err(error) = (&*segment.file).write_all(record) {
             // A scan stops at an incomplete record, so nothing may be appended after it.
-            self.current += 1;
+            let is_cut = segment.file.set_len(segment.length);
+            if is_cut.is_err() {
+                self.current += 1;
+            }
             return Err(error);
         }
         segment.length += record.len() as u64;
@@ -252,7 +269,7 @@
         let file = Arc::new(file);
         let mut reader = BufReader::new(&*file);
         let mut offset = 0;
-        let mut live = 0;
+        let mut records = Vec::new();
         while let Some((key, length)) = next_record(&mut reader, size - offset)? {
             let location = Location {
                 segment: number,
@@ -260,14 +277,17 @@
                 length,
             };
             offset += length;
-            live += usize::from(self.index.insert(key, location).is_none());
+            records.push((key, location));
         }
         let segment = Segment {
             file: Arc::clone(&file),
             length: offset,
-            live,
+            live: 0,
         };
         self.segments.insert(number, segment);
+        for (key, location) in records {
+            self.insert(key, location);
+        }
         Ok(())
     }
 }
--- a/crates/dandelion-batch/tests/texts.rs
+++ b/crates/dandelion-batch/tests/texts.rs
@@ -173,3 +173,27 @@
     let digests: Vec<u64> = store.of_job("j").map(|key| key.digest).collect();
     assert_eq!(digests, [3, 7, 12]);
 }
+
+/// A body whose record stands in two segments, after a write that failed and was repeated, was lost
+/// with the segment that counted none of it.
+#[test]
+fn record_in_two_segments() {
+    let folder = tempfile::tempdir().unwrap();
+    let kept = entry("j1", "a", "kept");
+    {
+        let mut store = TextStore::open(folder.path()).unwrap();
+        store_durably(&mut store, std::slice::from_ref(&kept));
+    }
+    let first = files(folder.path()).remove(0);
+    fs::copy(&first, folder.path().join("texts-00000001")).unwrap();
+    {
+        let mut store = TextStore::open(folder.path()).unwrap();
+        assert_eq!(store.len(), 1);
+        store.forget("another").unwrap();
+        assert_eq!(store.read(&kept.key).unwrap().as_deref(), Some("kept"));
+    }
+    let mut store = TextStore::open(folder.path()).unwrap();
+    assert_eq!(store.read(&kept.key).unwrap().as_deref(), Some("kept"));
+    store.forget("j1").unwrap();
+    assert_eq!(files(folder.path()), Vec::<std::path::PathBuf>::new());
+}
--- a/crates/dandelion-daemon/src/gateway/forward.rs
+++ b/crates/dandelion-daemon/src/gateway/forward.rs
@@ -472,22 +472,13 @@
                 return Attempt::Failed(None);
             }
         };
-        let is_mismatched = exchange
-            .header(headers::ATTEMPT)
-            .is_some_and(|id| id != self.id);
-        if !is_mismatched {
-            limits::observe(self.core, upstream, &exchange, rate_permit, self.id);
-            leaving::observe(self.core, upstream, &exchange, self.id);
-        }
+        limits::observe(self.core, upstream, &exchange, rate_permit, self.id);
+        leaving::observe(self.core, upstream, &exchange, self.id);
         if exchange.header(headers::NOT_RUN).is_some() {
             in_flight.ending = Ending::Refused;
             run.not_run();
             return Attempt::NotRun(NotRun::Refused);
         }
-        if is_mismatched {
-            in_flight.ending = Ending::Failed;
-            return Attempt::Failed(None);
-        }
         self.record_usage();
         let is_success = (200..300).contains(&exchange.status());
         if self.route.kind == RouteKind::Stream && is_success && is_original(&exchange) {
--- a/crates/dandelion-daemon/src/stores/group.rs
+++ b/crates/dandelion-daemon/src/stores/group.rs
@@ -58,6 +58,9 @@
 /// Interval at which the cell's replicated state is checked for changes of the stores.
 const POLL_PERIOD: Duration = Duration::from_millis(200);
 
+/// Interval at which a store folder that can't be opened is tried again.
+const OPEN_PERIOD: Duration = Duration::from_secs(1);
+
 /// Wait for the target number of stores before fewer of them bootstrap the group.
 const BOOTSTRAP_TIMEOUT: Millis = Millis(5_000);
 
@@ -174,12 +177,13 @@
     } else {
         wait_initial_members(&core).await
     };
-    let outgoing = match open(&core, initial) {
-        Ok(outgoing) => outgoing,
-        Err(error) => {
-            event!(Event::StorageFailed, error = format!("{error:#}"));
-            return;
+    let outgoing = loop {
+        match open(&core, initial.clone()) {
+            Ok(outgoing) => break outgoing,
+            Err(error) => event!(Event::StorageFailed, error = format!("{error:#}")),
         }
+        // The disk may be full at the start and have room later.
+        task::sleep(OPEN_PERIOD).await;
     };
     task::spawn(update_members(core.clone()));
     while let Ok(Outgoing { to, message }) = outgoing.recv().await {
--- a/crates/dandelion-daemon/src/stores/run.rs
+++ b/crates/dandelion-daemon/src/stores/run.rs
@@ -289,12 +289,6 @@
     /// Returns the outcome if the engine's answer is not the stream of this run.
     async fn check_response(&self, core: &Handle, exchange: &mut Exchange) -> Option<RunOutcome> {
         let status = exchange.status();
-        let is_mismatched = exchange
-            .header(headers::ATTEMPT)
-            .is_some_and(|id| id != self.id());
-        if is_mismatched {
-            return Some(RunOutcome::Broken { reached: true });
-        }
         limits::observe(core, &self.engine, exchange, self.permit, self.id());
         observe_leaving(core, &self.engine, exchange, self.id());
         if (200..300).contains(&status) {
--- a/crates/dandelion-daemon/src/stores/texts/store.rs
+++ b/crates/dandelion-daemon/src/stores/texts/store.rs
@@ -88,8 +88,11 @@
 }
 
 impl Texts {
-    /// Opens the folder and starts the thread that writes to it.
+    /// Opens the folder and starts the thread that writes to it, unless it is open already.
     pub fn open(&self, folder: &Path) -> io::Result<()> {
+        if self.disk.get().is_some() {
+            return Ok(());
+        }
         let store = Arc::new(TimedReadMutex::new(TextStore::open(folder)?));
         let (tasks, queue) = async_channel::bounded(TASK_CAPACITY);
         let written = Arc::clone(&store);
