Refuse routes whose hosts differ in letter case only

Requests take such hosts for one, so which route served them was not said. The error names both routes. Test hosts_in_other_case, which failed before: the plan passed the check.

--- a/crates/dandelion-protocol/src/plan.rs
+++ b/crates/dandelion-protocol/src/plan.rs
@@ -119,9 +119,13 @@
         service: ServiceId,
     },
     /// Two routes have the same host and prefix.
-    #[error("two routes serve `{host}{prefix}`; remove one of them")]
+    #[error("two routes, `{first}` and `{second}`, serve `{host}{prefix}`; remove one of them")]
     SameRoute {
-        /// Shared host.
+        /// Name of the route that comes first in the plan.
+        first: String,
+        /// Name of the later route.
+        second: String,
+        /// Shared host, whose letter case doesn't matter.
         host: String,
         /// Shared path prefix.
         prefix: String,
@@ -146,11 +150,14 @@
     /// Checks that the parts of the plan are consistent.
     pub fn check(&self) -> Result<(), PlanError> {
         let services: BTreeSet<&ServiceId> = self.services.iter().map(|s| &s.name).collect();
-        let mut served = BTreeSet::new();
+        let mut served = BTreeMap::new();
         for route in &self.routes {
             check_route(route, &services)?;
-            if !served.insert((&route.host, &route.prefix)) {
+            let place = (route.host.to_ascii_lowercase(), &route.prefix);
+            if let Some(first) = served.insert(place, &route.name) {
                 return Err(PlanError::SameRoute {
+                    first: first.clone(),
+                    second: route.name.clone(),
                     host: route.host.clone(),
                     prefix: route.prefix.clone(),
                 });
