--- a/crates/dandelion-daemon/src/gateway/answer.rs
+++ b/crates/dandelion-daemon/src/gateway/answer.rs
@@ -30,6 +30,15 @@
     response
 }
 
+/// Refuses a request in which a header stands twice that may stand once only.
+pub fn repeated_header(name: &str) -> Response {
+    let mut response = Response::new(400);
+    response.set_body(format!(
+        "header {name} stands more than once; send it once\n"
+    ));
+    response
+}
+
 /// Refuses a request that has not run and will not run because this daemon stops; other daemons take
 /// it at once.
 pub fn stopping() -> Response {
@@ -58,13 +67,21 @@
     response
 }
 
-/// Relays an upstream's answer without its hop-by-hop headers.
+/// Relays an upstream's answer without its hop-by-hop headers; a header in several lines keeps them
+/// all, in their order.
 pub fn relayed(status: u16, headers: &[Header], body: Body) -> Response {
     let mut response = Response::new(code(status));
     response.set_body(body);
-    for header in headers {
-        if !is_hop_header(&header.name) && header.name != DATE {
-            response.insert_header(header.name.as_str(), header.value.as_str());
+    for (at, header) in headers.iter().enumerate() {
+        if is_hop_header(&header.name) || header.name == DATE {
+            continue;
+        }
+        let (name, value) = (header.name.as_str(), header.value.as_str());
+        if headers[..at].iter().any(|h| h.name == header.name) {
+            response.append_header(name, value);
+        } else {
+            // Also replaces the type that the body has set.
+            response.insert_header(name, value);
         }
     }
     response
--- a/crates/dandelion-daemon/src/gateway/front.rs
+++ b/crates/dandelion-daemon/src/gateway/front.rs
@@ -60,6 +60,10 @@
 impl Front {
     async fn serve(&self, caller: &CallerHeaders, request: Request) -> Response {
         let core = &self.0;
+        if let Some(name) = headers::repeated(&request) {
+            let reason = format!("repeated_{name}");
+            return refuse(caller, &reason, answer::repeated_header(name));
+        }
         // The lease is checked before the plan is read, so that it covers that plan.
         let leased = core.control.is_leased();
         let view = core.control.view();
--- a/crates/dandelion-net/src/http/client/request.rs
+++ b/crates/dandelion-net/src/http/client/request.rs
@@ -43,11 +43,17 @@
     let mut request = Request::new(method, url);
     request.set_body(Body::from_bytes(body));
     raw_target::keep(&mut request, path);
-    for header in headers {
+    for (at, header) in headers.iter().enumerate() {
         check_header(&header.name, &header.value)?;
         let name = HeaderName::from_str(&header.name).map_err(invalid)?;
         let value = HeaderValue::from_str(&header.value).map_err(invalid)?;
-        request.insert_header(name, value);
+        let is_first = !headers[..at].iter().any(|h| h.name == header.name);
+        if is_first {
+            // Also replaces what the body or the URL has set.
+            request.insert_header(name, value);
+        } else {
+            request.append_header(name, value);
+        }
     }
     Ok(request)
 }
