--- a/crates/dandelion-control/src/timing.rs
+++ b/crates/dandelion-control/src/timing.rs
@@ -46,25 +46,7 @@
     }
 }
 
-/// Shortest time without a reply after which a voter is replaced, longer than a usual restart.
-const MIN_REPLACE_AFTER: Millis = Millis(1_500);
-
-/// Time in which a learner is made a voter in the place of a lost one, and the lost one removed.
-const REPLACE_TIME: Millis = Millis(500);
-
 impl Timing {
-    /// Replaces lost voters early enough that a group with learners has its full number of voters again
-    /// `catch_up` after a loss, when the next one may follow.
-    #[must_use]
-    pub fn replacing_within(self, catch_up: Millis) -> Self {
-        // A voter counts as unresponsive only once its promise has run out.
-        let spent = self.promise + REPLACE_TIME;
-        Self {
-            replace_after: catch_up.since(spent).max(MIN_REPLACE_AFTER),
-            ..self
-        }
-    }
-
     /// Values for cells of about a thousand daemons, with half as many renewals as the default.
     pub fn large() -> Self {
         Self {
--- a/crates/dandelion-daemon/src/membership.rs
+++ b/crates/dandelion-daemon/src/membership.rs
@@ -18,7 +18,6 @@
 use futures::future::join_all;
 
 use crate::control::CommandError;
-use crate::control::View;
 use crate::core::Handle;
 
 /// Interval at which a daemon checks that it is a member.
@@ -33,9 +32,6 @@
 /// Longest wait for the answer to a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Interval at which the members are checked for daemons that leave.
-const HANDOVER_POLL: Duration = Duration::from_millis(100);
-
 /// Consecutive probes without an answer after which a daemon is removed.
 const MAX_MISSED: u32 = 4;
 
@@ -89,32 +85,6 @@
     Ok(())
 }
 
-/// Returns the daemons of a role that are being retired or stop as planned. Their votes pass to learners,
-/// if there are any: nobody knows whether they come back.
-pub fn leaving_daemons(view: &View, role: Role) -> Vec<DaemonId> {
-    let stopping = view
-        .members
-        .iter()
-        .filter(|m| m.role == role && m.leaving && !view.retiring.contains(&m.id));
-    let stopping = stopping.map(|m| &m.id);
-    let retiring = view.retiring.iter().filter(|_| role == Role::Store);
-    stopping.chain(retiring).cloned().collect()
-}
-
-/// Passes the control daemons that leave to the replica of their group whenever they change, until the
-/// process ends.
-pub async fn run_handovers(core: Handle) {
-    let mut leaving: Vec<DaemonId> = Vec::new();
-    loop {
-        let now_leaving = leaving_daemons(&core.control.view(), Role::Control);
-        if let Some(replica) = core.control.replica().filter(|_| now_leaving != leaving) {
-            replica.retire(now_leaving.clone());
-            leaving = now_leaving;
-        }
-        task::sleep(HANDOVER_POLL).await;
-    }
-}
-
 /// Removes this daemon from the members, before its process ends.
 pub async fn leave(core: &Handle) -> Result<(), CommandError> {
     remove(core, &core.identity.daemon.clone()).await
--- a/crates/dandelion-daemon/src/run.rs
+++ b/crates/dandelion-daemon/src/run.rs
@@ -328,11 +328,10 @@
 }
 
 fn timing(settings: &CheckedSettings) -> Timing {
-    let timing = Timing {
+    Timing {
         feed_period: settings.control.feed_period,
         ..Timing::default()
-    };
-    timing.replacing_within(settings.control.catch_up)
+    }
 }
 
 fn open_feed(settings: &CheckedSettings) -> FeedClient {
@@ -399,7 +398,6 @@
         task::spawn(send_outgoing(core.clone(), outgoing));
         task::spawn(duties::run_usage_duty(core.clone()));
         task::spawn(membership::run_probes(core.clone()));
-        task::spawn(membership::run_handovers(core.clone()));
     }
     task::spawn(run_feed(core.clone()));
     task::spawn(membership::run_join(core.clone()));
--- a/crates/dandelion-daemon/src/settings/args.rs
+++ b/crates/dandelion-daemon/src/settings/args.rs
@@ -160,15 +160,6 @@
         default_value = "500"
     )]
     pub feed_period_ms: String,
-    /// Time after a loss of a VM with a disk from which the next one may be lost, in seconds: by then a
-    /// learner has replaced the lost voter
-    #[arg(
-        long,
-        env = "DANDELION_CATCH_UP_S",
-        value_name = "S",
-        default_value = "7.5"
-    )]
-    pub catch_up_s: String,
 }
 
 /// Traffic under the route plan, and batch jobs.
--- a/crates/dandelion-daemon/src/settings/check.rs
+++ b/crates/dandelion-daemon/src/settings/check.rs
@@ -33,9 +33,6 @@
 const DAY_MS: u64 = 24 * 60 * 60 * 1000;
 const GIBIBYTE: u64 = 1 << 30;
 
-/// Default of `--catch-up-s`.
-const CATCH_UP: Millis = Millis(7_500);
-
 impl Settings {
     /// Checks every setting and returns the error of the first that cannot be used.
     pub fn check(&self) -> Result<CheckedSettings, SettingsError> {
@@ -162,18 +159,9 @@
         bootstrap,
         peers,
         feed_period: read::read_millis("--feed-period-ms", &args.feed_period_ms, 50..=10_000)?,
-        catch_up: check_catch_up(&args.catch_up_s)?,
     })
 }
 
-/// Parses the time between two losses; an empty value stands for the default.
-fn check_catch_up(text: &str) -> Result<Millis, SettingsError> {
-    if text.is_empty() {
-        return Ok(CATCH_UP);
-    }
-    read::read_seconds("--catch-up-s", text, 1..=3_600)
-}
-
 /// Returns the seeds as peers, each named by its IP number and with this daemon's mesh port.
 fn check_seeds(args: &GatewayArgs, own: SocketAddr) -> Result<Vec<Peer>, SettingsError> {
     let seeds = args.seeds.iter().filter(|text| !text.is_empty());
--- a/crates/dandelion-daemon/src/settings/checked.rs
+++ b/crates/dandelion-daemon/src/settings/checked.rs
@@ -70,8 +70,6 @@
     pub peers: Vec<Peer>,
     /// Interval between renewals of the lease.
     pub feed_period: Millis,
-    /// Time after a loss of a VM with a disk from which the next one may be lost.
-    pub catch_up: Millis,
 }
 
 /// Traffic under the route plan, and batch jobs.
--- a/crates/dandelion-daemon/src/stores/group.rs
+++ b/crates/dandelion-daemon/src/stores/group.rs
@@ -43,7 +43,6 @@
 use crate::core::Handle;
 use crate::core::new_request_id;
 use crate::fenced::Duty;
-use crate::membership::leaving_daemons;
 use crate::stores::texts::Texts;
 
 /// Subfolder of the store folder for result bodies.
@@ -194,11 +193,11 @@
     }
 }
 
-/// Passes the current store daemons and those that leave to the replica whenever they change, until
-/// the process ends.
+/// Passes the current store daemons and those being retired to the replica whenever they change,
+/// until the process ends.
 async fn update_members(core: Handle) {
     let mut known: Vec<DaemonId> = Vec::new();
-    let mut leaving: Vec<DaemonId> = Vec::new();
+    let mut retiring: Vec<DaemonId> = Vec::new();
     loop {
         let view = core.control.view();
         let stores = view.members.iter().filter(|m| m.role == Role::Store);
@@ -207,10 +206,13 @@
             replica.set_extra_peers(stores.clone());
             known = stores;
         }
-        let now_leaving = leaving_daemons(&view, Role::Store);
-        if let Some(replica) = core.stores.replica().filter(|_| now_leaving != leaving) {
-            replica.retire(now_leaving.clone());
-            leaving = now_leaving;
+        if let Some(replica) = core
+            .stores
+            .replica()
+            .filter(|_| *view.retiring != *retiring)
+        {
+            retiring = view.retiring.to_vec();
+            replica.retire(retiring.clone());
         }
         task::sleep(POLL_PERIOD).await;
     }
@@ -230,7 +232,7 @@
     let peers = initial.into_iter().filter(|id| bootstraps || id != own);
     let node = NodeSettings {
         voters: settings.voters(),
-        timing: Timing::default().replacing_within(core.settings.control.catch_up),
+        timing: Timing::default(),
         ..NodeSettings::new(own.clone(), core.identity.zone.clone(), peers.collect())
     };
     let node = ControlNode::open(node, storage, clock::boot_now(), rng.random())?;
