Run repeated groups before spare ones

Groups that were not complete when their step ended come again in a later step, and the trainer waits for them whatever other groups are complete. Ruled out: waits for versions alone (with loads that take 50 ms a model of the cell shows the same delay of the trainers), and pauses during loads (no run paused over 300 ms).

The table of jobs tells which items were in an ended job of the team, so a new leader knows it too.

--- a/crates/dandelion-batch/src/scheduler/event.rs
+++ b/crates/dandelion-batch/src/scheduler/event.rs
@@ -102,6 +102,13 @@
         /// Outputs of interrupted runs, by index of the item.
         kept: Vec<(usize, KeptOutput)>,
     },
+    /// Items of a job were in an earlier job, which ended before their group was complete.
+    Repeated {
+        /// Id of the job.
+        job: &'a str,
+        /// Indexes of the items in the job.
+        items: &'a [usize],
+    },
     /// The output of an interrupted run was kept, and the item's next run can continue it.
     Kept {
         /// Id of the job.
--- a/crates/dandelion-batch/src/scheduler/job.rs
+++ b/crates/dandelion-batch/src/scheduler/job.rs
@@ -76,6 +76,9 @@
     pub items: Vec<usize>,
     /// Engine on which the latest run of one of its items was started.
     pub engine: Option<UpstreamId>,
+    /// Whether it was in an earlier job. The trainer waits for such a group whatever other groups are
+    /// complete.
+    pub repeated: bool,
 }
 
 /// An open job.
@@ -181,8 +184,17 @@
         ready
     }
 
-    /// Ranks the groups: complete ones first, then by the longest predicted output of their open
-    /// items, shortest first.
+    /// Marks the groups of these items as repeated from an earlier job.
+    pub fn repeat_groups(&mut self, items: &[usize]) {
+        for item in items {
+            if let Some(item) = self.items.get(*item) {
+                self.groups[item.group].repeated = true;
+            }
+        }
+    }
+
+    /// Ranks the groups: repeated ones first, because no other group can take their place, then complete
+    /// ones, then by the longest predicted output of their open items, shortest first.
     fn ranks(&self) -> Vec<usize> {
         let remaining = |group: &Group| {
             let open = group.items.iter().map(|i| &self.items[*i]);
@@ -190,7 +202,10 @@
             open.map(|i| i.output).max().unwrap_or(0)
         };
         let mut order: Vec<usize> = (0..self.groups.len()).collect();
-        order.sort_by_key(|group| (remaining(&self.groups[*group]), *group));
+        order.sort_by_key(|index| {
+            let group = &self.groups[*index];
+            (!group.repeated, remaining(group), *index)
+        });
         let mut ranks = vec![0; self.groups.len()];
         for (rank, group) in order.into_iter().enumerate() {
             ranks[group] = rank;
--- a/crates/dandelion-batch/src/scheduler/machine.rs
+++ b/crates/dandelion-batch/src/scheduler/machine.rs
@@ -103,6 +103,11 @@
                     self.jobs.insert(job.id.clone(), opened);
                 }
             }
+            Event::Repeated { job, items } => {
+                if let Some(job) = self.jobs.get_mut(job) {
+                    job.repeat_groups(items);
+                }
+            }
             Event::Kept { job, item, output } => {
                 let job = self.jobs.get_mut(job);
                 if let Some(item) = job.and_then(|job| job.items.get_mut(item)) {
--- a/crates/dandelion-batch/src/table.rs
+++ b/crates/dandelion-batch/src/table.rs
@@ -1,6 +1,7 @@
 //! The replicated table of batch jobs and of the results of their items.
 
 use std::collections::BTreeMap;
+use std::collections::HashSet;
 
 use dandelion_kernel::ApplyContext;
 use dandelion_kernel::TABLES;
@@ -168,6 +169,26 @@
         &self.jobs
     }
 
+    /// Returns the indexes of the items of a job that were also in an ended job of its team: their groups
+    /// were not complete when that job ended.
+    pub fn repeated_items(&self, id: &str) -> Vec<usize> {
+        let Some(stored) = self.jobs.get(id) else {
+            return Vec::new();
+        };
+        let is_earlier = |other: &&StoredJob| {
+            other.ended && other.job.team == stored.job.team && other.job.id != stored.job.id
+        };
+        let earlier = self.jobs.values().filter(is_earlier);
+        let earlier: HashSet<&str> = earlier
+            .flat_map(|other| other.job.items.iter().map(|item| item.id.as_str()))
+            .collect();
+        let items = stored.job.items.iter().enumerate();
+        items
+            .filter(|(_, item)| earlier.contains(item.id.as_str()))
+            .map(|(index, _)| index)
+            .collect()
+    }
+
     fn find_mut(&mut self, id: &str) -> Result<&mut StoredJob, Rejection> {
         self.jobs.get_mut(id).ok_or_else(|| Rejection::NotFound {
             what: format!("batch job `{id}`"),
--- a/crates/dandelion-daemon/src/stores/runner/adopt.rs
+++ b/crates/dandelion-daemon/src/stores/runner/adopt.rs
@@ -53,7 +53,13 @@
                 let stored = table.jobs().get(id).filter(|stored| !stored.ended)?;
                 let items = 0..stored.job.items.len();
                 let open: Vec<bool> = items.map(|item| stored.is_open(item)).collect();
-                Some((stored.job.clone(), open, stored.unscored().clone()))
+                let repeated = table.repeated_items(id);
+                Some((
+                    stored.job.clone(),
+                    open,
+                    stored.unscored().clone(),
+                    repeated,
+                ))
             })
         });
         let Some(found) = found else {
@@ -61,7 +67,7 @@
             self.deferred.insert(id.to_owned(), partials);
             return;
         };
-        let Some((job, mut open, unscored)) = found else {
+        let Some((job, mut open, unscored, repeated)) = found else {
             return;
         };
         // The outputs of these are complete.
@@ -96,6 +102,7 @@
             unscored = unscored.len(),
             wanted = job.wanted,
             min_version = job.min_version,
+            repeated = repeated.len(),
             term = self.term
         );
         self.handle(Event::Opened {
@@ -104,6 +111,10 @@
             service,
             kept,
         });
+        if !repeated.is_empty() {
+            let items = &repeated;
+            self.handle(Event::Repeated { job: id, items });
+        }
         for (item, result) in unscored {
             self.score_item(id, item, result);
         }
