--- a/crates/dandelion-daemon/src/stores/group.rs
+++ b/crates/dandelion-daemon/src/stores/group.rs
@@ -43,6 +43,7 @@
 use crate::core::Handle;
 use crate::core::new_request_id;
 use crate::fenced::Duty;
+use crate::stores::listings::Listings;
 use crate::stores::texts::Texts;
 
 /// Subfolder of the store folder for result bodies.
@@ -88,6 +89,8 @@
     pub texts: Texts,
     /// Unfinished outputs on this daemon's disk.
     pub partials: Texts,
+    /// Readers that wait for results.
+    pub listings: Listings,
     /// Turns of this daemon as the leader of the group, towards engines.
     pub duty: Duty,
     events: Sender<StoreEvent>,
@@ -104,6 +107,7 @@
             serving_term: AtomicU64::new(0),
             texts: Texts::default(),
             partials: Texts::default(),
+            listings: Listings::default(),
             duty: Duty::open(gap),
             events,
             queue,
--- a/crates/dandelion-daemon/src/stores/mod.rs
+++ b/crates/dandelion-daemon/src/stores/mod.rs
@@ -1,6 +1,7 @@
 //! The group of daemons that stores batch jobs, and the work of its leader.
 
 mod group;
+mod listings;
 mod orders;
 mod partials;
 mod run;
@@ -11,6 +12,8 @@
 pub use group::StoreEvent;
 pub use group::Stores;
 pub use group::run_group;
+pub use listings::Listings;
+pub use listings::Subscription;
 pub use run::Output;
 pub use run::OutputTooLong;
 pub use runner::run_jobs;
--- a/crates/dandelion-daemon/src/stores/runner/mod.rs
+++ b/crates/dandelion-daemon/src/stores/runner/mod.rs
@@ -190,6 +190,7 @@
             self.advance();
             if self.is_due() {
                 self.announce_leader();
+                self.core.stores.listings.expire();
                 self.expire();
             }
             self.wait(&messages).await;
--- a/crates/dandelion-daemon/src/stores/runner/results.rs
+++ b/crates/dandelion-daemon/src/stores/runner/results.rs
@@ -157,9 +157,13 @@
 pub(super) async fn list_result(core: &Handle, term: Term, job: String, result: ListedResult) {
     let item = result.id.clone();
     let versions = format!("{:?}", result.versions);
-    let command = BatchCommand::List { job, result };
+    let command = BatchCommand::List {
+        job: job.clone(),
+        result,
+    };
     while core.stores.leader_term(Millis::ZERO) == Some(term) {
         if core.stores.change(&command).await.is_ok() {
+            core.stores.listings.wake(&job);
             event!(LogEvent::ItemFinished, item = item, versions = versions);
             return;
         }
--- a/crates/dandelion-daemon/src/stores/service.rs
+++ b/crates/dandelion-daemon/src/stores/service.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use async_std::task;
 use dandelion_batch::BatchTable;
 use dandelion_batch::table::BatchCommand;
 use dandelion_net::clock;
@@ -19,8 +18,9 @@
 use crate::stores::group::StoreEvent;
 use crate::stores::texts;
 
-/// Interval at which the table is read while a reader waits for a result.
-const POLL_PERIOD: Duration = Duration::from_millis(40);
+/// Longest wait until the table is read again for a reader that waits for a result. It is woken by a
+/// result; one that the former leader listed wakes nobody.
+const READ_PERIOD: Duration = Duration::from_millis(200);
 
 /// Answers a call, or names the leader if this daemon does not lead the store group.
 pub async fn answer(core: &Handle, call: BatchCall) -> BatchReply {
@@ -107,6 +107,7 @@
 async fn read(core: &Handle, job: &str, team: &TeamId, after: u64, wait: Millis) -> BatchReply {
     let until = clock::boot_now() + wait;
     loop {
+        let listed = core.stores.listings.subscribe(job);
         let reply = read_table(core, |table| {
             let stored = table.of_team(job, team)?;
             let total = stored.job.items.len() as u64;
@@ -121,9 +122,11 @@
             return not_leader(core);
         };
         let must_wait = matches!(&reply, BatchReply::Page(page) if page.listed.is_empty() && after < page.total);
-        if !must_wait || clock::boot_now() >= until {
+        let now = clock::boot_now();
+        if !must_wait || now >= until {
             return reply;
         }
-        task::sleep(POLL_PERIOD).await;
+        let remaining = Duration::from_millis(until.since(now).0);
+        listed.wait(remaining.min(READ_PERIOD)).await;
     }
 }
