Hand the vote of a stopping voter to the daemon that was added to replace it

Rule: the leader hands the vote of a daemon that stops as planned over only to a learner that was started after the cell's first start with an empty folder and never voted; such a learner is marked when it joins. A rolling restart has none, so it changes no voter, and no stop waits for anything.

--- a/crates/dandelion-control/src/node/changes.rs
+++ b/crates/dandelion-control/src/node/changes.rs
@@ -10,6 +10,7 @@
 use crate::raft::ChangeError;
 use crate::raft::Position;
 use crate::raft::ReplicaId;
+use crate::raft::ReplicaInfo;
 use crate::raft::VoterChange;
 use crate::raft::bootstrap::MAX_PROMOTION_LAG;
 use crate::storage::Storage;
@@ -127,8 +128,9 @@
     }
 
     /// Repairs the set of voters: a voter whose daemon came back with a new identity is replaced by
-    /// that one, a voter that has not replied for `replace_after` is replaced by a learner, and
-    /// learners are promoted while voters are missing.
+    /// that one, a voter that stops as planned is replaced by a learner that was added for it, a voter
+    /// that has not replied for `replace_after` is replaced by any learner, and learners are promoted
+    /// while voters are missing.
     pub(super) fn tick_repair(&mut self, now: Millis) {
         if self.replica.leading_term().is_none() {
             self.unresponsive.clear();
@@ -138,7 +140,7 @@
         if self.voter_change.is_some() || !self.replica.members_committed() {
             return;
         }
-        if self.tick_retiring(now) {
+        if self.tick_retiring(now) || self.tick_handover(now) {
             return;
         }
         if let Some(id) = self.surplus_voter(now) {
@@ -168,12 +170,7 @@
         };
         let enough = members.voters().count() > self.settings.voters;
         if !members.is_voter(id) || enough {
-            if id == self.replica.id() {
-                // The next leader removes this replica.
-                self.replica.resign(now);
-            } else {
-                self.replica.remove_voter(now, id);
-            }
+            self.remove_or_resign(now, id);
         } else if let Some(daemon) = self.promotion_candidate(now) {
             // A refused change is tried again at the next tick.
             let _ = self.replica.add_voter(&daemon);
@@ -181,6 +178,63 @@
         true
     }
 
+    /// Removes a replica, or leaves that to the next leader if it is this one.
+    fn remove_or_resign(&mut self, now: Millis, id: ReplicaId) {
+        if id == self.replica.id() {
+            self.replica.resign(now);
+        } else {
+            self.replica.remove_voter(now, id);
+        }
+    }
+
+    /// Hands the vote of a daemon that stops as planned over to a learner that was added for it: makes the
+    /// learner a voter, then removes the old one. The second step is part of the membership, so that any
+    /// later leader completes it, also once the old voter has ended. Returns whether a change was tried.
+    fn tick_handover(&mut self, now: Millis) -> bool {
+        let members = self.replica.membership();
+        let voters = members.voters().count();
+        let outgoing = members.voters().find(|id| members.replicas[id].outgoing);
+        if let Some(old) = outgoing.filter(|_| voters > self.settings.voters) {
+            self.remove_or_resign(now, old);
+            return true;
+        }
+        if voters != self.settings.voters {
+            return false;
+        }
+        let stops = |id: &ReplicaId| self.stopping.contains(&members.replicas[id].daemon);
+        let stopping = members.voters().filter(stops).collect::<Vec<_>>();
+        let mut stopping = stopping.into_iter();
+        let change = stopping.find_map(|old| Some((self.successor(now, old)?, old)));
+        change.is_some_and(|(id, old)| self.replica.add_successor(now, id, old).is_some())
+    }
+
+    /// Returns the learner that gets the vote of `old`, which stops as planned. Only learners that were
+    /// added to the running cell and never voted are eligible: in a rolling restart, where each daemon
+    /// returns to its vote, there are none. A learner of the same zone comes first, then one of a zone
+    /// without a voter, then the one that joined first.
+    fn successor(&self, now: Millis, old: ReplicaId) -> Option<ReplicaId> {
+        let members = self.replica.membership();
+        let others = members.voters().filter(|id| *id != old);
+        let zones = others.map(|id| &members.replicas[&id].zone);
+        let zones = zones.collect::<Vec<_>>();
+        let old = &members.replicas[&old];
+        let learners = members.replicas.iter().filter(|(_, r)| !r.voter && r.added);
+        let eligible = learners
+            .filter(|(id, r)| self.is_ready(now, **id) && !self.stopping.contains(&r.daemon));
+        let rank = |(_, r): &(&ReplicaId, &ReplicaInfo)| {
+            (r.zone != old.zone, zones.contains(&&r.zone), r.joined)
+        };
+        eligible.min_by_key(rank).map(|(id, _)| *id)
+    }
+
+    /// Returns whether a learner may become a voter: it replies, has nearly caught up and isn't retiring.
+    fn is_ready(&self, now: Millis, id: ReplicaId) -> bool {
+        let members = self.replica.membership();
+        let near = self.replica.lag(id) <= MAX_PROMOTION_LAG;
+        let retires = self.retiring.contains(&members.replicas[&id].daemon);
+        self.replica.is_alive(now, id) && near && !retires
+    }
+
     fn track_unresponsive(&mut self, now: Millis) {
         let replica = &self.replica;
         let members = replica.membership();
@@ -218,14 +272,10 @@
         let missing = voters < self.settings.voters || replaces;
         let zones = members.voters().map(|id| &members.replicas[&id].zone);
         let zones = zones.collect::<Vec<_>>();
-        let ready = |id: ReplicaId| {
-            let near = self.replica.lag(id) <= MAX_PROMOTION_LAG;
-            self.replica.is_alive(now, id) && near && !is_retiring(id)
-        };
         let learners = members.replicas.iter().filter(|(_, r)| !r.voter);
         let mut eligible = learners.filter(|(id, r)| {
             let returned = members.newest_replica(&r.daemon, true).is_some();
-            (missing || returned) && ready(**id)
+            (missing || returned) && self.is_ready(now, **id)
         });
         let first = eligible.clone().find(|(_, r)| !zones.contains(&&r.zone));
         first
--- a/crates/dandelion-control/src/node/control.rs
+++ b/crates/dandelion-control/src/node/control.rs
@@ -50,6 +50,7 @@
     pub(super) voter_change: Option<PendingChange>,
     pub(super) unresponsive: Unresponsive,
     pub(super) retiring: Vec<DaemonId>,
+    pub(super) stopping: Vec<DaemonId>,
     /// Daemon from which each replica last sent a message; used for replicas that the membership
     /// does not list.
     pub(super) replica_daemons: BTreeMap<ReplicaId, DaemonId>,
@@ -85,6 +86,7 @@
             voter_change: None,
             unresponsive: Unresponsive::new(),
             retiring: Vec::new(),
+            stopping: Vec::new(),
             replica_daemons: BTreeMap::new(),
             pending: BTreeMap::new(),
             led_term: None,
@@ -173,6 +175,7 @@
             }
             NodeEvent::Peers(peers) => self.joining.set_extra_peers(peers),
             NodeEvent::Retire(daemons) => self.retiring = daemons,
+            NodeEvent::Stopping(daemons) => self.stopping = daemons,
             NodeEvent::Resign => {
                 self.replica.resign(now);
             }
@@ -370,6 +373,7 @@
     Settings {
         daemon: settings.daemon.clone(),
         zone: settings.zone.clone(),
+        added: settings.added,
         timing: settings.timing,
         fault: settings.fault,
     }
--- a/crates/dandelion-control/src/node/event.rs
+++ b/crates/dandelion-control/src/node/event.rs
@@ -27,6 +27,9 @@
     /// All control daemons of the cell at its first start, this one included if it is one of them.
     /// The first by name bootstraps the group; a daemon that is not listed can only join.
     pub peers: Vec<DaemonId>,
+    /// Whether this daemon was started after the cell's first start. If its folder is empty as well, it
+    /// may have been started to replace a voter.
+    pub added: bool,
     /// Target number of voters; further replicas are learners.
     pub voters: usize,
     /// Periods and leases.
@@ -44,6 +47,7 @@
             daemon,
             zone,
             peers,
+            added: false,
             voters: 3,
             timing: Timing::default(),
             compact_bytes: COMPACT_BYTES,
@@ -84,6 +88,9 @@
     /// Daemons that leave the group permanently, in place of those set before: a leader removes
     /// their replicas and refuses their join requests.
     Retire(Vec<DaemonId>),
+    /// Daemons that stop as planned and may come back, in place of those set before: a leader hands the
+    /// vote of each over if a learner was added to replace it.
+    Stopping(Vec<DaemonId>),
     /// This daemon is about to stop and transfers its leadership if it can. Repeat it until
     /// [`NodeAction::Follow`]. All external side effects must have ended before the first one: the
     /// next leader does not wait for the lease of this one to expire.
--- a/crates/dandelion-control/src/node/joining.rs
+++ b/crates/dandelion-control/src/node/joining.rs
@@ -123,7 +123,10 @@
             self.reply_join(join, actions);
         }
         if self.replica.leading_term().is_some() {
-            if !self.retiring.contains(&join.daemon) {
+            // A stopping daemon whose vote was handed over must not be listed again; with a new folder it
+            // has already been restarted.
+            let stops = self.stopping.contains(&join.daemon) && !join.added;
+            if !self.retiring.contains(&join.daemon) && !stops {
                 self.replica.add_learner(join);
             }
             return;
@@ -174,6 +177,8 @@
             zone: join.zone.clone(),
             voter: members.replicas.len() < voters,
             joined: 1,
+            added: false,
+            outgoing: false,
         };
         members.replicas.insert(join.replica, replica);
     }
--- a/crates/dandelion-control/src/raft/bootstrap.rs
+++ b/crates/dandelion-control/src/raft/bootstrap.rs
@@ -24,6 +24,7 @@
             replica: self.id,
             daemon: self.settings.daemon.clone(),
             zone: self.settings.zone.clone(),
+            added: self.settings.added && self.membership().is_empty(),
         }
     }
 
@@ -56,6 +57,8 @@
             zone: join.zone.clone(),
             voter: false,
             joined: self.log.last().index + 1,
+            added: join.added,
+            outgoing: false,
         };
         let next = members.with_learner(join.replica, learner);
         self.propose_members(next)
@@ -83,6 +86,21 @@
         self.propose_members(next).ok_or(ChangeError::Busy)
     }
 
+    /// Makes a learner a voter in the place of a voter, which is to be removed next. Refused unless the
+    /// resulting voters have a live quorum.
+    pub fn add_successor(
+        &mut self,
+        now: Millis,
+        id: ReplicaId,
+        old: ReplicaId,
+    ) -> Option<Position> {
+        let next = self.membership().with_successor(id, old);
+        if !self.has_live_quorum(now, &next) {
+            return None;
+        }
+        self.propose_members(next)
+    }
+
     /// Removes the oldest voter of a daemon or, if it has none, its oldest learner.
     pub fn remove_replica(
         &mut self,
--- a/crates/dandelion-control/src/raft/membership.rs
+++ b/crates/dandelion-control/src/raft/membership.rs
@@ -25,6 +25,13 @@
     pub voter: bool,
     /// Log index at which it was added; tells newer from older replicas of one daemon.
     pub joined: u64,
+    /// Whether its daemon was started with an empty folder after the cell's first start, and the replica
+    /// has not voted yet. Such a learner gets the vote of a voter that stops as planned.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub added: bool,
+    /// Whether a learner was made a voter in its place, so that it is to be removed.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub outgoing: bool,
 }
 
 /// All replicas of a group.
@@ -158,10 +165,13 @@
         })
     }
 
-    /// Returns the membership with a learner added, in place of older learners of the same daemon.
+    /// Returns the membership with a learner added, in place of older learners of the same daemon. A
+    /// daemon that returns with an empty folder replaces nobody else.
     #[must_use]
-    pub fn with_learner(&self, id: ReplicaId, learner: ReplicaInfo) -> Self {
+    pub fn with_learner(&self, id: ReplicaId, mut learner: ReplicaInfo) -> Self {
         let mut next = self.clone();
+        let mut known = next.replicas.values();
+        learner.added &= known.all(|r| r.daemon != learner.daemon || r.added);
         next.replicas
             .retain(|_, r| r.voter || r.daemon != learner.daemon);
         next.replicas.insert(id, learner);
@@ -174,15 +184,29 @@
         let mut next = self.clone();
         if let Some(replica) = next.replicas.get_mut(&id) {
             replica.voter = true;
+            replica.added = false;
         }
         next
     }
 
-    /// Returns the membership without a replica.
+    /// Returns the membership with a learner made a voter in the place of `old`, which still votes.
+    #[must_use]
+    pub fn with_successor(&self, id: ReplicaId, old: ReplicaId) -> Self {
+        let mut next = self.with_voter(id);
+        if let Some(replica) = next.replicas.get_mut(&old) {
+            replica.outgoing = true;
+        }
+        next
+    }
+
+    /// Returns the membership without a replica. The removal of a voter completes or cancels a hand-over in
+    /// progress: there is no voter too many any more.
     #[must_use]
     pub fn without(&self, id: ReplicaId) -> Self {
         let mut next = self.clone();
-        next.replicas.remove(&id);
+        if next.replicas.remove(&id).is_some_and(|r| r.voter) {
+            next.replicas.values_mut().for_each(|r| r.outgoing = false);
+        }
         next
     }
 }
--- a/crates/dandelion-control/src/raft/message.rs
+++ b/crates/dandelion-control/src/raft/message.rs
@@ -37,6 +37,10 @@
     pub daemon: DaemonId,
     /// Availability zone of that daemon.
     pub zone: ZoneId,
+    /// Whether the daemon was started after the cell's first start and the replica has never belonged to
+    /// a group. Daemons of earlier releases never say so.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub added: bool,
 }
 
 /// Answer to a join request: whether the sender knows a group.
--- a/crates/dandelion-control/src/raft/replica.rs
+++ b/crates/dandelion-control/src/raft/replica.rs
@@ -49,6 +49,8 @@
     pub daemon: DaemonId,
     /// Availability zone of that daemon.
     pub zone: ZoneId,
+    /// Whether the daemon was started after the cell's first start.
+    pub added: bool,
     /// Periods and leases, the same on all replicas of the group.
     pub timing: Timing,
     /// Safety rule that a test disables; none in production.
--- a/crates/dandelion-control/src/storage/restore.rs
+++ b/crates/dandelion-control/src/storage/restore.rs
@@ -40,6 +40,8 @@
         zone: owner.zone.clone(),
         voter: true,
         joined: snapshot.at.index,
+        added: false,
+        outgoing: false,
     };
     snapshot.members = Membership {
         group,
--- a/crates/dandelion-control/tests/data_folder.rs
+++ b/crates/dandelion-control/tests/data_folder.rs
@@ -208,6 +208,7 @@
         replica: FOLDER_ID,
         daemon: "vm-0".parse().unwrap(),
         zone: "zone-0".parse().unwrap(),
+        added: false,
     };
     restore::restore_snapshot(folder.path(), &exported, &owner, GroupId(5)).unwrap();
     let mut storage = FileStorage::open(folder.path(), FOLDER_ID).unwrap();
@@ -234,6 +235,7 @@
         replica: FOLDER_ID,
         daemon: settings.daemon.clone(),
         zone: settings.zone.clone(),
+        added: false,
     };
     restore::restore_snapshot(folder.path(), &exported, &owner, GroupId(5)).unwrap();
     let storage = FileStorage::open(folder.path(), FOLDER_ID).unwrap();
--- a/crates/dandelion-daemon/src/control/replica.rs
+++ b/crates/dandelion-daemon/src/control/replica.rs
@@ -178,6 +178,11 @@
         let _lost = self.events.try_send(NodeEvent::Retire(daemons));
     }
 
+    /// Sets the daemons that stop as planned. Returns false if the queue is full; set them again then.
+    pub fn set_stopping(&self, daemons: Vec<DaemonId>) -> bool {
+        self.events.try_send(NodeEvent::Stopping(daemons)).is_ok()
+    }
+
     /// Transfers the leadership, if held, and waits up to `limit` until it is given up.
     pub async fn resign(&self, limit: Duration) {
         let until = Instant::now() + limit;
@@ -293,7 +298,9 @@
                     let result = Err(ChangeError::NotLeader);
                     self.execute(NodeAction::Changed { ticket, result });
                 }
-                Ok(Ok(event @ (NodeEvent::Peers(_) | NodeEvent::Retire(_)))) => kept.push(event),
+                Ok(Ok(
+                    event @ (NodeEvent::Peers(_) | NodeEvent::Retire(_) | NodeEvent::Stopping(_)),
+                )) => kept.push(event),
                 Ok(Err(_)) => return None,
                 Ok(Ok(_)) | Err(_) => (),
             }
--- a/crates/dandelion-daemon/src/membership.rs
+++ b/crates/dandelion-daemon/src/membership.rs
@@ -18,6 +18,8 @@
 use futures::future::join_all;
 
 use crate::control::CommandError;
+use crate::control::ReplicaHandle;
+use crate::control::View;
 use crate::core::Handle;
 
 /// Interval at which a daemon checks that it is a member.
@@ -32,6 +34,10 @@
 /// Longest wait for the answer to a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Interval at which the members are checked for daemons that stop, well below the time that a stop
+/// takes.
+const STOPPING_POLL: Duration = Duration::from_millis(50);
+
 /// Consecutive probes without an answer after which a daemon is removed.
 const MAX_MISSED: u32 = 4;
 
@@ -85,6 +91,34 @@
     Ok(())
 }
 
+/// Passes the daemons of `role` that stop as planned to `replica` if they differ from `known`.
+pub fn update_stopping(
+    view: &View,
+    role: Role,
+    replica: Option<&ReplicaHandle>,
+    known: &mut Vec<DaemonId>,
+) {
+    let leaving = view.members.iter().filter(|m| m.role == role && m.leaving);
+    let stopping: Vec<DaemonId> = leaving.map(|m| m.id.clone()).collect();
+    let Some(replica) = replica.filter(|_| stopping != *known) else {
+        return;
+    };
+    if replica.set_stopping(stopping.clone()) {
+        *known = stopping;
+    }
+}
+
+/// Passes the control daemons that stop as planned to the replica of the control group, until the process
+/// ends.
+pub async fn run_stopping(core: Handle) {
+    let mut known = Vec::new();
+    loop {
+        let view = core.control.view();
+        update_stopping(&view, Role::Control, core.control.replica(), &mut known);
+        task::sleep(STOPPING_POLL).await;
+    }
+}
+
 /// Removes this daemon from the members, before its process ends.
 pub async fn leave(core: &Handle) -> Result<(), CommandError> {
     remove(core, &core.identity.daemon.clone()).await
--- a/crates/dandelion-daemon/src/run.rs
+++ b/crates/dandelion-daemon/src/run.rs
@@ -297,6 +297,7 @@
         .with_context(|| format!("--data-folder {}", folder.display()))?;
     let peers = group_peers(settings);
     let node = NodeSettings {
+        added: !settings.gateway.first_start && settings.control.bootstrap.is_empty(),
         voters: voters(settings),
         timing: timing(settings),
         ..NodeSettings::new(settings.name.clone(), settings.zone.clone(), peers)
@@ -398,6 +399,7 @@
         task::spawn(send_outgoing(core.clone(), outgoing));
         task::spawn(duties::run_usage_duty(core.clone()));
         task::spawn(membership::run_probes(core.clone()));
+        task::spawn(membership::run_stopping(core.clone()));
     }
     task::spawn(run_feed(core.clone()));
     task::spawn(membership::run_join(core.clone()));
--- a/crates/dandelion-daemon/src/stores/group.rs
+++ b/crates/dandelion-daemon/src/stores/group.rs
@@ -43,6 +43,7 @@
 use crate::core::Handle;
 use crate::core::new_request_id;
 use crate::fenced::Duty;
+use crate::membership::update_stopping;
 use crate::stores::texts::Texts;
 
 /// Subfolder of the store folder for result bodies.
@@ -193,10 +194,11 @@
     }
 }
 
-/// Passes the current store daemons and those being retired to the replica whenever they change,
-/// until the process ends.
+/// Passes the current store daemons, those that stop as planned and those being retired to the replica
+/// whenever they change, until the process ends.
 async fn update_members(core: Handle) {
     let mut known: Vec<DaemonId> = Vec::new();
+    let mut stopping: Vec<DaemonId> = Vec::new();
     let mut retiring: Vec<DaemonId> = Vec::new();
     loop {
         let view = core.control.view();
@@ -206,6 +208,7 @@
             replica.set_extra_peers(stores.clone());
             known = stores;
         }
+        update_stopping(&view, Role::Store, core.stores.replica(), &mut stopping);
         if let Some(replica) = core
             .stores
             .replica()
@@ -231,6 +234,7 @@
     let bootstraps = settings.first_start && initial.contains(own);
     let peers = initial.into_iter().filter(|id| bootstraps || id != own);
     let node = NodeSettings {
+        added: !settings.first_start,
         voters: settings.voters(),
         timing: Timing::default(),
         ..NodeSettings::new(own.clone(), core.identity.zone.clone(), peers.collect())
