Send long mesh messages in fragments and bound the queued feed bytes

Cause: the WebSocket library reserves its output and input buffers for the longest frame of a connection and never shrinks them. A control daemon that sends each of its daemons one image of the tables keeps an image's size for each connection as long as the connection lasts, which grows as daemons times upstreams. The queue of a link was bounded in messages (4,096) only.

Messages of more than 16 KiB are sent in WebSocket fragments, which receivers of earlier releases put together again (message_unchanged). Feed messages queued for one peer are bounded to 8 MiB.

Ruled out: smaller read and write buffers. They grow only with the number of connections, and smaller ones cost reads on the path of answers.

--- a/crates/dandelion-net/src/mesh/link.rs
+++ b/crates/dandelion-net/src/mesh/link.rs
@@ -19,6 +19,8 @@
 use futures::select_biased;
 
 use crate::mesh::backoff::Backoff;
+use crate::mesh::byte_limit::ByteLimit;
+use crate::mesh::byte_limit::HeldBytes;
 use crate::mesh::error::MeshError;
 use crate::mesh::liveness::Action;
 use crate::mesh::liveness::Liveness;
@@ -34,6 +36,9 @@
 
 /// Most messages queued for one peer.
 const QUEUE_LIMIT: usize = 4096;
+/// Most bytes of feed messages queued for one peer. The start of 3,000 upstreams is pushed in less than
+/// 2 MB; a daemon that misses a push gets the change or an image with a later grant.
+const QUEUE_BYTES: usize = 8 * 1024 * 1024;
 /// Most messages written between two flushes.
 const BATCH: usize = 64;
 
@@ -42,6 +47,8 @@
 struct Outbound {
     message: MeshMessage,
     ticket: Option<Arc<Ticket>>,
+    /// Share of the queue's bytes; none for messages that do not count.
+    _held: Option<HeldBytes>,
 }
 
 /// Queue and connection to one peer. Dropping the last handle closes them.
@@ -50,6 +57,7 @@
     pub address: SocketAddr,
     pub pending: Pending,
     queue: Sender<Outbound>,
+    queue_bytes: ByteLimit,
     control: Sender<MeshMessage>,
     next_number: AtomicU64,
     stop: Trigger,
@@ -69,6 +77,7 @@
             address,
             pending: Pending::default(),
             queue,
+            queue_bytes: ByteLimit::new(QUEUE_BYTES),
             control: control.clone(),
             next_number: AtomicU64::new(1),
             stop,
@@ -104,8 +113,23 @@
 
     /// Queues a message; false if the queue is full.
     pub fn push(&self, message: MeshMessage, ticket: Option<Arc<Ticket>>) -> bool {
-        let has_capacity = self.queue.len() < QUEUE_LIMIT;
-        has_capacity && self.queue.try_send(Outbound { message, ticket }).is_ok()
+        if self.queue.len() >= QUEUE_LIMIT {
+            return false;
+        }
+        let bytes = feed_bytes(&message);
+        let held = match bytes {
+            0 => None,
+            _ => self.queue_bytes.take(bytes),
+        };
+        if bytes > 0 && held.is_none() {
+            return false;
+        }
+        let item = Outbound {
+            message,
+            ticket,
+            _held: held,
+        };
+        self.queue.try_send(item).is_ok()
     }
 
     /// Grants the peer more bytes of a stream.
@@ -133,6 +157,14 @@
     }
 }
 
+/// Returns the length of a feed message; zero for other messages, whose senders bound them.
+fn feed_bytes(message: &MeshMessage) -> usize {
+    match message {
+        MeshMessage::Feed(bytes) => bytes.len(),
+        _ => 0,
+    }
+}
+
 /// Why a connection ended.
 enum Ended {
     Failed(MeshError),
@@ -279,7 +311,7 @@
 
     async fn next_outbound(&self) -> Result<Outbound, async_channel::RecvError> {
         select_biased! {
-            message = self.controls.recv().fuse() => message.map(|message| Outbound { message, ticket: None }),
+            message = self.controls.recv().fuse() => message.map(|message| Outbound { message, ticket: None, _held: None }),
             item = self.queued.recv().fuse() => item,
         }
     }
@@ -290,6 +322,7 @@
             .map(|message| Outbound {
                 message,
                 ticket: None,
+                _held: None,
             })
             .or_else(|| self.queued.try_recv().ok())
     }
--- a/crates/dandelion-net/src/mesh/mod.rs
+++ b/crates/dandelion-net/src/mesh/mod.rs
@@ -3,6 +3,7 @@
 
 mod auth;
 mod backoff;
+mod byte_limit;
 mod config;
 mod counters;
 mod credit;
@@ -20,6 +21,8 @@
 
 pub use auth::Secret;
 pub use auth::Secrets;
+pub use byte_limit::ByteLimit;
+pub use byte_limit::HeldBytes;
 pub use config::MeshConfig;
 pub use config::Timing;
 pub use counters::Family;
@@ -31,4 +34,7 @@
 pub use parts::PartSender;
 pub use parts::ServeStream;
 pub use parts::StreamGone;
+pub use transport::FRAGMENT;
 pub use transport::decode_message;
+pub use transport::fragments;
+pub use transport::limits;
--- a/crates/dandelion-net/src/mesh/transport.rs
+++ b/crates/dandelion-net/src/mesh/transport.rs
@@ -19,6 +19,10 @@
 use tokio_tungstenite::tungstenite::Error as SocketError;
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::tungstenite::protocol::frame::Frame;
+use tokio_tungstenite::tungstenite::protocol::frame::coding::Data;
+use tokio_tungstenite::tungstenite::protocol::frame::coding::OpCode;
+use tokio_util::bytes::Bytes;
 use tokio_util::compat::Compat;
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 
@@ -35,6 +39,10 @@
 const READ_BUFFER: usize = 16 * 1024;
 /// Bytes buffered before they are written to the socket.
 const WRITE_BUFFER: usize = 32 * 1024;
+/// Most bytes of a message in one WebSocket frame. The buffers of a connection grow to its largest
+/// frame on both ends and never shrink: one image of 1 MB per connection stayed allocated for its
+/// lifetime.
+pub const FRAGMENT: usize = 16 * 1024;
 
 /// A WebSocket over a TCP connection of `async-std`.
 pub type Socket = WebSocketStream<Compat<TcpStream>>;
@@ -94,7 +102,8 @@
     opened.await.map_err(|_late| MeshError::Timeout)?
 }
 
-fn limits() -> WebSocketConfig {
+/// Returns the limits and buffer sizes of a connection.
+pub fn limits() -> WebSocketConfig {
     WebSocketConfig::default()
         .max_message_size(Some(MAX_MESSAGE))
         .max_frame_size(Some(MAX_MESSAGE))
@@ -102,8 +111,29 @@
         .write_buffer_size(WRITE_BUFFER)
 }
 
+/// Splits an encoded message into WebSocket frames of at most [`FRAGMENT`] bytes, which the receiving
+/// side of every release puts together again. A short message is one frame.
+pub fn fragments(bytes: Bytes) -> impl Iterator<Item = Message> {
+    let count = bytes.len().div_ceil(FRAGMENT).max(1);
+    (0..count).map(move |number| {
+        if count == 1 {
+            return Message::Binary(bytes.clone());
+        }
+        let start = number * FRAGMENT;
+        let end = bytes.len().min(start + FRAGMENT);
+        let kind = if number == 0 {
+            Data::Binary
+        } else {
+            Data::Continue
+        };
+        let is_last = number + 1 == count;
+        let part = bytes.slice(start..end);
+        Message::Frame(Frame::message(part, OpCode::Data(kind), is_last))
+    })
+}
+
 /// Reads the next binary message, skipping WebSocket pings and pongs.
-pub async fn next_payload<S>(source: &mut S) -> Result<tokio_util::bytes::Bytes, MeshError>
+pub async fn next_payload<S>(source: &mut S) -> Result<Bytes, MeshError>
 where
     S: futures::Stream<Item = Result<Message, SocketError>> + Unpin,
 {
@@ -150,8 +180,10 @@
             return Err(MeshError::TooLarge(bytes.len()));
         }
         self.counters.count_sent(Family::of(message), bytes.len());
-        let fed = self.sink.feed(Message::binary(bytes)).await;
-        fed.map_err(to_mesh_error)
+        for frame in fragments(bytes.into()) {
+            self.sink.feed(frame).await.map_err(to_mesh_error)?;
+        }
+        Ok(())
     }
 
     /// Writes everything that is buffered.
