Share pushes among daemons and limit the images in flight

Cause: a feeder encoded each push for each of its daemons, and each image for each daemon that asked, so that what it held and encoded grew as daemons times upstreams. This is the largest part found of a control daemon's memory at 290 daemons and 3,001 upstreams.

Subscribers that lack the same changes share one encoded push. The messages on the wire are unchanged.

Ruled out as the cause: tables, recent changes and log, 5.7 MB at 3,001 upstreams.

Not run: a whole cell of that size.

--- a/crates/dandelion-control/src/feed/client.rs
+++ b/crates/dandelion-control/src/feed/client.rs
@@ -9,6 +9,7 @@
 use dandelion_protocol::ids::Revision;
 use dandelion_protocol::ids::ZoneId;
 use dandelion_protocol::mesh::MeshMessage;
+use dandelion_protocol::shared_bytes::SharedBytes;
 use dandelion_protocol::time::Millis;
 use rand::Rng;
 use rand::SeedableRng;
@@ -60,7 +61,7 @@
         /// Daemon that sent it.
         from: DaemonId,
         /// A [`FeedMessage`] as CBOR.
-        bytes: Vec<u8>,
+        bytes: SharedBytes,
     },
     /// The connection to a daemon was lost; if it is the feeder, another one is chosen immediately.
     Lost(DaemonId),
@@ -268,7 +269,7 @@
             applied: self.revision(),
         };
         if let Ok(bytes) = codec::encode(&FeedMessage::Renew(renew)) {
-            let message = Box::new(MeshMessage::Feed(bytes));
+            let message = Box::new(MeshMessage::Feed(bytes.into()));
             actions.push(FeedAction::Send { to, message });
         }
     }
--- a/crates/dandelion-control/src/feed/message.rs
+++ b/crates/dandelion-control/src/feed/message.rs
@@ -4,10 +4,10 @@
 use dandelion_protocol::control::Proposal;
 use dandelion_protocol::ids::DaemonId;
 use dandelion_protocol::ids::Revision;
+use dandelion_protocol::shared_bytes::SharedBytes;
 use dandelion_protocol::time::Millis;
 use serde::Deserialize;
 use serde::Serialize;
-use serde_bytes::ByteBuf;
 
 use crate::raft::GroupId;
 
@@ -107,7 +107,7 @@
     pub changes: Vec<TableChange>,
     /// Image of the distributed tables at `to`, in place of changes that the feeder no longer has.
     #[serde(rename = "i", default, skip_serializing_if = "Option::is_none")]
-    pub image: Option<ByteBuf>,
+    pub image: Option<SharedBytes>,
 }
 
 /// One change that took effect on a distributed table.
--- a/crates/dandelion-control/src/node/event.rs
+++ b/crates/dandelion-control/src/node/event.rs
@@ -8,6 +8,7 @@
 use dandelion_protocol::ids::Term;
 use dandelion_protocol::ids::ZoneId;
 use dandelion_protocol::mesh::MeshMessage;
+use dandelion_protocol::shared_bytes::SharedBytes;
 
 use crate::raft::ChangeError;
 use crate::raft::Fault;
@@ -69,7 +70,7 @@
         /// Daemon that sent it.
         from: DaemonId,
         /// A [`crate::feed::FeedMessage`] as CBOR.
-        bytes: Vec<u8>,
+        bytes: SharedBytes,
     },
     /// A change is proposed at this daemon.
     Propose {
--- a/crates/dandelion-control/src/node/feeder.rs
+++ b/crates/dandelion-control/src/node/feeder.rs
@@ -10,6 +10,7 @@
 use crate::feed::message::AppliedCount;
 use crate::feed::message::MAX_COUNTS;
 use crate::feed::message::ReportReply;
+use crate::node::images::Images;
 use crate::timing::Timing;
 use crate::timing::lengthen;
 use crate::timing::shorten;
@@ -61,8 +62,11 @@
     pub incarnation: u64,
     /// Daemons under a lease of this feeder.
     pub subscribers: BTreeMap<DaemonId, Subscriber>,
-    /// Daemons without state that wait for their first lease.
+    /// Daemons that wait for an image: those without state, and those too far behind while too many
+    /// images are in flight.
     pub waiting: BTreeMap<DaemonId, Waiting>,
+    /// Images in flight to daemons.
+    pub images: Images,
     /// Latest lease from the leader; the leader itself needs none.
     pub lease: Option<FeedLease>,
     /// Whether something changed that the leader has not been sent yet.
@@ -80,6 +84,7 @@
             incarnation: seed.rotate_left(17),
             subscribers: BTreeMap::new(),
             waiting: BTreeMap::new(),
+            images: Images::default(),
             lease: None,
             dirty: true,
             last_report: None,
--- a/crates/dandelion-control/src/node/feeding.rs
+++ b/crates/dandelion-control/src/node/feeding.rs
@@ -1,12 +1,14 @@
 //! A control daemon as a feeder: grants leases, pushes changes and reports to the leader; and the
 //! leader's handling of those reports.
 
+use std::collections::BTreeMap;
+
 use dandelion_protocol::codec;
 use dandelion_protocol::ids::DaemonId;
 use dandelion_protocol::ids::Revision;
 use dandelion_protocol::mesh::MeshMessage;
+use dandelion_protocol::shared_bytes::SharedBytes;
 use dandelion_protocol::time::Millis;
-use serde_bytes::ByteBuf;
 
 use crate::feed::FeedMessage;
 use crate::feed::Update;
@@ -23,6 +25,7 @@
 use crate::node::feeder::lease_within;
 use crate::node::feeder_reports::FeederRecord;
 use crate::node::feeder_reports::ReportSource;
+use crate::node::recent_changes::RecentChanges;
 use crate::node::status::Propagation;
 use crate::raft::GroupId;
 use crate::storage::Storage;
@@ -92,12 +95,21 @@
             self.feeder_state.dirty = true;
             return;
         }
-        match self.feed_lease(now) {
-            Some(lease) => self.grant(now, from, renew, &lease, actions),
-            None => self.refuse(from, renew.nonce, actions),
+        self.feeder_state.images.acknowledge(&from, renew.applied);
+        let Some(lease) = self.feed_lease(now) else {
+            self.refuse(from, renew.nonce, actions);
+            return;
+        };
+        if !self.grant(now, from.clone(), renew, &lease, actions) {
+            let nonce = renew.nonce;
+            self.feeder_state
+                .waiting
+                .insert(from, Waiting { nonce, since: now });
+            self.feeder_state.dirty = true;
         }
     }
 
+    /// Grants a lease. Returns false if the daemon needs an image and too many are in flight.
     fn grant(
         &mut self,
         now: Millis,
@@ -105,9 +117,9 @@
         renew: &Renew,
         lease: &FeedLease,
         actions: &mut Vec<NodeAction>,
-    ) {
-        let Some(update) = self.update_from(renew) else {
-            return;
+    ) -> bool {
+        let Some(update) = self.update_from(now, &to, renew) else {
+            return false;
         };
         let length = lease_within(self.settings.timing, lease, now);
         let own = to.clone();
@@ -121,11 +133,12 @@
             update,
         };
         send_feed(to, &FeedMessage::Grant(grant), actions);
+        true
     }
 
     /// Returns the changes that bring a daemon to this feeder's revision, or an image if it has no
-    /// state or is too far behind.
-    fn update_from(&self, renew: &Renew) -> Option<Update> {
+    /// state or is too far behind. Returns none if it needs an image and too many are in flight.
+    fn update_from(&mut self, now: Millis, daemon: &DaemonId, renew: &Renew) -> Option<Update> {
         let to = self.revision();
         let fresh = renew.group == GroupId::default();
         let held = self.recent_changes.since(renew.applied).filter(|_| !fresh);
@@ -137,12 +150,14 @@
                 image: None,
             });
         }
-        let image = self.tables.distributed_image().ok()?;
+        let until = now + self.settings.timing.feed_lease;
+        let images = &mut self.feeder_state.images;
+        let image = images.take(daemon, &self.tables, until)?;
         Some(Update {
             from: renew.applied,
             to,
             changes: Vec::new(),
-            image: Some(ByteBuf::from(codec::encode(&image).ok()?)),
+            image: Some(image),
         })
     }
 
@@ -158,27 +173,28 @@
         }
     }
 
-    /// Pushes new changes to all subscribers immediately.
+    /// Pushes new changes to all subscribers immediately. Subscribers that lack the same changes share
+    /// one encoded message.
     pub(super) fn push_changes(&mut self, now: Millis, actions: &mut Vec<NodeAction>) {
         let group = self.group();
         let to = self.revision();
+        let mut encoded = BTreeMap::<Revision, SharedBytes>::new();
         for (daemon, subscriber) in &mut self.feeder_state.subscribers {
             let from = subscriber.pushed;
             if !self.recent_changes.has_since(from) || now >= subscriber.until {
                 continue;
             }
-            let Some(changes) = self.recent_changes.since(from) else {
+            let known = encoded.get(&from).cloned();
+            let bytes = known.or_else(|| encode_push(&self.recent_changes, group, from, to));
+            let Some(bytes) = bytes else {
                 continue;
             };
+            encoded.insert(from, bytes.clone());
             subscriber.pushed = to;
-            let update = Update {
-                from,
-                to,
-                changes,
-                image: None,
-            };
-            let push = FeedMessage::Push(Push { group, update });
-            send_feed(daemon.clone(), &push, actions);
+            actions.push(NodeAction::Send {
+                to: daemon.clone(),
+                message: MeshMessage::Feed(bytes),
+            });
         }
     }
 
@@ -217,6 +233,7 @@
 
     pub(super) fn tick_feeder(&mut self, now: Millis, actions: &mut Vec<NodeAction>) {
         self.feeder_state.expire(now);
+        self.feeder_state.images.expire(now);
         self.feeder_reports.expire(now);
         let period = self.settings.timing.feed_period;
         let late = |waiting: &Waiting| now >= waiting.since + period;
@@ -248,19 +265,22 @@
     }
 
     /// Grants leases to daemons without state. Each starts only from a state that a quorum
-    /// confirmed after its request.
+    /// confirmed after its request. The longest waiting come first, since images in flight are limited.
     fn grant_waiting(&mut self, now: Millis, lease: &FeedLease, actions: &mut Vec<NodeAction>) {
         let waiting = self.feeder_state.waiting.iter();
         let ready = waiting.filter(|(_, w)| w.since <= lease.confirmed);
-        let ready = ready.map(|(d, w)| (d.clone(), w.nonce)).collect::<Vec<_>>();
-        for (daemon, nonce) in ready {
-            self.feeder_state.waiting.remove(&daemon);
+        let mut ready = ready.map(|(d, w)| (d.clone(), *w)).collect::<Vec<_>>();
+        ready.sort_by_key(|(_, waiting)| waiting.since);
+        for (daemon, Waiting { nonce, .. }) in ready {
             let renew = Renew {
                 nonce,
                 group: GroupId::default(),
                 applied: Revision(0),
             };
-            self.grant(now, daemon, &renew, lease, actions);
+            if !self.grant(now, daemon.clone(), &renew, lease, actions) {
+                return;
+            }
+            self.feeder_state.waiting.remove(&daemon);
         }
     }
 
@@ -292,9 +312,26 @@
     }
 }
 
+/// Encodes a push of the changes from one revision to another; none if they are no longer retained.
+fn encode_push(
+    recent: &RecentChanges,
+    group: GroupId,
+    from: Revision,
+    to: Revision,
+) -> Option<SharedBytes> {
+    let update = Update {
+        from,
+        to,
+        changes: recent.since(from)?,
+        image: None,
+    };
+    let push = FeedMessage::Push(Push { group, update });
+    codec::encode(&push).ok().map(SharedBytes::from)
+}
+
 fn send_feed(to: DaemonId, message: &FeedMessage, actions: &mut Vec<NodeAction>) {
     if let Ok(bytes) = codec::encode(message) {
-        let message = MeshMessage::Feed(bytes);
+        let message = MeshMessage::Feed(bytes.into());
         actions.push(NodeAction::Send { to, message });
     }
 }
--- a/crates/dandelion-control/src/node/mod.rs
+++ b/crates/dandelion-control/src/node/mod.rs
@@ -7,6 +7,7 @@
 pub mod feeder;
 pub mod feeder_reports;
 pub mod feeding;
+pub mod images;
 pub mod joining;
 pub mod recent_changes;
 pub mod status;
--- a/crates/dandelion-control/tests/feed.rs
+++ b/crates/dandelion-control/tests/feed.rs
@@ -14,6 +14,7 @@
 use dandelion_protocol::codec;
 use dandelion_protocol::ids::Revision;
 use dandelion_protocol::mesh::MeshMessage;
+use dandelion_protocol::shared_bytes::SharedBytes;
 use dandelion_protocol::time::Millis;
 use support::group::Group;
 use support::group::GroupOptions;
@@ -149,7 +150,7 @@
         let mut tables = dandelion_kernel::TableSet::open_distributed();
         tables.skip_to(Revision(to));
         let image = codec::encode(&tables.distributed_image().unwrap()).unwrap();
-        serde_bytes::ByteBuf::from(image)
+        SharedBytes::from(image)
     });
     let message = FeedMessage::Grant(Grant {
         nonce,
@@ -165,7 +166,7 @@
     });
     let event = FeedEvent::Message {
         from: name(0),
-        bytes: codec::encode(&message).unwrap(),
+        bytes: codec::encode(&message).unwrap().into(),
     };
     client.handle(Millis(now), event, &mut Vec::new());
 }
--- a/crates/dandelion-control/tests/push_flood.rs
+++ b/crates/dandelion-control/tests/push_flood.rs
@@ -86,7 +86,7 @@
 
     fn message(&mut self, now: u64, message: &FeedMessage) {
         let from = self.feeder.clone();
-        let bytes = codec::encode(message).unwrap();
+        let bytes = codec::encode(message).unwrap().into();
         self.handle(now, FeedEvent::Message { from, bytes });
     }
 
--- a/crates/dandelion-daemon/src/control/replica.rs
+++ b/crates/dandelion-daemon/src/control/replica.rs
@@ -34,6 +34,7 @@
 use dandelion_protocol::ids::Revision;
 use dandelion_protocol::ids::Term;
 use dandelion_protocol::mesh::MeshMessage;
+use dandelion_protocol::shared_bytes::SharedBytes;
 use dandelion_protocol::time::Millis;
 use dandelion_telemetry::Event;
 use dandelion_telemetry::event;
@@ -130,7 +131,7 @@
 
     /// Queues a feed message. A message that finds the queue full is dropped, like one lost on the
     /// network.
-    pub fn push_feed(&self, from: &DaemonId, bytes: Vec<u8>) {
+    pub fn push_feed(&self, from: &DaemonId, bytes: SharedBytes) {
         let from = from.clone();
         let _lost = self.events.try_send(NodeEvent::Feed { from, bytes });
     }
--- a/crates/dandelion-protocol/src/lib.rs
+++ b/crates/dandelion-protocol/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod plan;
 pub mod quarantine;
 pub mod rollout;
+pub mod shared_bytes;
 pub mod streams;
 pub mod time;
 pub mod upstream;
--- a/crates/dandelion-protocol/src/mesh.rs
+++ b/crates/dandelion-protocol/src/mesh.rs
@@ -30,6 +30,7 @@
 use crate::limits::PermitCall;
 use crate::limits::PermitReply;
 use crate::outcome::Refusal;
+use crate::shared_bytes::SharedBytes;
 use crate::streams::OriginCall;
 use crate::streams::OriginReply;
 use crate::time::Millis;
@@ -257,7 +258,7 @@
     Raft(#[serde(with = "serde_bytes")] Vec<u8>),
     /// Message of the feed by which control daemons send replicated state to a daemon, encoded by
     /// the control package.
-    Feed(#[serde(with = "serde_bytes")] Vec<u8>),
+    Feed(SharedBytes),
     /// Load digest of the sender or of its zone, encoded by the routing package as a zone message.
     Digest(#[serde(with = "serde_bytes")] Vec<u8>),
     /// Raft message between members of the store group, encoded by the control package.
