One account for the memory and connections that clients hold

All listeners of a process, except that for the load balancer's probes, now share a ClientMemory. The ledger (no clock, no socket) decides on each growth by bytes that have arrived. When it is full, the arriving body with the fewest recent bytes relative to its size is dropped and gets 503 as not run; nothing of an arriving body was passed on. The first 64 KiB of a body are always granted. Pipelined bytes stop being read when the account is full; answers are counted and never refused.

The limit of open files keeps up to 512 descriptors for others. Gauges by kind, a counter by reason, one log line a refusal.

Limits::body_time is replaced by body_rate and body_window. The test slow_loris sets a window of the same 300 ms and an account that any body fills; it expects the same 408.

--- a/crates/dandelion-crowd/src/clients.rs
+++ b/crates/dandelion-crowd/src/clients.rs
@@ -14,7 +14,7 @@
 /// Time after which a client that can't write stops writing. The daemon may leave bytes unread.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time after which an ordinary client gives up, so that a daemon that hangs fails the test.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(60);
+const ANSWER_TIMEOUT: Duration = Duration::from_mins(1);
 /// Data bytes of a large chunk.
 const LARGE_CHUNK: usize = 64 * 1024;
 /// Data bytes of a body in one-byte chunks, each of which takes six bytes on the wire.
--- a/crates/dandelion-crowd/src/daemon.rs
+++ b/crates/dandelion-crowd/src/daemon.rs
@@ -21,7 +21,7 @@
 use crate::limits::CONNECTIONS;
 
 /// Longest wait for a daemon to accept requests.
-const READY_TIMEOUT: Duration = Duration::from_secs(60);
+const READY_TIMEOUT: Duration = Duration::from_mins(1);
 /// Interval between two looks at a process.
 const POLL: Duration = Duration::from_millis(100);
 /// Looks without a change after which a daemon counts as having read what it will read.
--- a/crates/dandelion-daemon/src/core.rs
+++ b/crates/dandelion-daemon/src/core.rs
@@ -13,6 +13,7 @@
 use dandelion_net::Trigger;
 use dandelion_net::clock;
 use dandelion_net::http::client::Client;
+use dandelion_net::http::memory::ClientMemory;
 use dandelion_net::mesh::Mesh;
 use dandelion_protocol::ids::DaemonId;
 use dandelion_protocol::ids::Incarnation;
@@ -73,6 +74,8 @@
     pub rollouts: Rollouts,
     /// Metrics by team and class, and those of the daemon itself.
     pub metrics: DaemonMetrics,
+    /// Account of the memory and connections that clients use.
+    pub client_memory: ClientMemory,
     /// Reports on all upstreams, which daemons send to the control leader.
     pub fleet: FleetView,
     /// State of the traffic under the route plan.
@@ -101,6 +104,8 @@
     pub control: Control,
     /// Registry of the metrics.
     pub metrics: DaemonMetrics,
+    /// Account of the memory and connections that clients use.
+    pub client_memory: ClientMemory,
 }
 
 impl Core {
@@ -119,6 +124,7 @@
             usage,
             rollouts: Rollouts::default(),
             metrics: parts.metrics,
+            client_memory: parts.client_memory,
             fleet: FleetView::default(),
             gateway: Gateway::default(),
             stores: Stores::open(gap),
--- a/crates/dandelion-daemon/src/lib.rs
+++ b/crates/dandelion-daemon/src/lib.rs
@@ -2,6 +2,7 @@
 //! other packages.
 
 pub mod api;
+pub mod client_memory;
 pub mod control;
 pub mod core;
 pub mod duties;
--- a/crates/dandelion-daemon/src/metrics.rs
+++ b/crates/dandelion-daemon/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of the daemon.
 
+use dandelion_net::http::memory::Kind;
 use dandelion_net::mesh::Family;
 use dandelion_protocol::ids::TeamId;
 use dandelion_protocol::time::Millis;
@@ -11,6 +12,7 @@
 use prometheus::Histogram;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
 
 use crate::core::Handle;
 use crate::gateway::limits::Asked;
@@ -34,6 +36,9 @@
     scored: Histogram,
     scoring_tries: IntCounterVec,
     unscored: IntCounterVec,
+    client_bytes: IntGaugeVec,
+    client_connections: IntGauge,
+    client_refusals: IntCounterVec,
 }
 
 impl DaemonMetrics {
@@ -91,6 +96,18 @@
                 "Items that were given up because they got no score, by reason.",
                 "reason",
             )?,
+            client_bytes: metrics.gauges(
+                "client_memory_bytes",
+                "Bytes that clients make this daemon hold, by what they belong to.",
+                "kind",
+            )?,
+            client_connections: metrics
+                .gauge("client_connections", "Open connections of clients.")?,
+            client_refusals: metrics.counters(
+                "client_refusals_total",
+                "Bodies and connections of clients that were refused, by reason.",
+                "reason",
+            )?,
             metrics,
         })
     }
@@ -154,6 +171,7 @@
         self.origins.set(core.gateway.origins.len() as i64);
         let links_lost = core.gateway.reach().is_lost();
         self.links_lost.set(i64::from(links_lost));
+        self.update_clients(core);
         self.update_traffic(core);
         match self.metrics.render() {
             Ok(text) => text,
@@ -161,6 +179,19 @@
         }
     }
 
+    fn update_clients(&self, core: &Handle) {
+        let usage = core.client_memory.usage();
+        for (kind, bytes) in Kind::ALL.into_iter().zip(usage.bytes) {
+            let gauge = self.client_bytes.with_label_values(&[kind.name()]);
+            gauge.set(bytes as i64);
+        }
+        self.client_connections.set(usage.connections as i64);
+        for (reason, count) in usage.refused {
+            let counter = self.client_refusals.with_label_values(&[reason]);
+            counter.inc_by(count.saturating_sub(counter.get()));
+        }
+    }
+
     fn update_traffic(&self, core: &Handle) {
         let Some(mesh) = core.mesh() else {
             return;
--- a/crates/dandelion-daemon/src/run.rs
+++ b/crates/dandelion-daemon/src/run.rs
@@ -47,6 +47,7 @@
 use signal_hook_async_std::Signals;
 
 use crate::api::Api;
+use crate::client_memory;
 use crate::control::Control;
 use crate::control::Outgoing;
 use crate::control::ReplicaHandle;
@@ -79,6 +80,10 @@
 /// Longest wait until the cell has recorded that this daemon stops.
 const NOTICE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Connections and bytes of the address for the load balancer's probes, which have no bodies.
+const PROBE_CONNECTIONS: usize = 64;
+const PROBE_MEMORY: usize = 1024 * 1024;
+
 /// Voters of the control group, unless the gateway's settings say how many.
 const VOTERS: usize = 3;
 
@@ -152,17 +157,19 @@
         let metrics = DaemonMetrics::open(settings.limits.metric_teams)?;
         let listen = settings.listen.http;
         let limits = http_limits(&settings);
+        let memory = client_memory::open(&settings.limits);
         let parts = CoreParts {
             identity,
             settings,
             control,
             metrics,
+            client_memory: memory.clone(),
         };
         let core = Handle::new(Core::open(parts, Client::new(ClientOptions::default())));
         core.owners.attach(core.clone());
         bind_mesh(&core).await?;
         spawn_tasks(&core, outgoing);
-        let server = Server::bind(listen, limits, Api::new(core.clone())).await;
+        let server = Server::bind_shared(listen, limits, memory, Api::new(core.clone())).await;
         let server = server.with_context(|| {
             format!("--http-listen {listen} cannot be bound; free it or choose another address")
         })?;
@@ -242,15 +249,25 @@
 async fn bind_gateway(core: &Handle) -> anyhow::Result<Vec<Server>> {
     let settings = &core.settings.gateway;
     let limits = http_limits(&core.settings);
+    let memory = || core.client_memory.clone();
     let mut servers = Vec::new();
     if let Some(address) = settings.ready {
+        // An account of its own: the balancer's probes are answered whatever callers use.
+        let limits = Limits {
+            connections: PROBE_CONNECTIONS,
+            memory_bytes: PROBE_MEMORY,
+            ..limits
+        };
         servers.push(Server::bind(address, limits, Ready::new(core.clone())).await?);
     }
     if let Some(address) = settings.control {
-        servers.push(Server::bind(address, limits, ControlApi::new(core.clone())).await?);
+        servers.push(
+            Server::bind_shared(address, limits, memory(), ControlApi::new(core.clone())).await?,
+        );
     }
     if let Some(address) = settings.front {
-        servers.push(Server::bind(address, limits, Front::new(core.clone())).await?);
+        servers
+            .push(Server::bind_shared(address, limits, memory(), Front::new(core.clone())).await?);
     }
     Ok(servers)
 }
@@ -281,6 +298,7 @@
         head_bytes: limits.head_bytes.min(defaults.head_bytes),
         head_time: Duration::from_millis(limits.head_timeout.0),
         body_bytes: limits.body_bytes,
+        body_rate: limits.body_rate,
         idle_time: Duration::from_millis(limits.idle_timeout.0),
         ..defaults
     }
--- a/crates/dandelion-daemon/src/settings/args.rs
+++ b/crates/dandelion-daemon/src/settings/args.rs
@@ -251,6 +251,28 @@
         default_value = "4096"
     )]
     pub max_connections: String,
+    /// Maximum number of concurrent connections from one IP number; 0 means no limit, because a load
+    /// balancer's address may stand for all callers
+    #[arg(
+        long,
+        env = "DANDELION_MAX_PEER_CONNECTIONS",
+        value_name = "COUNT",
+        default_value = "0"
+    )]
+    pub max_peer_connections: String,
+    /// Memory that clients may make the process hold, in bytes, at least twice the largest body; a
+    /// quarter of the machine's memory if absent
+    #[arg(long, env = "DANDELION_CLIENT_MEMORY_BYTES", value_name = "BYTES")]
+    pub client_memory_bytes: Option<String>,
+    /// Minimum rate of a request body over 10 s, in bytes per second, while half of the client memory
+    /// or of the connections is used
+    #[arg(
+        long,
+        env = "DANDELION_MIN_BODY_RATE",
+        value_name = "BYTES",
+        default_value = "1024"
+    )]
+    pub min_body_rate: String,
     /// Maximum size of a request head, in bytes
     #[arg(
         long,
--- a/crates/dandelion-daemon/src/settings/check.rs
+++ b/crates/dandelion-daemon/src/settings/check.rs
@@ -281,11 +281,21 @@
     let connections = read::read_number("--max-connections", &args.max_connections, 1..=1_000_000)?;
     let head = read::read_number("--max-head-bytes", &args.max_head_bytes, 1024..=1 << 20)?;
     let body = read::read_number("--max-body-bytes", &args.max_body_bytes, 1024..=GIBIBYTE)?;
+    let peer = &args.max_peer_connections;
+    let peer = read::read_number("--max-peer-connections", peer, 0..=1_000_000)?;
+    let memory = args.client_memory_bytes.as_deref();
+    let memory = memory.filter(|text| !text.is_empty());
+    let memory = memory
+        .map(|text| read::read_number("--client-memory-bytes", text, 2 * body..=1024 * GIBIBYTE));
+    let rate = read::read_number("--min-body-rate", &args.min_body_rate, 0..=GIBIBYTE)?;
     let teams = read::read_number("--metric-teams", &args.metric_teams, 1..=10_000)?;
     let grace = args.stop_grace_s.as_deref().filter(|text| !text.is_empty());
     let grace = grace.map(|text| read::read_seconds("--stop-grace-s", text, 1..=DAY_MS / 1000));
     Ok(LimitSettings {
         connections: connections as usize,
+        peer_connections: peer as usize,
+        client_memory: memory.transpose()?.map(|bytes| bytes as usize),
+        body_rate: rate,
         head_bytes: head as usize,
         body_bytes: body as usize,
         head_timeout: read::read_millis("--head-timeout-ms", &args.head_timeout_ms, 100..=600_000)?,
--- a/crates/dandelion-daemon/src/settings/checked.rs
+++ b/crates/dandelion-daemon/src/settings/checked.rs
@@ -120,6 +120,12 @@
 pub struct LimitSettings {
     /// Maximum number of concurrent connections of callers.
     pub connections: usize,
+    /// Maximum number of concurrent connections from one IP number; 0 means no limit.
+    pub peer_connections: usize,
+    /// Bytes that clients may make the process hold; a part of the machine's memory if `None`.
+    pub client_memory: Option<usize>,
+    /// Minimum rate of a request body, in bytes per second.
+    pub body_rate: u64,
     /// Maximum size of a request head, in bytes.
     pub head_bytes: usize,
     /// Maximum size of a request body, in bytes.
--- a/crates/dandelion-net/src/http/mod.rs
+++ b/crates/dandelion-net/src/http/mod.rs
@@ -5,6 +5,7 @@
 pub mod client;
 mod framing;
 mod head;
+pub mod memory;
 mod raw_target;
 pub mod server;
 mod wire;
--- a/crates/dandelion-net/src/http/server/connection.rs
+++ b/crates/dandelion-net/src/http/server/connection.rs
@@ -22,6 +22,9 @@
 use http_types::Response;
 use http_types::headers::CONNECTION;
 
+use crate::http::memory::Held;
+use crate::http::memory::Kind;
+use crate::http::memory::OpenConnection;
 use crate::http::server::incoming::Incoming;
 use crate::http::server::incoming::linger;
 use crate::http::server::incoming::next_request;
@@ -47,18 +50,27 @@
     peer: SocketAddr,
     shared: Shared,
     handler: H,
+    _open: Option<OpenConnection>,
 }
 
 impl<H> Connection<H>
 where
     H: Handler,
 {
-    pub fn new(stream: TcpStream, peer: SocketAddr, shared: Shared, handler: H) -> Self {
+    /// Makes a connection, which is counted until it ends; one that will be refused isn't.
+    pub fn new(
+        stream: TcpStream,
+        peer: SocketAddr,
+        shared: Shared,
+        handler: H,
+        open: Option<OpenConnection>,
+    ) -> Self {
         Self {
             conn: BufferedConnection::new(stream),
             peer,
             shared,
             handler,
+            _open: open,
         }
     }
 
@@ -84,10 +96,11 @@
     async fn serve(&mut self) {
         loop {
             let limits = Arc::clone(&self.shared.limits);
-            match next_request(&mut self.conn, &limits, &self.shared.drain).await {
-                Incoming::Request(request, keep_alive) => {
+            let memory = self.shared.memory.clone();
+            match next_request(&mut self.conn, &limits, &memory, &self.shared.drain).await {
+                Incoming::Request(request, keep_alive, held) => {
                     // Boxed, so that an idle connection holds no memory for it.
-                    if !Box::pin(self.answer(*request, keep_alive)).await {
+                    if !Box::pin(self.answer(*request, keep_alive, held)).await {
                         return;
                     }
                 }
@@ -103,15 +116,23 @@
     }
 
     /// Answers one request; returns false if the connection is to be closed.
-    async fn answer(&mut self, request: Request, keep_alive: bool) -> bool {
+    async fn answer(&mut self, request: Request, keep_alive: bool, _body: Option<Held>) -> bool {
+        let memory = self.shared.memory.clone();
         let method = request.method();
         let mut response = {
             let handled = pin!(self.handler.handle(request, self.peer));
-            match select(handled, pin!(self.conn.closed())).await {
+            match select(handled, pin!(self.conn.closed(&memory))).await {
                 Either::Left((response, _)) => response,
                 Either::Right(_) => return false,
             }
         };
+        let held = response.len().filter(|length| *length > WRITE_BYTES);
+        let _held = held.map(|length| {
+            let held = memory.hold(Kind::Answers);
+            // An answer that is ready is delivered, so this is never refused.
+            let _granted = held.grow_to(length);
+            held
+        });
         reply::sanitize_headers(&mut response);
         let keep_alive =
             keep_alive && !self.shared.drain.is_raised() && !closes_connection(&response);
@@ -122,7 +143,7 @@
         let stream = self.conn.stream.clone();
         let written = {
             let write = pin!(write(stream.clone(), response, method, write_time));
-            match select(write, pin!(self.conn.closed())).await {
+            match select(write, pin!(self.conn.closed(&memory))).await {
                 Either::Left((written, _)) => written,
                 Either::Right(_) => Err(io::ErrorKind::ConnectionAborted.into()),
             }
--- a/crates/dandelion-net/src/http/server/listener.rs
+++ b/crates/dandelion-net/src/http/server/listener.rs
@@ -4,6 +4,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_std::future::timeout;
@@ -14,6 +16,8 @@
 use http_types::Request;
 use http_types::Response;
 
+use crate::http::memory::ClientMemory;
+use crate::http::memory::ConnectionLimits;
 use crate::http::server::connection::Connection;
 use crate::signal::Signal;
 use crate::signal::Trigger;
@@ -21,6 +25,11 @@
 
 /// Pause after a failed accept, such as when no file descriptor is left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Most connections that get a refusal at the same time; more are closed without one, so that they
+/// use up no descriptors.
+const MAX_REFUSING: usize = 32;
+/// Memory that clients of a server with an account of its own may use.
+const DEFAULT_MEMORY: usize = 256 * 1024 * 1024;
 
 /// Answers the requests that a server receives.
 pub trait Handler: Clone + Send + Sync + 'static {
@@ -40,8 +49,13 @@
     pub head_time: Duration,
     /// Longest request body in bytes.
     pub body_bytes: usize,
-    /// Time for receiving a complete request body.
-    pub body_time: Duration,
+    /// Lowest rate of an arriving body in bytes per second, over each window, while at least half of
+    /// the memory or of the connections is used.
+    pub body_rate: u64,
+    /// Window of the lowest rate.
+    pub body_window: Duration,
+    /// Memory that clients may use, unless the server shares an account.
+    pub memory_bytes: usize,
     /// Time after which a connection without a request is closed.
     pub idle_time: Duration,
     /// Time an idle connection stays open for one more request once a drain has begun.
@@ -58,7 +72,9 @@
             head_bytes: crate::http::wire::MAX_HEAD,
             head_time: Duration::from_secs(10),
             body_bytes: 8 * 1024 * 1024,
-            body_time: Duration::from_secs(30),
+            body_rate: 1024,
+            body_window: Duration::from_secs(10),
+            memory_bytes: DEFAULT_MEMORY,
             idle_time: Duration::from_mins(1),
             drain_idle: Duration::from_secs(1),
             write_time: Duration::from_secs(30),
@@ -70,16 +86,10 @@
 #[derive(Debug, Clone)]
 pub(super) struct Shared {
     pub limits: Arc<Limits>,
+    pub memory: ClientMemory,
     pub drain: Signal,
     pub abort: Signal,
-    alive: async_channel::Sender<Infallible>,
-}
-
-impl Shared {
-    /// Counts the open connections, each of which has a copy; the accept loop has one as well.
-    fn count(&self) -> usize {
-        self.alive.sender_count() - 1
-    }
+    _alive: async_channel::Sender<Infallible>,
 }
 
 /// A running server. Dropping it stops the server immediately and resets its connections.
@@ -93,8 +103,26 @@
 }
 
 impl Server {
-    /// Listens on `address`; port 0 selects a free port.
+    /// Listens on `address`, with an account of its own; port 0 selects a free port.
     pub async fn bind<H>(address: SocketAddr, limits: Limits, handler: H) -> io::Result<Self>
+    where
+        H: Handler,
+    {
+        let connections = ConnectionLimits {
+            total: limits.connections,
+            per_peer: 0,
+        };
+        let memory = ClientMemory::new(limits.memory_bytes, connections);
+        Self::bind_shared(address, limits, memory, handler).await
+    }
+
+    /// Listens on `address`, with an account that other servers share.
+    pub async fn bind_shared<H>(
+        address: SocketAddr,
+        limits: Limits,
+        memory: ClientMemory,
+        handler: H,
+    ) -> io::Result<Self>
     where
         H: Handler,
     {
@@ -106,9 +134,10 @@
         let (alive, ended) = async_channel::bounded(1);
         let shared = Shared {
             limits: Arc::new(limits),
+            memory,
             drain: drain_signal,
             abort: abort_signal,
-            alive,
+            _alive: alive,
         };
         task::spawn(accept(listener, stop_signal, shared, handler));
         Ok(Self {
@@ -150,6 +179,7 @@
 where
     H: Handler,
 {
+    let refusing = Arc::new(AtomicUsize::new(0));
     loop {
         let accepted = select_biased! {
             () = stop.raised().fuse() => return,
@@ -161,9 +191,24 @@
                     log::debug!("connection from {peer} closed before it was set up: {error}");
                     continue;
                 }
-                let connection = Connection::new(stream, peer, shared.clone(), handler.clone());
-                if shared.count() > shared.limits.connections {
-                    task::spawn(connection.run_refused());
+                let open = shared.memory.connect(peer.ip());
+                if let Err(reason) = &open {
+                    log::warn!("refused a connection from {peer}: too many ({reason})");
+                    if refusing.load(Ordering::Relaxed) >= MAX_REFUSING {
+                        continue;
+                    }
+                }
+                let open = open.ok();
+                let is_refused = open.is_none();
+                let connection =
+                    Connection::new(stream, peer, shared.clone(), handler.clone(), open);
+                if is_refused {
+                    refusing.fetch_add(1, Ordering::Relaxed);
+                    let refusing = Arc::clone(&refusing);
+                    task::spawn(async move {
+                        connection.run_refused().await;
+                        refusing.fetch_sub(1, Ordering::Relaxed);
+                    });
                 } else {
                     task::spawn(connection.run());
                 }
--- a/crates/dandelion-net/src/http/wire.rs
+++ b/crates/dandelion-net/src/http/wire.rs
@@ -14,6 +14,9 @@
 use futures::AsyncWrite;
 
 use crate::http::framing::FramingParser;
+use crate::http::memory::ClientMemory;
+use crate::http::memory::Held;
+use crate::http::memory::Kind;
 use crate::lock::lock;
 
 /// Longest head, in bytes; `async-h1` refuses longer ones.
@@ -28,6 +31,8 @@
 pub struct BufferedConnection {
     pub stream: TcpStream,
     pub buffered: Vec<u8>,
+    /// Account of the pipelined requests in the buffer.
+    pub pipelined: Option<Held>,
 }
 
 impl BufferedConnection {
@@ -35,6 +40,7 @@
         Self {
             stream,
             buffered: Vec::new(),
+            pipelined: None,
         }
     }
 
@@ -46,6 +52,8 @@
     /// Appends received bytes to `buffered`, without leaving any padding when it returns.
     fn poll_fill(&mut self, context: &mut Context<'_>) -> Poll<io::Result<usize>> {
         let former = self.buffered.len();
+        // Doubling the capacity would hold twice what is accounted.
+        self.buffered.reserve_exact(READ_BYTES);
         self.buffered.resize(former + READ_BYTES, 0);
         let space = &mut self.buffered[former..];
         let read = Pin::new(&mut self.stream).poll_read(context, space);
@@ -61,6 +69,7 @@
     /// idle connection holds no memory for it.
     pub async fn readable(&mut self) {
         self.buffered = Vec::new();
+        self.pipelined = None;
         // The next read reports the same bytes, close or error.
         let _found = self.stream.peek(&mut [0]).await;
     }
@@ -71,8 +80,8 @@
         let mut seen = 0;
         loop {
             if let Some(end) = head_end(&self.buffered, seen) {
-                let rest = self.buffered.split_off(end);
-                return Ok(Some(std::mem::replace(&mut self.buffered, rest)));
+                // A split would leave the head the capacity of the whole buffer.
+                return Ok(Some(self.buffered.drain(..end).collect()));
             }
             if self.buffered.len() > limit {
                 return Err(io::ErrorKind::FileTooLarge.into());
@@ -85,8 +94,9 @@
     }
 
     /// Waits until the peer closes its side, buffering pipelined requests meanwhile. Once the
-    /// buffer holds [`MAX_PIPELINED`] bytes it stops reading and never returns.
-    pub async fn closed(&mut self) {
+    /// buffer holds [`MAX_PIPELINED`] bytes, or the account is full, it stops reading and never
+    /// returns.
+    pub async fn closed(&mut self, memory: &ClientMemory) {
         let mut byte = [0];
         while self.buffered.len() < MAX_PIPELINED {
             // Peeking waits without a system call at each poll.
@@ -94,6 +104,12 @@
                 Ok(1) => (),
                 _ => return,
             }
+            let held = &*self
+                .pipelined
+                .get_or_insert_with(|| memory.hold(Kind::Pipelined));
+            if held.grow_to(self.buffered.len() + READ_BYTES).is_err() {
+                break;
+            }
             if !matches!(self.fill().await, Ok(1..)) {
                 return;
             }
--- a/crates/dandelion-net/tests/server_requests.rs
+++ b/crates/dandelion-net/tests/server_requests.rs
@@ -39,7 +39,9 @@
         head_time: Duration::from_millis(300),
         idle_time: Duration::from_secs(1),
         body_bytes: 64,
-        body_time: Duration::from_millis(300),
+        body_window: Duration::from_millis(300),
+        // Any body makes the account half full, so that slow ones are refused.
+        memory_bytes: 1,
         ..Limits::default()
     }
 }
--- a/crates/dandelion-telemetry/src/metrics/registry.rs
+++ b/crates/dandelion-telemetry/src/metrics/registry.rs
@@ -7,6 +7,7 @@
 use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
@@ -77,6 +78,11 @@
         self.register(IntCounterVec::new(Opts::new(name, help), &[label])?)
     }
 
+    /// Registers gauges that are distinguished by one label.
+    pub fn gauges(&self, name: &str, help: &str, label: &str) -> Result<IntGaugeVec, MetricsError> {
+        self.register(IntGaugeVec::new(Opts::new(name, help), &[label])?)
+    }
+
     /// Registers a gauge.
     pub fn gauge(&self, name: &str, help: &str) -> Result<IntGauge, MetricsError> {
         self.register(IntGauge::new(name, help)?)
