--- a/crates/dandelion-crowd/src/clients.rs
+++ b/crates/dandelion-crowd/src/clients.rs
@@ -24,6 +24,24 @@
 /// Pipelined requests of a client, whose answers exceed what the system's buffers hold.
 const PIPELINED: usize = 4096;
 
+/// Number of clients, and size of the bodies that are not in one-byte chunks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Size {
+    /// Connections of the crowd.
+    pub clients: usize,
+    /// Size of a body, of which the last byte is missing.
+    pub body_bytes: usize,
+}
+
+impl Default for Size {
+    fn default() -> Self {
+        Self {
+            clients: CLIENTS,
+            body_bytes: BODY_BYTES,
+        }
+    }
+}
+
 /// What each client of a crowd does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Crowd {
@@ -43,21 +61,21 @@
 
 impl Crowd {
     /// Connects all clients, lets each send its bytes, and returns the open connections.
-    pub fn gather(self, address: SocketAddr, path: &str) -> io::Result<Vec<TcpStream>> {
+    pub fn gather(self, address: SocketAddr, path: &str, size: Size) -> io::Result<Vec<TcpStream>> {
         let mut streams = Vec::new();
-        for _ in 0..CLIENTS {
+        for _ in 0..size.clients {
             let stream = TcpStream::connect(address)?;
             stream.set_write_timeout(Some(WRITE_TIMEOUT))?;
             streams.push(stream);
         }
         if self == Self::Pieces {
-            send_in_turn(&streams);
+            send_in_turn(&streams, size.body_bytes);
             return Ok(streams);
         }
         thread::scope(|scope| {
             for (index, stream) in streams.iter().enumerate() {
                 // The daemon may refuse or close such a connection at any time.
-                scope.spawn(move || self.member(index).send(stream, path));
+                scope.spawn(move || self.member(index).send(stream, path, size.body_bytes));
             }
         });
         Ok(streams)
@@ -76,16 +94,16 @@
         }
     }
 
-    fn send(self, stream: &TcpStream, path: &str) -> io::Result<()> {
+    fn send(self, stream: &TcpStream, path: &str, body_bytes: usize) -> io::Result<()> {
         let mut stream = stream;
         let bytes = match self {
-            Self::Chunked => chunked(BODY_BYTES, LARGE_CHUNK),
+            Self::Chunked => chunked(body_bytes, LARGE_CHUNK),
             Self::ByteChunks => chunked(BYTE_CHUNKS, 1),
             Self::Pipelined => {
                 let request = format!("GET {path} HTTP/1.1\r\nHost: crowd\r\n\r\n");
                 request.repeat(PIPELINED).into_bytes()
             }
-            Self::Counted | Self::Pieces | Self::Mixed => counted(BODY_BYTES),
+            Self::Counted | Self::Pieces | Self::Mixed => counted(body_bytes),
         };
         stream.write_all(&bytes)
     }
@@ -113,8 +131,8 @@
     bytes
 }
 
-fn send_in_turn(streams: &[TcpStream]) {
-    let bytes = counted(BODY_BYTES);
+fn send_in_turn(streams: &[TcpStream], body_bytes: usize) {
+    let bytes = counted(body_bytes);
     let mut open: Vec<&TcpStream> = streams.iter().collect();
     for piece in bytes.chunks(PIECE) {
         open.retain_mut(|stream| stream.write_all(piece).is_ok());
--- a/crates/dandelion-crowd/src/trial.rs
+++ b/crates/dandelion-crowd/src/trial.rs
@@ -5,6 +5,7 @@
 use std::sync::PoisonError;
 
 use crate::clients::Crowd;
+use crate::clients::Size;
 use crate::clients::ordinary_request;
 use crate::daemon::Daemon;
 use crate::daemon::Target;
@@ -20,7 +21,7 @@
     let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
     let mut daemon = Daemon::spawn(Path::new(binary), target).expect("a daemon starts");
     let idle = daemon.peak_memory().expect("memory is readable");
-    let held = crowd.gather(daemon.address(), target.long_path());
+    let held = crowd.gather(daemon.address(), target.long_path(), Size::default());
     let held = held.expect("the crowd connects");
     daemon.wait_steady().expect("the process is readable");
     assert!(daemon.is_alive().expect("known"), "the daemon has ended");
--- a/crates/dandelion-daemon/tests/settings.rs
+++ b/crates/dandelion-daemon/tests/settings.rs
@@ -226,3 +226,16 @@
         assert!(known.contains(&name.as_ref()), "{name}");
     }
 }
+
+/// Guards against an account in which one body of the largest size finds no room.
+#[test]
+fn client_limits() {
+    let error = check_with(&["--client-memory-bytes=8388607"]).expect_err("too small");
+    assert_mentions(&error, &["--client-memory-bytes", "8388607", "8388608"]);
+    let checked = check_with(&["--client-memory-bytes=8388608"]).expect("valid");
+    assert_eq!(checked.limits.client_memory, Some(8_388_608));
+    let checked = check_with(&[]).expect("valid");
+    let limits = checked.limits;
+    assert_eq!((limits.client_memory, limits.peer_connections), (None, 0));
+    assert_eq!((limits.connections, limits.body_rate), (4096, 1024));
+}
