Scenario evacuation: a zone is evacuated and restored under traffic

Cause: nothing showed with processes that no request reaches an evacuated zone later than 5 s after the acknowledgement.

Requests, streams and batch items run while the control leader is killed between order and acknowledgement, an entry is suspended beyond the bound and copies of the start arrive after the restore.

--- a/crates/dandelion-load/src/checks.rs
+++ b/crates/dandelion-load/src/checks.rs
@@ -40,6 +40,15 @@
             "late_runs_over_bound",
         ],
         "leaving" => &["late_after_answer", "late_after_report", "not_served_again"],
+        "evacuation" => &[
+            "jobs_unfinished",
+            "late_requests",
+            "lost",
+            "not_served_again",
+            "not_served_before",
+            "orders_refused",
+            "orders_unacknowledged",
+        ],
         "software" => &[
             "few_went_on",
             "jobs_unfinished",
--- a/crates/dandelion-load/src/cluster/plan.rs
+++ b/crates/dandelion-load/src/cluster/plan.rs
@@ -50,6 +50,8 @@
 const READY_TIMEOUT: Duration = Duration::from_secs(15);
 /// Longest wait for the acknowledgement of a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest wait for the acknowledgement of an order.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(1);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Requests that an upstream of the service runs at once.
 const SLOTS: u32 = 8;
@@ -244,6 +246,14 @@
         Ok(())
     }
 
+    /// Sends an order to evacuate a zone, or to cancel that, to a control daemon and returns the status
+    /// of its answer.
+    pub async fn order(&self, control: SocketAddr, evacuate: bool, zone: &str) -> Option<u16> {
+        let path = fixtures::evacuation_path(zone, evacuate);
+        let sent = Box::pin(self.call(control, "POST", &path, &[], Vec::new()));
+        timeout(ORDER_TIMEOUT, sent).await.ok().flatten()
+    }
+
     /// Sends a report of an upstream to the first control daemon that acknowledges it.
     pub async fn report(&self, upstream: &UpstreamIncarnation, sequence: u64) {
         let path = fixtures::report_path(upstream);
--- a/crates/dandelion-load/src/registry.rs
+++ b/crates/dandelion-load/src/registry.rs
@@ -5,6 +5,7 @@
 
 use crate::scenarios::billing;
 use crate::scenarios::drain;
+use crate::scenarios::evacuation;
 use crate::scenarios::issuer;
 use crate::scenarios::leaving;
 use crate::scenarios::limits;
@@ -76,6 +77,11 @@
         about: "processes: upstreams leave by report and by their answers, fall silent and are reported late",
         run: leaving::run,
     },
+    Scenario {
+        name: "evacuation",
+        about: "processes: a zone is evacuated and restored; the control leader killed, an entry suspended, orders late",
+        run: evacuation::run,
+    },
     Scenario {
         name: "stopping",
         about: "processes: an entry is stopped while callers go on sending on connections that they keep",
--- a/crates/dandelion-load/src/scenarios/mod.rs
+++ b/crates/dandelion-load/src/scenarios/mod.rs
@@ -3,6 +3,7 @@
 pub mod bill;
 pub mod billing;
 pub mod drain;
+pub mod evacuation;
 pub mod issuer;
 pub mod leadership;
 pub mod leaving;
