Keep requests to cold upstreams within what the plan says

Upstreams that start during traffic, or turn cold again, crash under more requests a second than `cold_per_s`, over all daemons together. So far they got their full share at once.

The control daemon that takes a report decides whether its incarnation is cold and records that with it. Senders take permits for a cold upstream; the control leader keeps a second bucket for it, which is filled at 1.5/1.6 of the rate and holds 4 permits, so that permits, requests under way and a change of the leader fit the bound of one second. A request that was chosen without a permit is withheld if its upstream turned cold meanwhile. Events 952 and 953, gauge `cold_upstreams`. A service without `cold_per_s` is never recorded as cold, so its records and choices are as before.

--- a/crates/dandelion-batch/examples/scheduling.rs
+++ b/crates/dandelion-batch/examples/scheduling.rs
@@ -52,6 +52,7 @@
         slots: SLOTS,
         ready: true,
         software: SoftwareVersion("v1".to_owned()),
+        cold: false,
     };
     (engine, Some(72_582))
 }
@@ -234,6 +235,7 @@
                     life,
                     sequence: (number / size) as u64 + 1,
                     versions,
+                    cold_left: None,
                 };
                 rig.handle("reported", Event::Reported(&report));
             }
--- a/crates/dandelion-batch/tests/many_engines.rs
+++ b/crates/dandelion-batch/tests/many_engines.rs
@@ -49,6 +49,7 @@
         slots: SLOTS,
         ready: true,
         software: SoftwareVersion("v1".to_owned()),
+        cold: false,
     }
 }
 
@@ -219,6 +220,7 @@
             life: engine(number),
             sequence: self.now,
             versions: self.real[number].versions.clone(),
+            cold_left: None,
         };
         self.handle(Event::Reported(&report));
     }
--- a/crates/dandelion-batch/tests/scheduler.rs
+++ b/crates/dandelion-batch/tests/scheduler.rs
@@ -35,6 +35,7 @@
         slots: SLOTS,
         ready: true,
         software: SoftwareVersion("v1".to_owned()),
+        cold: false,
     }
 }
 
@@ -43,6 +44,7 @@
         life: life(n),
         sequence: 1,
         versions: [("m".to_owned(), version)].into(),
+        cold_left: None,
     }
 }
 
--- a/crates/dandelion-control/tests/upstreams.rs
+++ b/crates/dandelion-control/tests/upstreams.rs
@@ -26,6 +26,7 @@
         slots: 4,
         ready,
         software: SoftwareVersion::default(),
+        cold: false,
     }
 }
 
@@ -368,3 +369,32 @@
     }
     quickcheck(prop as fn(Vec<(bool, u8, u64, u64, u16)>) -> bool);
 }
+
+/// A late report must not make an upstream warm that has turned cold since, nor the reverse.
+#[test]
+fn late_report_warms() {
+    let mut table = UpstreamsTable::default();
+    let of = |cold| UpstreamIncarnation {
+        cold,
+        ..life("i", 5, A, true)
+    };
+    let is_cold = |table: &UpstreamsTable| table.incarnations().next().unwrap().cold;
+    report(&mut table, of(true), 3).unwrap();
+    report(&mut table, of(false), 2).unwrap_err();
+    assert!(is_cold(&table));
+    report(&mut table, of(false), 4).unwrap();
+    assert!(!is_cold(&table));
+    report(&mut table, of(true), 3).unwrap_err();
+    assert!(!is_cold(&table));
+    report(&mut table, of(true), 5).unwrap();
+    assert!(is_cold(&table));
+}
+
+/// Warm upstreams are stored as daemons of earlier versions store them, and theirs count as warm.
+#[test]
+fn stored_without_cold() {
+    let warm = serde_json::to_value(life("i", 5, A, true)).unwrap();
+    assert!(warm.get("cold").is_none());
+    let read: UpstreamIncarnation = serde_json::from_value(warm).unwrap();
+    assert!(!read.cold);
+}
--- a/crates/dandelion-daemon/src/gateway/admit.rs
+++ b/crates/dandelion-daemon/src/gateway/admit.rs
@@ -1,4 +1,4 @@
-//! Chooses the upstream of an attempt, with a permit if it names a limit.
+//! Chooses the upstream of an attempt, with a permit if it names a limit or is cold.
 
 use std::sync::Arc;
 
@@ -68,7 +68,7 @@
         if candidates.limited.is_empty() {
             return Err(Shortage::NoUpstream);
         }
-        let rates = candidates.limited.iter().map(|(_, u)| u.limit.rate);
+        let rates = candidates.limited.iter().map(|(_, u)| u.rate());
         let retry = retry_delay(wait, rates, rand::rng().random());
         Err(Shortage::Limited(Held {
             reason: "upstreams_limited",
@@ -101,12 +101,10 @@
         let staying = view.incarnations.iter().filter(fits);
         let ranked = picker.rank(now, staying, service, zone, excluded);
         for upstream in ranked {
-            let Some(limit) = self.core.gateway.limits.limit_of(view, upstream) else {
+            let Some(limited) = self.core.gateway.limits.limited(view, upstream) else {
                 candidates.open = Some(upstream.clone());
                 break;
             };
-            let id = upstream.id.clone();
-            let limited = LimitedUpstream { id, limit };
             candidates.limited.push((upstream.clone(), limited));
         }
         candidates
@@ -163,7 +161,7 @@
             request = self.id,
             upstream = upstream.id,
             permit = grant.first,
-            per_second = limited.limit.rate.per_second(),
+            per_second = limited.rate().per_second(),
             count = grant.count
         );
         Ok(Admitted {
--- a/crates/dandelion-daemon/src/gateway/forward.rs
+++ b/crates/dandelion-daemon/src/gateway/forward.rs
@@ -6,7 +6,6 @@
 use std::time::Instant;
 
 use async_std::task;
-use dandelion_net::clock;
 use dandelion_net::http::BodyBuffer;
 use dandelion_net::http::body;
 use dandelion_net::http::client;
@@ -450,7 +449,7 @@
             return Attempt::Failed(Some(answer::status(400)));
         };
         let may_send = || {
-            let is_permitted = rate_permit.is_none_or(|p| clock::boot_now() <= p.until);
+            let is_permitted = limits::is_permitted(self.core, upstream, rate_permit, self.id);
             is_permitted && self.is_in_charge() && gate::may_send(self.core, upstream, self.id)
         };
         let sent = self.exchange(upstream, request, &options, may_send);
--- a/crates/dandelion-daemon/src/gateway/incarnations.rs
+++ b/crates/dandelion-daemon/src/gateway/incarnations.rs
@@ -13,6 +13,7 @@
 use dandelion_protocol::mesh::MeshMessage;
 use dandelion_protocol::time::Millis;
 use dandelion_protocol::time::WallMillis;
+use dandelion_route::limits::is_cold;
 use dandelion_telemetry::Event;
 use dandelion_telemetry::event;
 
@@ -40,8 +41,16 @@
     record_report(core, &report.life.id, report.life.born);
     forward_report(core, &report);
     let view = core.control.view();
-    let life = report.life;
-    if view.incarnations.iter().any(|known| includes(known, &life)) {
+    let same =
+        |known: &&UpstreamIncarnation| known.id == report.life.id && known.born == report.life.born;
+    let known = view.incarnations.iter().find(same);
+    let life = UpstreamIncarnation {
+        cold: is_cold(&report, known, view.plan.as_deref()),
+        ..report.life
+    };
+    // Each report of a cold upstream is recorded, so that its number outdates a late one that says
+    // that the upstream is warm.
+    if !life.cold && known.is_some_and(|known| includes(known, &life)) {
         return Ok(());
     }
     let command = UpstreamsCommand::Report {
@@ -56,6 +65,7 @@
             born = life.born.0,
             sequence = report.sequence,
             ready = life.ready,
+            cold = life.cold,
             revision = applied.revision
         ),
         Err(CommandError::Rejected(_)) => event!(
--- a/crates/dandelion-daemon/src/gateway/limits/leader.rs
+++ b/crates/dandelion-daemon/src/gateway/limits/leader.rs
@@ -15,6 +15,7 @@
 
 use crate::control::View;
 use crate::core::Handle;
+use crate::gateway::limits::cold::known_at_leader;
 
 /// Longest wait for the control leader's reply. It is short: callers wait meanwhile, and there may
 /// be no leader.
@@ -41,8 +42,15 @@
         return PermitReply::NotLeader;
     };
     let view = core.control.view();
+    let upstreams = call.upstreams.iter();
+    let call = PermitCall {
+        upstreams: upstreams
+            .map(|asked| known_at_leader(&view, asked))
+            .collect(),
+        count: call.count,
+    };
     let mut grantor = core.gateway.limits.grantor();
-    grantor.grant(clock::boot_now(), term, call, |id| load_of(&view, id))
+    grantor.grant(clock::boot_now(), term, &call, |id| load_of(&view, id))
 }
 
 /// Returns what an upstream is sent: items if it is an engine of the plan.
--- a/crates/dandelion-daemon/src/gateway/limits/state.rs
+++ b/crates/dandelion-daemon/src/gateway/limits/state.rs
@@ -16,6 +16,7 @@
 use dandelion_protocol::ids::Term;
 use dandelion_protocol::ids::UpstreamId;
 use dandelion_protocol::incarnations::UpstreamIncarnation;
+use dandelion_protocol::limits::LimitedUpstream;
 use dandelion_protocol::limits::NamedLimit;
 use dandelion_route::limits::Grantor;
 use dandelion_route::limits::KnownLimits;
@@ -26,6 +27,7 @@
 use crate::control::CommandError;
 use crate::control::View;
 use crate::core::Handle;
+use crate::gateway::limits::cold;
 
 /// Pause between two rounds in which limits are recorded, so that a limit that changes with each
 /// answer costs few changes of the table.
@@ -61,6 +63,13 @@
         self.known().limit_of(replicated(view), upstream)
     }
 
+    /// Returns under which limits an upstream may be sent to: the one that it names and what it
+    /// tolerates while it is cold; none if neither applies.
+    pub fn limited(&self, view: &View, upstream: &UpstreamIncarnation) -> Option<LimitedUpstream> {
+        let cold = cold::rate_of(view, &upstream.id, upstream.born);
+        LimitedUpstream::of(upstream, self.limit_of(view, upstream), cold)
+    }
+
     /// Returns a number that increases when an answer to this daemon changes a limit.
     pub fn version(&self) -> u64 {
         self.version.load(Ordering::Acquire)
@@ -94,6 +103,11 @@
     pub fn update(&self, previous: &View, view: &View) {
         let is_known = |id: &UpstreamId| view.incarnations.iter().any(|u| u.id == *id);
         self.known().retain(view.revision, is_known);
+        let is_replanned = previous.plan.as_ref().map(|plan| plan.version)
+            != view.plan.as_ref().map(|plan| plan.version);
+        if is_replanned || !Arc::ptr_eq(&previous.incarnations, &view.incarnations) {
+            cold::log_changes(previous, view);
+        }
         if Arc::ptr_eq(&previous.limits, &view.limits) {
             return;
         }
--- a/crates/dandelion-daemon/src/metrics.rs
+++ b/crates/dandelion-daemon/src/metrics.rs
@@ -5,6 +5,7 @@
 use dandelion_protocol::time::Millis;
 use dandelion_protocol::usage::Class;
 use dandelion_route::detours::Ending;
+use dandelion_route::limits::cold_rate;
 use dandelion_telemetry::Metrics;
 use dandelion_telemetry::metrics::MetricsError;
 use dandelion_telemetry::metrics::TeamMetrics;
@@ -26,6 +27,7 @@
     leader_term: IntGauge,
     mesh_bytes: IntCounterVec,
     limited: IntGauge,
+    cold: IntGauge,
     leaving: IntGauge,
     origins: IntGauge,
     permits: IntCounterVec,
@@ -55,6 +57,7 @@
                 "family",
             )?,
             limited: metrics.gauge("limited_upstreams", "Upstreams that name a limit.")?,
+            cold: metrics.gauge("cold_upstreams", "Upstreams that are cold.")?,
             leaving: metrics.gauge(
                 "leaving_upstreams",
                 "Upstreams that have told this daemon that they leave and are still known.",
@@ -148,6 +151,10 @@
         let limited = view.incarnations.iter();
         let limited = limited.filter(|u| limits.limit_of(&view, u).is_some());
         self.limited.set(limited.count() as i64);
+        let plan = view.plan.as_deref();
+        let cold = view.incarnations.iter();
+        let cold = cold.filter(|u| cold_rate(u, plan).is_some());
+        self.cold.set(cold.count() as i64);
         let leaving = &core.gateway.leaving;
         let leaving = view.incarnations.iter().filter(|u| leaving.leaves(u));
         self.leaving.set(leaving.count() as i64);
--- a/crates/dandelion-daemon/src/stores/run.rs
+++ b/crates/dandelion-daemon/src/stores/run.rs
@@ -9,7 +9,6 @@
 use dandelion_batch::scheduler::KeptOutput;
 use dandelion_batch::scheduler::RunOutcome;
 use dandelion_batch::scheduler::Speed;
-use dandelion_net::clock;
 use dandelion_net::http::BufferShare;
 use dandelion_net::http::client;
 use dandelion_net::http::client::Cause;
@@ -229,7 +228,7 @@
         };
         let request = self.request().ok_or(RunOutcome::Failed)?;
         let may_send = || {
-            let is_permitted = self.permit.is_none_or(|p| clock::boot_now() <= p.until);
+            let is_permitted = limits::is_permitted(core, &self.engine, self.permit, self.id());
             is_permitted && gate::may_send(core, &self.engine, self.id())
         };
         let client = &core.gateway.client;
--- a/crates/dandelion-daemon/src/stores/runner/permits.rs
+++ b/crates/dandelion-daemon/src/stores/runner/permits.rs
@@ -1,4 +1,4 @@
-//! Asks for permits to send to engines that name a limit.
+//! Asks for permits to send to engines that name a limit or are cold.
 
 use std::collections::BTreeSet;
 
@@ -6,7 +6,6 @@
 use dandelion_batch::scheduler::Permits;
 use dandelion_protocol::ids::UpstreamId;
 use dandelion_protocol::incarnations::UpstreamIncarnation;
-use dandelion_protocol::limits::LimitedUpstream;
 use dandelion_protocol::limits::PermitCall;
 use dandelion_protocol::time::Millis;
 use dandelion_telemetry::Event as LogEvent;
@@ -23,11 +22,11 @@
 const LEADER_PAUSE: Millis = Millis(200);
 
 impl Runner {
-    /// Returns the upstreams that name a limit, as far as this daemon knows.
+    /// Returns the upstreams that name a limit or are cold, as far as this daemon knows.
     pub(super) fn limited_upstreams(&self, view: &View) -> BTreeSet<UpstreamId> {
         let limits = &self.core.gateway.limits;
         let limited = view.incarnations.iter();
-        let limited = limited.filter(|upstream| limits.limit_of(view, upstream).is_some());
+        let limited = limited.filter(|upstream| limits.limited(view, upstream).is_some());
         limited.map(|upstream| upstream.id.clone()).collect()
     }
 
@@ -50,16 +49,15 @@
     count: u32,
 ) -> (Option<Permits>, Millis) {
     let view = core.control.view();
-    let Some(limit) = core.gateway.limits.limit_of(&view, engine) else {
+    let Some(limited) = core.gateway.limits.limited(&view, engine) else {
         // The limit has ended meanwhile, of which the scheduler is about to be notified.
         return (None, Millis::ZERO);
     };
-    let id = engine.id.clone();
+    let per_second = limited.rate().per_second();
     let call = PermitCall {
-        upstreams: vec![LimitedUpstream { id, limit }],
+        upstreams: vec![limited],
         count,
     };
-    let per_second = limit.rate.per_second();
     let denied = |reason: &str, wait: Millis| {
         event!(
             LogEvent::PermitDenied,
--- a/crates/dandelion-load/src/cluster/plan.rs
+++ b/crates/dandelion-load/src/cluster/plan.rs
@@ -298,5 +298,6 @@
         slots: SLOTS,
         ready: true,
         software: SoftwareVersion::default(),
+        cold: false,
     })
 }
--- a/crates/dandelion-protocol/src/incarnations.rs
+++ b/crates/dandelion-protocol/src/incarnations.rs
@@ -11,6 +11,7 @@
 use crate::ids::ServiceId;
 use crate::ids::UpstreamId;
 use crate::ids::ZoneId;
+use crate::time::Millis;
 use crate::time::WallMillis;
 
 /// Most milliseconds by which an upstream's clock may be ahead of the cell's.
@@ -102,6 +103,10 @@
     /// Version of its software; unknown if a daemon of an earlier version recorded it.
     #[serde(default)]
     pub software: SoftwareVersion,
+    /// Whether it is cold: its service has a cold phase in the plan, and its newest report doesn't say
+    /// that the phase is over. False if a daemon of an earlier version recorded it.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub cold: bool,
 }
 
 /// Returns whether an upstream can have started at `born` if it is `now`.
@@ -139,6 +144,9 @@
     pub sequence: u64,
     /// Version of the loaded weights of each model; empty if it reports no models.
     pub versions: BTreeMap<String, u64>,
+    /// Time until it is warm, zero if it is; none if it reports nothing about that.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_left: Option<Millis>,
 }
 
 impl IncarnationReport {
--- a/crates/dandelion-protocol/src/limits.rs
+++ b/crates/dandelion-protocol/src/limits.rs
@@ -7,6 +7,7 @@
 
 use crate::ids::Term;
 use crate::ids::UpstreamId;
+use crate::incarnations::UpstreamIncarnation;
 use crate::time::Millis;
 use crate::time::WallMillis;
 
@@ -86,8 +87,56 @@
 pub struct LimitedUpstream {
     /// Name of the upstream.
     pub id: UpstreamId,
-    /// Newest limit that the sender knows.
+    /// Newest limit that the sender knows; one at the rate of `cold` if the upstream names none.
     pub limit: NamedLimit,
+    /// Limit while the upstream is cold; none if the sender knows it as warm.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold: Option<ColdLimit>,
+}
+
+/// Limit of a cold upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ColdLimit {
+    /// Requests that it tolerates.
+    pub rate: RateLimit,
+    /// Whether it names no limit itself.
+    pub alone: bool,
+}
+
+impl LimitedUpstream {
+    /// Combines the limit that an incarnation names and the rate that it tolerates while it is cold;
+    /// returns none if there is neither.
+    pub fn of(
+        upstream: &UpstreamIncarnation,
+        named: Option<NamedLimit>,
+        cold: Option<RateLimit>,
+    ) -> Option<Self> {
+        let cold_limit = |rate| NamedLimit {
+            born: upstream.born,
+            rate,
+            seen: PermitNumber::default(),
+        };
+        Some(Self {
+            id: upstream.id.clone(),
+            limit: named.or_else(|| cold.map(cold_limit))?,
+            cold: cold.map(|rate| ColdLimit {
+                rate,
+                alone: named.is_none(),
+            }),
+        })
+    }
+
+    /// Returns the limit that the upstream names, if any.
+    pub fn named(&self) -> Option<NamedLimit> {
+        let is_named = self.cold.is_none_or(|cold| !cold.alone);
+        is_named.then_some(self.limit)
+    }
+
+    /// Returns the lowest rate that applies.
+    pub fn rate(&self) -> RateLimit {
+        let cold = self.cold.map_or(self.limit.rate, |cold| cold.rate);
+        cold.min(self.limit.rate)
+    }
 }
 
 /// Asks the control leader for permits of one upstream.
--- a/crates/dandelion-protocol/src/plan.rs
+++ b/crates/dandelion-protocol/src/plan.rs
@@ -10,6 +10,7 @@
 
 use crate::ids::ServiceId;
 use crate::ids::TeamId;
+use crate::limits::RateLimit;
 use crate::time::Millis;
 
 /// Kind of a route.
@@ -79,6 +80,19 @@
     pub connections: u32,
     /// Tokens that fit in the memory of one model engine, 0 if unknown; none for a plain service.
     pub memory: Option<u64>,
+    /// Cold phase of its upstreams; none if they have none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold: Option<ColdStart>,
+}
+
+/// Phase in which an upstream tolerates few requests, after a start and whenever it reports so.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ColdStart {
+    /// Time after a start for which an upstream is cold. If zero, a new incarnation is cold only if it
+    /// reports so.
+    pub time: Millis,
+    /// Requests that a cold upstream tolerates.
+    pub rate: RateLimit,
 }
 
 /// A team of the plan.
--- a/crates/dandelion-route/src/limits/grantor.rs
+++ b/crates/dandelion-route/src/limits/grantor.rs
@@ -27,6 +27,11 @@
 /// Time whose permits, at the rate, may be granted in a [`WINDOW`], besides [`BURST`].
 const WINDOW_PERMITS: Millis = Millis(5_600);
 
+/// Part of its rate at which a cold upstream's bucket is filled. Its bound is over one second, in which
+/// arrives what is granted in 1.6 s: the permits of the 0.3 s before that are still valid, and as long
+/// again for requests under way. 1.6 s at this rate are the 1.5 s of the rate that the bound allows.
+const COLD_SHARE: f64 = 1.5 / 1.6;
+
 /// Grants that are so close in time are counted together, as if made with the last one.
 const SLOT: Millis = Millis(100);
 
@@ -48,6 +53,9 @@
     Requests,
     /// Items of batch jobs, some hundred at once every few seconds.
     Items,
+    /// Either, while the upstream is cold. What a new leader may grant at once adds to what the former
+    /// one did within the bound, so it doesn't pause.
+    Cold,
 }
 
 impl Load {
@@ -56,13 +64,14 @@
         match self {
             Self::Requests => Millis(1_000),
             Self::Items => Millis(4_000),
+            Self::Cold => Millis::ZERO,
         }
     }
 
     /// Returns the time for which a new leader grants no permit: what the former one may have granted
     /// at once beyond [`WINDOW_PERMITS`] and a full window of its own.
     fn pause(self) -> Millis {
-        self.depth() + WINDOW - WINDOW_PERMITS
+        (self.depth() + WINDOW).since(WINDOW_PERMITS)
     }
 }
 
@@ -84,10 +93,10 @@
     count: u32,
 }
 
-/// Token buckets of the upstreams that name a limit.
+/// Token buckets of the upstreams that name a limit or are cold.
 ///
 /// Over any longer time an upstream gets its rate, and in any 4 s at most 5.6 times its rate and 4
-/// requests. A new leader doesn't know what the former one granted. The former one's lease covers all
+/// requests; a cold one in any second at most one and a half times its rate and 4. A new leader doesn't know what the former one granted. The former one's lease covers all
 /// of that, and the new one's buckets start empty, or with a debt where a former grant may have been
 /// large, when it is first asked.
 #[derive(Debug, Default)]
@@ -98,9 +107,14 @@
     since: Millis,
     /// Permits granted in the term.
     granted: u64,
-    buckets: BTreeMap<UpstreamId, Bucket>,
+    /// Buckets of the upstreams that name a limit.
+    named: Buckets,
+    /// Buckets of cold upstreams. One that also names a limit has a bucket in both.
+    cold: Buckets,
 }
 
+type Buckets = BTreeMap<UpstreamId, Bucket>;
+
 impl Grantor {
     /// Notes the leadership of `term`. Unless this was called before, the term counts from its first
     /// ask.
@@ -130,13 +144,11 @@
         let mut waits = Vec::with_capacity(call.upstreams.len());
         for upstream in &call.upstreams {
             let load = load_of(&upstream.id);
-            let bucket = load.and_then(|load| self.refilled(now, upstream, load));
-            let Some(bucket) = bucket else {
+            let taken = load.and_then(|load| self.take(now, upstream, load, call.count.max(1)));
+            let Some((count, next)) = taken else {
                 waits.push(UNKNOWN_WAIT);
                 continue;
             };
-            let count = bucket.take(call.count.max(1));
-            let next = bucket.next();
             if count == 0 {
                 waits.push(next);
                 continue;
@@ -156,44 +168,81 @@
         PermitReply::Denied(waits)
     }
 
-    /// Returns the bucket of an upstream with the tokens of now, or none if a later incarnation has
-    /// taken its place or there are too many buckets.
-    fn refilled(
+    /// Takes up to `wanted` permits of an upstream, of each of its buckets. Returns how many, and the
+    /// time until there is another one; none if a later incarnation has taken its place or there are
+    /// too many buckets.
+    fn take(
         &mut self,
         now: Millis,
         upstream: &LimitedUpstream,
         load: Load,
-    ) -> Option<&mut Bucket> {
-        let is_new = !self.buckets.contains_key(&upstream.id);
-        if is_new && !self.make_room(now) {
-            return None;
-        }
+        wanted: u32,
+    ) -> Option<(u32, Millis)> {
         let since = self.since;
-        let bucket = self
-            .buckets
-            .entry(upstream.id.clone())
-            .or_insert_with(|| Bucket::open(now, since, upstream.limit, load));
-        if bucket.limit.born > upstream.limit.born {
-            return None;
+        let id = &upstream.id;
+        let named = match upstream.named() {
+            Some(limit) => Some(refilled(&mut self.named, (now, since), id, limit, load)?),
+            None => None,
+        };
+        let cold = match upstream.cold {
+            Some(cold) => {
+                let limit = NamedLimit {
+                    born: upstream.limit.born,
+                    rate: cold.rate,
+                    seen: PermitNumber::default(),
+                };
+                let times = (now, since);
+                Some(refilled(&mut self.cold, times, id, limit, Load::Cold)?)
+            }
+            None => None,
+        };
+        let mut buckets: Vec<&mut Bucket> = [named, cold].into_iter().flatten().collect();
+        let left = buckets.iter().map(|bucket| bucket.left()).min()?;
+        let count = wanted.min(left);
+        for bucket in &mut buckets {
+            bucket.take(count);
         }
-        bucket.refill(now);
-        bucket.adopt(upstream.limit);
-        Some(bucket)
+        let next = buckets.iter().map(|bucket| bucket.next()).max()?;
+        Some((count, next))
     }
+}
 
-    /// Makes room for a bucket, if need be by removing one whose grants count no longer.
-    fn make_room(&mut self, now: Millis) -> bool {
-        if self.buckets.len() < MAX_BUCKETS {
-            return true;
-        }
-        let oldest = self.buckets.iter().min_by_key(|(_, bucket)| bucket.at);
-        let unused = oldest.filter(|(_, bucket)| bucket.at + WINDOW < now);
-        let Some(id) = unused.map(|(id, _)| id.clone()) else {
-            return false;
-        };
-        self.buckets.remove(&id);
-        true
+/// Returns the bucket of an upstream with the tokens of now, in the term that began at `since`; none if
+/// a later incarnation has taken its place or there are too many buckets.
+fn refilled<'a>(
+    buckets: &'a mut Buckets,
+    (now, since): (Millis, Millis),
+    id: &UpstreamId,
+    limit: NamedLimit,
+    load: Load,
+) -> Option<&'a mut Bucket> {
+    let is_new = !buckets.contains_key(id);
+    if is_new && !make_room(buckets, now) {
+        return None;
+    }
+    let bucket = buckets
+        .entry(id.clone())
+        .or_insert_with(|| Bucket::open(now, since, limit, load));
+    if bucket.limit.born > limit.born {
+        return None;
+    }
+    bucket.refill(now);
+    bucket.adopt(limit);
+    Some(bucket)
+}
+
+/// Makes room for a bucket, if need be by removing one whose grants count no longer.
+fn make_room(buckets: &mut Buckets, now: Millis) -> bool {
+    if buckets.len() < MAX_BUCKETS {
+        return true;
     }
+    let oldest = buckets.iter().min_by_key(|(_, bucket)| bucket.at);
+    let unused = oldest.filter(|(_, bucket)| bucket.at + WINDOW < now);
+    let Some(id) = unused.map(|(id, _)| id.clone()) else {
+        return false;
+    };
+    buckets.remove(&id);
+    true
 }
 
 impl Bucket {
@@ -215,7 +264,12 @@
     }
 
     fn rate(&self) -> f64 {
-        self.limit.rate.per_second().max(MIN_RATE)
+        let share = if self.load == Load::Cold {
+            COLD_SHARE
+        } else {
+            1.0
+        };
+        (self.limit.rate.per_second() * share).max(MIN_RATE)
     }
 
     fn depth(&self) -> f64 {
@@ -258,27 +312,28 @@
         most.saturating_sub(granted)
     }
 
-    /// Takes up to `count` tokens and returns how many.
-    fn take(&mut self, count: u32) -> u32 {
-        let taken = count
-            .min(self.tokens.max(0.0) as u32)
-            .min(self.window_room());
-        if taken == 0 {
-            return 0;
+    /// Returns the permits that may be granted now.
+    fn left(&self) -> u32 {
+        (self.tokens.max(0.0) as u32).min(self.window_room())
+    }
+
+    /// Takes tokens, at most those of [`Self::left`].
+    fn take(&mut self, count: u32) {
+        if count == 0 {
+            return;
         }
-        self.tokens -= f64::from(taken);
+        self.tokens -= f64::from(count);
         match self.recent.back_mut() {
             Some(slot) if self.at < slot.since + SLOT => {
                 slot.until = self.at;
-                slot.count += taken;
+                slot.count += count;
             }
             _ => self.recent.push_back(Slot {
                 since: self.at,
                 until: self.at,
-                count: taken,
+                count,
             }),
         }
-        taken
     }
 
     /// Returns the time until there is a permit.
--- a/crates/dandelion-route/src/pick.rs
+++ b/crates/dandelion-route/src/pick.rs
@@ -29,6 +29,10 @@
 /// preferred.
 const REMOTE_PENALTY_MS: f64 = 15.0;
 
+/// Cost added to a cold upstream, in milliseconds. It costs a permit from the control leader, one call
+/// over the mesh, and runs its first requests slower; a warm upstream of another zone is preferred.
+const COLD_PENALTY_MS: f64 = 60.0;
+
 /// Weight of the newest answer in the exponentially weighted mean latency.
 const LATENCY_WEIGHT: f64 = 0.2;
 
@@ -133,8 +137,9 @@
         } else {
             REMOTE_PENALTY_MS
         };
+        let cold = if upstream.cold { COLD_PENALTY_MS } else { 0.0 };
         let backoff_until = stats.map(|s| s.backoff_until).filter(|until| now < *until);
-        let cost = latency * (1.0 + rounds) + INITIAL_LATENCY_MS * share + penalty;
+        let cost = latency * (1.0 + rounds) + INITIAL_LATENCY_MS * share + penalty + cold;
         (backoff_until.unwrap_or(Millis::ZERO), cost)
     }
 
--- a/crates/dandelion-route/tests/limits.rs
+++ b/crates/dandelion-route/tests/limits.rs
@@ -67,7 +67,11 @@
     limit: NamedLimit,
     count: u32,
 ) -> PermitReply {
-    let upstreams = vec![LimitedUpstream { id: id(), limit }];
+    let upstreams = vec![LimitedUpstream {
+        id: id(),
+        limit,
+        cold: None,
+    }];
     let call = PermitCall { upstreams, count };
     grantor.grant(Millis(now), Term(term), &call, |_| Some(load))
 }
@@ -212,6 +216,7 @@
     let upstreams = vec![LimitedUpstream {
         id: id(),
         limit: named(1, 9_000, PermitNumber::default()),
+        cold: None,
     }];
     let call = PermitCall {
         upstreams,
@@ -230,6 +235,7 @@
         upstreams: vec![LimitedUpstream {
             id: "other".parse().unwrap(),
             limit: named(1, 1_000, PermitNumber::default()),
+            cold: None,
         }],
         count: 1,
     };
@@ -265,6 +271,7 @@
     let upstream = |id: &str, rate| LimitedUpstream {
         id: id.parse().unwrap(),
         limit: named(1, rate, PermitNumber::default()),
+        cold: None,
     };
     let call = PermitCall {
         upstreams: vec![upstream("slow", 1_000), upstream("fast", 2_000)],
@@ -295,6 +302,7 @@
         slots: 2,
         ready: true,
         software: SoftwareVersion::default(),
+        cold: false,
     }
 }
 
--- a/crates/dandelion-route/tests/pick.rs
+++ b/crates/dandelion-route/tests/pick.rs
@@ -18,6 +18,7 @@
         slots: 2,
         ready: true,
         software: SoftwareVersion::default(),
+        cold: false,
     }
 }
 
--- a/crates/dandelion-route/tests/reach.rs
+++ b/crates/dandelion-route/tests/reach.rs
@@ -22,6 +22,7 @@
         slots: 2,
         ready,
         software: SoftwareVersion::default(),
+        cold: false,
     }
 }
 
--- a/crates/dandelion-telemetry/src/events/catalogue.rs
+++ b/crates/dandelion-telemetry/src/events/catalogue.rs
@@ -300,4 +300,9 @@
     947 Info RequestDetoured "request_detoured"
         "A caller's request was given to another daemon to forward, because this one didn't reach an upstream; the line says what came of it."
         "none; see the lines with the same request at that daemon";
+    952 Info UpstreamCold "upstream_cold"
+        "An upstream has started during traffic or has turned cold again; all daemons together send it no more than it tolerates."
+        "none; if it stays cold, see what its reports say";
+    953 Info UpstreamWarm "upstream_warm"
+        "An upstream reported that it is warm; it gets requests without permits." "none";
 }
--- a/review/standins/src/upstream.rs
+++ b/review/standins/src/upstream.rs
@@ -47,6 +47,7 @@
         slots,
         ready: true,
         software: SoftwareVersion("v1".to_owned()),
+        cold: false,
     };
     let serve = Arc::new(serve);
     thread::spawn(move || {
