--- a/crates/dandelion-load/src/cluster/plan.rs
+++ b/crates/dandelion-load/src/cluster/plan.rs
@@ -308,5 +308,6 @@
         slots: SLOTS,
         ready: true,
         software: SoftwareVersion::default(),
+        cold: false,
     })
 }
--- a/crates/dandelion-telemetry/src/events/catalogue.rs
+++ b/crates/dandelion-telemetry/src/events/catalogue.rs
@@ -301,6 +301,11 @@
         "A caller's request was given to another daemon to forward, because this one didn't reach an upstream; the line says what came of it."
         "none; see the lines with the same request at that daemon";
 
+    952 Info UpstreamCold "upstream_cold"
+        "An upstream has started during traffic or has turned cold again; all daemons together send it no more than it tolerates."
+        "none; if it stays cold, see what its reports say";
+    953 Info UpstreamWarm "upstream_warm"
+        "An upstream reported that it is warm; it gets requests without permits." "none";
     960 Warn ZoneEvacuated "zone_evacuated"
         "A zone is evacuated: this daemon sends nothing more to its upstreams." "none; restore the zone once its trouble is over";
     961 Info ZoneRestored "zone_restored"
