Keep what is known of cold upstreams apart from their incarnations, and take those of restored zones as cold

An upstream's incarnation is part of what other programs of this repository write out by hand, so it gets no further field: the table records beside it whether the latest report shows it as cold, and at which revision. An upstream without a recorded report since the evacuation of its zone was cancelled counts as cold (restored_zones), because it may have turned cold while it got nothing.

--- a/crates/dandelion-batch/examples/scheduling.rs
+++ b/crates/dandelion-batch/examples/scheduling.rs
@@ -52,7 +52,6 @@
         slots: SLOTS,
         ready: true,
         software: SoftwareVersion("v1".to_owned()),
-        cold: false,
     };
     (engine, Some(72_582))
 }
--- a/crates/dandelion-batch/src/scheduler/permits.rs
+++ b/crates/dandelion-batch/src/scheduler/permits.rs
@@ -103,7 +103,7 @@
 }
 
 /// Chooses the permits to ask for: for the items that wait because no engine takes them, of the
-/// engine with the largest share of free slots first, and of cold engines last. No more are asked for than items wait, since a
+/// engine with the largest share of free slots first. No more are asked for than items wait, since a
 /// permit that isn't used is lost.
 pub fn choose_asks(
     now: Millis,
@@ -114,11 +114,7 @@
     if engines.iter().all(|e| e.missing_permits(now) == 0) {
         return Vec::new();
     }
-    engines.sort_by(|a, b| {
-        let is_cold = |engine: &Engine| engine.life.cold;
-        let by_cold = is_cold(a).cmp(&is_cold(b));
-        by_cold.then(a.utilization().total_cmp(&b.utilization()))
-    });
+    engines.sort_by(|a, b| a.utilization().total_cmp(&b.utilization()));
     let jobs = jobs.values().map(|job| (job, job.count_ready(now)));
     let jobs: Vec<(&Job, u32)> = jobs.filter(|(_, ready)| *ready > 0).collect();
     let mut permitted: u32 = engines.iter().map(|e| e.permitted_runs(now)).sum();
--- a/crates/dandelion-batch/tests/many_engines.rs
+++ b/crates/dandelion-batch/tests/many_engines.rs
@@ -49,7 +49,6 @@
         slots: SLOTS,
         ready: true,
         software: SoftwareVersion("v1".to_owned()),
-        cold: false,
     }
 }
 
--- a/crates/dandelion-batch/tests/scheduler.rs
+++ b/crates/dandelion-batch/tests/scheduler.rs
@@ -35,7 +35,6 @@
         slots: SLOTS,
         ready: true,
         software: SoftwareVersion("v1".to_owned()),
-        cold: false,
     }
 }
 
--- a/crates/dandelion-batch/tests/support/mod.rs
+++ b/crates/dandelion-batch/tests/support/mod.rs
@@ -24,7 +24,6 @@
         slots,
         ready: true,
         software: SoftwareVersion("v1".to_owned()),
-        cold: false,
     }
 }
 
--- a/crates/dandelion-control/src/tables/mod.rs
+++ b/crates/dandelion-control/src/tables/mod.rs
@@ -1,6 +1,7 @@
 //! Replicated tables that this package registers.
 
 pub mod barrier;
+pub mod cold;
 pub mod config;
 pub mod history;
 pub mod limits;
@@ -14,6 +15,7 @@
 pub mod zones;
 
 pub use barrier::BarrierTable;
+pub use cold::cold_incarnations;
 pub use config::ConfigTable;
 pub use history::Change;
 pub use history::History;
@@ -27,6 +29,7 @@
 pub use stores::StoresTable;
 pub use upstreams::UpstreamsCommand;
 pub use upstreams::UpstreamsTable;
+pub use upstreams::Warmth;
 pub use versions::NameVersion;
 pub use versions::VersionsTable;
 pub use zones::ZonesCommand;
--- a/crates/dandelion-control/src/tables/upstreams.rs
+++ b/crates/dandelion-control/src/tables/upstreams.rs
@@ -8,6 +8,7 @@
 use dandelion_kernel::Table;
 use dandelion_kernel::TableEntry;
 use dandelion_protocol::control::Rejection;
+use dandelion_protocol::ids::Revision;
 use dandelion_protocol::ids::UpstreamId;
 use dandelion_protocol::incarnations::ReportError;
 use dandelion_protocol::incarnations::UpstreamEnd;
@@ -40,6 +41,22 @@
     /// recognised and the incarnation still known to leave when it reports again.
     #[serde(default)]
     silent: bool,
+    /// Whether its latest recorded report shows it as cold. False if a daemon of an earlier version
+    /// recorded it.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    cold: bool,
+    /// Revision of the latest recorded report.
+    #[serde(default)]
+    recorded: Revision,
+}
+
+/// Whether an upstream is cold, and since which revision that is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Warmth {
+    /// Whether its latest recorded report shows it as cold.
+    pub cold: bool,
+    /// Revision of that report.
+    pub recorded: Revision,
 }
 
 /// Upstreams by name. Each has at most one incarnation here, and each address at most one upstream.
@@ -72,6 +89,9 @@
         life: UpstreamIncarnation,
         /// Number of the report within the incarnation; rises with each report.
         sequence: u64,
+        /// Whether the report shows the upstream as cold.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        cold: bool,
     },
     /// An upstream reported its end; later reports of that incarnation are rejected.
     End(UpstreamEnd),
@@ -92,11 +112,21 @@
         reporting.map(|known| &known.life)
     }
 
+    /// Iterates over the known upstreams that are not silent, each with whether it is cold.
+    pub fn warmth(&self) -> impl Iterator<Item = (&UpstreamIncarnation, Warmth)> {
+        let reporting = self.known.values().filter(|known| !known.silent);
+        reporting.map(|known| {
+            let (cold, recorded) = (known.cold, known.recorded);
+            (&known.life, Warmth { cold, recorded })
+        })
+    }
+
     fn report(
         &mut self,
         mut life: UpstreamIncarnation,
         sequence: u64,
-        now: WallMillis,
+        cold: bool,
+        (now, revision): (WallMillis, Revision),
     ) -> Result<(), Rejection> {
         life.check(sequence, now).map_err(invalid_report)?;
         self.drop_impossible(&life, now);
@@ -154,6 +184,8 @@
             life,
             sequence,
             silent: false,
+            cold,
+            recorded: revision,
         };
         self.known.insert(record.life.id.clone(), record);
         Ok(())
@@ -272,7 +304,11 @@
     ) -> Result<(), Rejection> {
         self.index();
         match command {
-            UpstreamsCommand::Report { life, sequence } => self.report(life, sequence, context.at),
+            UpstreamsCommand::Report {
+                life,
+                sequence,
+                cold,
+            } => self.report(life, sequence, cold, (context.at, context.revision)),
             UpstreamsCommand::End(end) => self.end(&end, context.at),
             UpstreamsCommand::Forget { id, born } => {
                 self.forget(&id, born);
--- a/crates/dandelion-control/tests/report_forwards.rs
+++ b/crates/dandelion-control/tests/report_forwards.rs
@@ -29,6 +29,7 @@
             software: SoftwareVersion::default(),
         },
         sequence,
+        cold_left: None,
         versions: BTreeMap::from([("model".to_owned(), 7)]),
     }
 }
--- a/crates/dandelion-daemon/src/control/view.rs
+++ b/crates/dandelion-daemon/src/control/view.rs
@@ -15,6 +15,7 @@
 use dandelion_control::tables::UpstreamsTable;
 use dandelion_control::tables::VersionsTable;
 use dandelion_control::tables::ZonesTable;
+use dandelion_control::tables::cold_incarnations;
 use dandelion_kernel::TableSet;
 use dandelion_protocol::config::Config;
 use dandelion_protocol::config::Member;
@@ -28,6 +29,7 @@
 use dandelion_protocol::limits::NamedLimit;
 use dandelion_protocol::plan::RoutePlan;
 use dandelion_protocol::quarantine::Suspicion;
+use dandelion_protocol::time::WallMillis;
 use dandelion_route::ownership;
 
 /// Maximum number of daemons in a small cell.
@@ -70,6 +72,9 @@
     pub evacuated: Arc<BTreeSet<ZoneId>>,
     /// Revision of the last order about a zone.
     pub zones_revision: Revision,
+    /// Start of each cold incarnation, by upstream: of those whose latest report shows it, and of those
+    /// that have not reported since the evacuation of their zone was cancelled.
+    pub cold: Arc<BTreeMap<UpstreamId, WallMillis>>,
 }
 
 impl View {
@@ -116,6 +121,15 @@
             let table = tables.table::<ZonesTable>();
             Arc::new(table.map_or_else(BTreeSet::new, ZonesTable::evacuated))
         };
+        let is_same = incarnations_revision == previous.incarnations_revision
+            && zones_revision == previous.zones_revision;
+        let cold = if previous.revision > Revision(0) && is_same {
+            Arc::clone(&previous.cold)
+        } else {
+            let zones = tables.table::<ZonesTable>();
+            let upstreams = tables.table::<UpstreamsTable>();
+            Arc::new(upstreams.map_or_else(BTreeMap::new, |u| cold_incarnations(u, zones)))
+        };
         let versions = tables.table::<VersionsTable>();
         let stores = tables.table::<StoresTable>();
         let plan = tables.table::<PlanTable>();
@@ -139,6 +153,7 @@
             limits_revision,
             evacuated,
             zones_revision,
+            cold,
         }
     }
 
@@ -160,6 +175,11 @@
         found.ok().map(|at| &self.incarnations[at])
     }
 
+    /// Returns whether an incarnation is cold, if its service has a cold phase.
+    pub fn is_cold(&self, id: &UpstreamId, born: WallMillis) -> bool {
+        self.cold.get(id) == Some(&born)
+    }
+
     /// Returns whether nothing is sent to upstreams of a zone.
     pub fn is_evacuated(&self, zone: &ZoneId) -> bool {
         self.evacuated.contains(zone)
--- a/crates/dandelion-daemon/src/gateway/admit.rs
+++ b/crates/dandelion-daemon/src/gateway/admit.rs
@@ -101,7 +101,9 @@
             !leaving.leaves(u) && !view.is_evacuated(&u.zone) && self.may_go_on_at(u)
         };
         let staying = view.incarnations.iter().filter(fits);
-        let ranked = picker.rank(now, staying, service, zone, excluded);
+        let limits = &self.core.gateway.limits;
+        let is_cold = |upstream: &UpstreamIncarnation| limits.is_cold(view, upstream);
+        let ranked = picker.rank(now, staying, service, zone, excluded, is_cold);
         for upstream in ranked {
             let Some(limited) = self.core.gateway.limits.limited(view, upstream) else {
                 candidates.open = Some(upstream.clone());
--- a/crates/dandelion-daemon/src/gateway/incarnations.rs
+++ b/crates/dandelion-daemon/src/gateway/incarnations.rs
@@ -43,18 +43,19 @@
     let view = core.control.view();
     let known = view.upstream(&report.life.id);
     let known = known.filter(|known| known.born == report.life.born);
-    let life = UpstreamIncarnation {
-        cold: is_cold(&report, known, view.plan.as_deref()),
-        ..report.life
-    };
+    let was_cold = known.map(|known| view.is_cold(&known.id, known.born));
+    let cold = is_cold(&report, was_cold, view.plan.as_deref());
+    let life = report.life;
     // Each report of a cold upstream is recorded, so that its number outdates a late one that says
-    // that the upstream is warm.
-    if !life.cold && known.is_some_and(|known| includes(known, &life)) {
+    // that the upstream is warm, and the first one after that.
+    let is_warm = !cold && was_cold == Some(false);
+    if is_warm && known.is_some_and(|known| includes(known, &life)) {
         return Ok(());
     }
     let command = UpstreamsCommand::Report {
         life: life.clone(),
         sequence: report.sequence,
+        cold,
     };
     match core.propose_own::<UpstreamsTable>(&command).await {
         Ok(applied) => event!(
@@ -64,7 +65,7 @@
             born = life.born.0,
             sequence = report.sequence,
             ready = life.ready,
-            cold = life.cold,
+            cold = cold,
             revision = applied.revision
         ),
         Err(CommandError::Rejected(_)) => event!(
--- a/crates/dandelion-daemon/src/gateway/limits/cold.rs
+++ b/crates/dandelion-daemon/src/gateway/limits/cold.rs
@@ -17,9 +17,10 @@
 
 /// Returns the requests that an incarnation tolerates while it is cold; none if it is warm or unknown.
 pub(super) fn rate_of(view: &View, id: &UpstreamId, born: WallMillis) -> Option<RateLimit> {
-    let same = |known: &&UpstreamIncarnation| known.id == *id && known.born == born;
-    let known = view.incarnations.iter().find(same)?;
-    cold_rate(known, view.plan.as_deref())
+    if !view.is_cold(id, born) {
+        return None;
+    }
+    cold_rate(&view.upstream(id)?.service, view.plan.as_deref())
 }
 
 /// Returns the upstream of a sender's ask with what the control leader knows of it: whoever knows it
@@ -63,7 +64,7 @@
 /// Logs the upstreams that are cold in a view and were warm in the previous one, and the reverse.
 pub(super) fn log_changes(previous: &View, view: &View) {
     for upstream in view.incarnations.iter() {
-        let now = cold_rate(upstream, view.plan.as_deref());
+        let now = rate_of(view, &upstream.id, upstream.born);
         let before = rate_of(previous, &upstream.id, upstream.born);
         match (before, now) {
             (None, Some(rate)) => event!(
--- a/crates/dandelion-daemon/src/gateway/limits/state.rs
+++ b/crates/dandelion-daemon/src/gateway/limits/state.rs
@@ -63,6 +63,11 @@
         self.known().limit_of(replicated(view), upstream)
     }
 
+    /// Returns whether an upstream is cold and its service has a cold phase.
+    pub fn is_cold(&self, view: &View, upstream: &UpstreamIncarnation) -> bool {
+        cold::rate_of(view, &upstream.id, upstream.born).is_some()
+    }
+
     /// Returns under which limits an upstream may be sent to: the one that it names and what it
     /// tolerates while it is cold; none if neither applies.
     pub fn limited(&self, view: &View, upstream: &UpstreamIncarnation) -> Option<LimitedUpstream> {
@@ -105,7 +110,7 @@
         self.known().retain(view.revision, is_known);
         let is_replanned = previous.plan.as_ref().map(|plan| plan.version)
             != view.plan.as_ref().map(|plan| plan.version);
-        if is_replanned || !Arc::ptr_eq(&previous.incarnations, &view.incarnations) {
+        if is_replanned || !Arc::ptr_eq(&previous.cold, &view.cold) {
             cold::log_changes(previous, view);
         }
         if Arc::ptr_eq(&previous.limits, &view.limits) {
--- a/crates/dandelion-daemon/src/metrics.rs
+++ b/crates/dandelion-daemon/src/metrics.rs
@@ -6,7 +6,6 @@
 use dandelion_protocol::time::Millis;
 use dandelion_protocol::usage::Class;
 use dandelion_route::detours::Ending;
-use dandelion_route::limits::cold_rate;
 use dandelion_telemetry::Metrics;
 use dandelion_telemetry::metrics::MetricsError;
 use dandelion_telemetry::metrics::TeamMetrics;
@@ -173,9 +172,8 @@
         let limited = view.incarnations.iter();
         let limited = limited.filter(|u| limits.limit_of(&view, u).is_some());
         self.limited.set(limited.count() as i64);
-        let plan = view.plan.as_deref();
         let cold = view.incarnations.iter();
-        let cold = cold.filter(|u| cold_rate(u, plan).is_some());
+        let cold = cold.filter(|u| limits.is_cold(&view, u));
         self.cold.set(cold.count() as i64);
         let leaving = &core.gateway.leaving;
         let leaving = view.incarnations.iter().filter(|u| leaving.leaves(u));
--- a/crates/dandelion-load/src/cluster/plan.rs
+++ b/crates/dandelion-load/src/cluster/plan.rs
@@ -308,6 +308,5 @@
         slots: SLOTS,
         ready: true,
         software: SoftwareVersion::default(),
-        cold: false,
     })
 }
--- a/crates/dandelion-protocol/src/incarnations.rs
+++ b/crates/dandelion-protocol/src/incarnations.rs
@@ -103,10 +103,6 @@
     /// Version of its software; unknown if a daemon of an earlier version recorded it.
     #[serde(default)]
     pub software: SoftwareVersion,
-    /// Whether it is cold: its service has a cold phase in the plan, and its newest report doesn't say
-    /// that the phase is over. False if a daemon of an earlier version recorded it.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub cold: bool,
 }
 
 /// Returns whether an upstream can have started at `born` if it is `now`.
--- a/crates/dandelion-route/src/limits/mod.rs
+++ b/crates/dandelion-route/src/limits/mod.rs
@@ -15,7 +15,6 @@
 
 pub use cold::cold_rate;
 pub use cold::is_cold;
-pub use cold::is_restored_cold;
 pub use grantor::Grantor;
 pub use grantor::Load;
 pub use known::KnownLimits;
--- a/crates/dandelion-route/src/pick.rs
+++ b/crates/dandelion-route/src/pick.rs
@@ -67,22 +67,33 @@
 impl Picker {
     /// Returns the upstreams that may get a request, the one that is expected to answer soonest
     /// first and those in backoff last. Upstreams in `tried` are not among them.
-    pub fn rank<'a, L>(
+    pub fn rank<'a, L, F>(
         &self,
         now: Millis,
         candidates: L,
         service: &ServiceId,
         zone: &ZoneId,
         tried: &[UpstreamId],
+        is_cold: F,
     ) -> Vec<&'a UpstreamIncarnation>
     where
         L: Iterator<Item = &'a UpstreamIncarnation>,
+        F: Fn(&UpstreamIncarnation) -> bool,
     {
         let fits =
             |l: &&UpstreamIncarnation| l.ready && l.service == *service && !tried.contains(&l.id);
         let mut ranked: Vec<&UpstreamIncarnation> = candidates.filter(fits).collect();
+        let cost = |upstream: &UpstreamIncarnation| {
+            let (backoff, cost) = self.cost(now, upstream, zone);
+            let cold = if is_cold(upstream) {
+                COLD_PENALTY_MS
+            } else {
+                0.0
+            };
+            (backoff, cost + cold)
+        };
         ranked.sort_by(|a, b| {
-            let (a, b) = (self.cost(now, a, zone), self.cost(now, b, zone));
+            let (a, b) = (cost(a), cost(b));
             a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
         });
         ranked
@@ -137,9 +148,8 @@
         } else {
             REMOTE_PENALTY_MS
         };
-        let cold = if upstream.cold { COLD_PENALTY_MS } else { 0.0 };
         let backoff_until = stats.map(|s| s.backoff_until).filter(|until| now < *until);
-        let cost = latency * (1.0 + rounds) + INITIAL_LATENCY_MS * share + penalty + cold;
+        let cost = latency * (1.0 + rounds) + INITIAL_LATENCY_MS * share + penalty;
         (backoff_until.unwrap_or(Millis::ZERO), cost)
     }
 
--- a/crates/dandelion-route/tests/gate.rs
+++ b/crates/dandelion-route/tests/gate.rs
@@ -33,7 +33,6 @@
         slots: 4,
         ready,
         software: SoftwareVersion::default(),
-        cold: false,
     }
 }
 
--- a/crates/dandelion-route/tests/leaving.rs
+++ b/crates/dandelion-route/tests/leaving.rs
@@ -22,7 +22,6 @@
         slots: 4,
         ready: true,
         software: SoftwareVersion::default(),
-        cold: false,
     }
 }
 
--- a/crates/dandelion-route/tests/limits.rs
+++ b/crates/dandelion-route/tests/limits.rs
@@ -302,7 +302,6 @@
         slots: 2,
         ready: true,
         software: SoftwareVersion::default(),
-        cold: false,
     }
 }
 
--- a/crates/dandelion-route/tests/reach.rs
+++ b/crates/dandelion-route/tests/reach.rs
@@ -22,7 +22,6 @@
         slots: 2,
         ready,
         software: SoftwareVersion::default(),
-        cold: false,
     }
 }
 
