--- a/crates/dandelion-control/src/tables/zones.rs
+++ b/crates/dandelion-control/src/tables/zones.rs
@@ -221,17 +221,17 @@
         records.filter_map(|(zone, record)| Some((zone, record.restored()?)))
     }
 
-    fn order(&mut self, zone: ZoneId, evacuate: bool, order: Order, now: Recorded) -> ZonesReply {
+    fn order(&mut self, zone: &ZoneId, evacuate: bool, order: Order, now: Recorded) -> ZonesReply {
         let evacuated = |(_, record): &(&ZoneId, &ZoneRecord)| record.evacuated;
         let is_full = self.zones.iter().filter(evacuated).count() >= MAX_ZONES;
-        let is_evacuated = self.zones.get(&zone).is_some_and(ZoneRecord::is_evacuated);
+        let is_evacuated = self.zones.get(zone).is_some_and(ZoneRecord::is_evacuated);
         if evacuate && is_full && !is_evacuated {
             return ZonesReply::Full;
         }
         let record = self.zones.entry(zone.clone());
         let record = record.or_insert_with(|| ZoneRecord::open(now));
         let reply = record.order(evacuate, order, now);
-        self.evict_surplus(&zone);
+        self.evict_surplus(zone);
         reply
     }
 
@@ -266,8 +266,8 @@
             at: context.at,
         };
         Ok(match command {
-            ZonesCommand::Evacuate { zone, order } => self.order(zone, true, order, now),
-            ZonesCommand::Restore { zone, order } => self.order(zone, false, order, now),
+            ZonesCommand::Evacuate { zone, order } => self.order(&zone, true, order, now),
+            ZonesCommand::Restore { zone, order } => self.order(&zone, false, order, now),
         })
     }
 }
--- a/crates/dandelion-load/src/scenarios/evacuation.rs
+++ b/crates/dandelion-load/src/scenarios/evacuation.rs
@@ -58,7 +58,7 @@
 const CALL_INTERVAL: Duration = Duration::from_millis(30);
 /// Each such call asks for a stream.
 const STREAM_PERIOD: usize = 5;
-const JOB_INTERVAL: Duration = Duration::from_millis(1_000);
+const JOB_INTERVAL: Duration = Duration::from_secs(1);
 const ITEMS: usize = 12;
 /// Longest time in which a caller repeats a request or reads the results of a job.
 const CALL_TIMEOUT: Duration = Duration::from_secs(20);
@@ -344,22 +344,23 @@
         let is_late = zone.closed.is_some_and(|closed| Instant::now() > closed);
         zone.late += u64::from(is_late);
     }
+}
 
-    fn stream(&self, after: u64) -> http_types::Body {
-        let (sender, body) = body::channel(1);
-        task::spawn(async move {
-            for number in after + 1..=EVENTS {
-                task::sleep(EVENT_INTERVAL).await;
-                let event = format!("id: {number}\ndata: {number}\n\n");
-                if sender.send(event.into_bytes()).await.is_err() {
-                    return;
-                }
+/// Streams the events after a number.
+fn stream(after: u64) -> http_types::Body {
+    let (sender, body) = body::channel(1);
+    task::spawn(async move {
+        for number in after + 1..=EVENTS {
+            task::sleep(EVENT_INTERVAL).await;
+            let event = format!("id: {number}\ndata: {number}\n\n");
+            if sender.send(event.into_bytes()).await.is_err() {
+                return;
             }
-            // The caller may have disconnected after the last event.
-            let _gone = sender.finish().await;
-        });
-        body
-    }
+        }
+        // The caller may have disconnected after the last event.
+        let _gone = sender.finish().await;
+    });
+    body
 }
 
 impl Handler for Upstream {
@@ -375,7 +376,7 @@
         let text = |name: &str| request.header(name).map(|v| v.as_str().to_owned());
         let after = text(headers::LAST_EVENT).and_then(|v| v.parse().ok());
         if path.starts_with(plan::STREAMS) || path.starts_with(plan::BATCHES) {
-            response.set_body(self.stream(after.unwrap_or(0)));
+            response.set_body(stream(after.unwrap_or(0)));
             response.insert_header("content-type", "text/event-stream");
             response.insert_header(headers::VERSION, "1");
         } else {
