Log the hand-over of a vote (event 218)

The leader's decision to hand a vote over was not visible in any log. It is logged once for each hand-over that it begins, with both daemons. Tests of dandelion-daemon and dandelion-telemetry pass, and of dandelion-control those of planned stops, takeover, data folder and full disks.

--- a/crates/dandelion-control/src/node/changes.rs
+++ b/crates/dandelion-control/src/node/changes.rs
@@ -131,7 +131,7 @@
     /// that one, a voter that stops as planned is replaced by a learner that was added for it, a voter
     /// that has not replied for `replace_after` is replaced by any learner, and learners are promoted
     /// while voters are missing.
-    pub(super) fn tick_repair(&mut self, now: Millis) {
+    pub(super) fn tick_repair(&mut self, now: Millis, actions: &mut Vec<NodeAction>) {
         if self.replica.leading_term().is_none() {
             self.unresponsive.clear();
             return;
@@ -140,7 +140,7 @@
         if self.voter_change.is_some() || !self.replica.members_committed() {
             return;
         }
-        if self.tick_retiring(now) || self.tick_handover(now) {
+        if self.tick_retiring(now) || self.tick_handover(now, actions) {
             return;
         }
         if let Some(id) = self.surplus_voter(now) {
@@ -190,7 +190,7 @@
     /// Hands the vote of a daemon that stops as planned over to a learner that was added for it: makes the
     /// learner a voter, then removes the old one. The second step is part of the membership, so that any
     /// later leader completes it, also once the old voter has ended. Returns whether a change was tried.
-    fn tick_handover(&mut self, now: Millis) -> bool {
+    fn tick_handover(&mut self, now: Millis, actions: &mut Vec<NodeAction>) -> bool {
         let members = self.replica.membership();
         let voters = members.voters().count();
         let outgoing = members.voters().find(|id| members.replicas[id].outgoing);
@@ -205,7 +205,16 @@
         let stopping = members.voters().filter(stops).collect::<Vec<_>>();
         let mut stopping = stopping.into_iter();
         let change = stopping.find_map(|old| Some((self.successor(now, old)?, old)));
-        change.is_some_and(|(id, old)| self.replica.add_successor(now, id, old).is_some())
+        let Some((id, old)) = change else {
+            return false;
+        };
+        let from = members.replicas[&old].daemon.clone();
+        let to = members.replicas[&id].daemon.clone();
+        let started = self.replica.add_successor(now, id, old).is_some();
+        if started {
+            actions.push(NodeAction::HandOver { from, to });
+        }
+        started
     }
 
     /// Returns the learner that gets the vote of `old`, which stops as planned. Only learners that were
--- a/crates/dandelion-control/src/node/control.rs
+++ b/crates/dandelion-control/src/node/control.rs
@@ -158,7 +158,7 @@
                 self.replica.tick(now);
                 self.tick_joining(now, actions);
                 self.tick_feeder(now, actions);
-                self.tick_repair(now);
+                self.tick_repair(now, actions);
             }
             NodeEvent::Raft { from, bytes } => {
                 if let Ok(message) = codec::decode(&bytes) {
--- a/crates/dandelion-control/src/node/event.rs
+++ b/crates/dandelion-control/src/node/event.rs
@@ -136,6 +136,13 @@
     },
     /// This daemon no longer leads.
     Follow,
+    /// The vote of a daemon that stops as planned is being handed over.
+    HandOver {
+        /// Daemon that stops.
+        from: DaemonId,
+        /// Daemon of the learner that gets the vote.
+        to: DaemonId,
+    },
     /// Committed entries were applied.
     Applied {
         /// Revision of the last applied entry.
--- a/crates/dandelion-control/tests/support/group.rs
+++ b/crates/dandelion-control/tests/support/group.rs
@@ -281,7 +281,10 @@
                 self.answers.entry(ticket).or_default().push(result);
             }
             NodeAction::Changed { result, .. } => self.changes.push(result),
-            NodeAction::Lead { .. } | NodeAction::Follow | NodeAction::Applied { .. } => {}
+            NodeAction::Lead { .. }
+            | NodeAction::Follow
+            | NodeAction::HandOver { .. }
+            | NodeAction::Applied { .. } => {}
         }
     }
 
--- a/crates/dandelion-daemon/src/control/replica.rs
+++ b/crates/dandelion-daemon/src/control/replica.rs
@@ -399,6 +399,9 @@
             }
             NodeAction::Lead { term } => event!(Event::LeaderElected, term = term),
             NodeAction::Follow => event!(Event::LeaderLost),
+            NodeAction::HandOver { from, to } => {
+                event!(Event::VoteHandedOver, from = from, to = to);
+            }
             NodeAction::Applied { .. } => (),
         }
     }
--- a/crates/dandelion-telemetry/src/events/catalogue.rs
+++ b/crates/dandelion-telemetry/src/events/catalogue.rs
@@ -111,6 +111,8 @@
         "A replica learned that another daemon, or none, leads its group." "none";
     217 Info StorageReopened "storage_reopened"
         "The data folder can be written again; the replica is part of its group again." "none";
+    218 Info VoteHandedOver "vote_handed_over"
+        "A voter stops as planned; the leader gives its vote to a learner that was added to replace it." "none";
 
     301 Warn MeshRefused "mesh_refused"
         "A connection on the mesh address failed its handshake."
