Scenario cold: starts during traffic and renewed cold phases

Nothing checked with processes that a cold upstream gets no more than it tolerates. The scenario starts upstreams of two services during traffic, turns all of them cold again, kills the control leader and pauses an entry in each phase, and counts the windows of one second over the bound.

--- a/crates/dandelion-load/src/checks.rs
+++ b/crates/dandelion-load/src/checks.rs
@@ -68,6 +68,11 @@
             "unserved_after",
         ],
         "limits" => &["false_not_run", "over_limit", "phases_with_room_unused"],
+        "cold" => &[
+            "phases_unreported",
+            "services_unused_all_cold",
+            "windows_over_bound",
+        ],
         "silent" => &["ejected_wrongly"],
         "charge" => &["reports_by_two", "tokens_doubled", "windows_differing"],
         "issuer" => &[
--- a/crates/dandelion-load/src/cluster/plan.rs
+++ b/crates/dandelion-load/src/cluster/plan.rs
@@ -31,6 +31,9 @@
 /// Service of the plan.
 const SERVICE: &str = "grades";
 
+/// Plain service of the plan of [`PlanCell::put_cold_plan`].
+pub const PLAIN: &str = "desks";
+
 /// Path prefix of the route for streams.
 pub const STREAMS: &str = "/streams/";
 
@@ -215,6 +218,19 @@
         self.put(fixtures::plan(&plan)).await
     }
 
+    /// Puts a plan in force whose service has engines, which run batch jobs, and with [`PLAIN`], which
+    /// serves all other requests. Upstreams of both are cold for `time` after a start and then tolerate
+    /// `per_second` requests a second.
+    pub async fn put_cold_plan(&self, time: Millis, per_second: f64) -> anyhow::Result<()> {
+        let (service, plain): (ServiceId, ServiceId) = (SERVICE.parse()?, PLAIN.parse()?);
+        let plan = PlanFixture {
+            batches: Some(BATCHES),
+            ..plan_of(&service)
+        };
+        self.put(fixtures::plan_with_cold(&plan, &plain, time, per_second))
+            .await
+    }
+
     async fn put(&self, plan: Vec<u8>) -> anyhow::Result<()> {
         let path = fixtures::REPLACE_PLAN_PATH;
         let until = Instant::now() + READY_TIMEOUT;
@@ -246,15 +262,32 @@
 
     /// Sends a report of an upstream to the first control daemon that acknowledges it.
     pub async fn report(&self, upstream: &UpstreamIncarnation, sequence: u64) {
+        let body = fixtures::report(upstream, sequence);
+        self.send_report(upstream, &body).await;
+    }
+
+    /// Sends a report of an upstream that is cold for some more time, and returns whether a control
+    /// daemon acknowledged it.
+    pub async fn report_cold(
+        &self,
+        upstream: &UpstreamIncarnation,
+        sequence: u64,
+        left: Millis,
+    ) -> bool {
+        let body = fixtures::cold_report(upstream, sequence, left);
+        self.send_report(upstream, &body).await
+    }
+
+    async fn send_report(&self, upstream: &UpstreamIncarnation, body: &[u8]) -> bool {
         let path = fixtures::report_path(upstream);
         for control in &self.control {
-            let body = fixtures::report(upstream, sequence);
-            let sent = Box::pin(self.call(*control, "POST", &path, &[], body));
+            let sent = Box::pin(self.call(*control, "POST", &path, &[], body.to_vec()));
             // A control daemon may be paused; the next report follows soon.
             if timeout(REPORT_TIMEOUT, sent).await == Ok(Some(200)) {
-                return;
+                return true;
             }
         }
+        false
     }
 }
 
--- a/crates/dandelion-load/src/registry.rs
+++ b/crates/dandelion-load/src/registry.rs
@@ -4,6 +4,7 @@
 use serde_json::Value;
 
 use crate::scenarios::billing;
+use crate::scenarios::cold;
 use crate::scenarios::drain;
 use crate::scenarios::issuer;
 use crate::scenarios::leaving;
@@ -106,6 +107,11 @@
         about: "processes: upstreams name limits on what they take from all entries; entries and control daemons killed, paused, joining",
         run: limits::run,
     },
+    Scenario {
+        name: "cold",
+        about: "processes: engines and plain upstreams start during traffic and turn cold again; control leaders killed, entries paused",
+        run: cold::run,
+    },
     Scenario {
         name: "path",
         about: "processes: a caller, an operator, a trainer and the usage report through daemons",
--- a/crates/dandelion-load/src/scenarios/mod.rs
+++ b/crates/dandelion-load/src/scenarios/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod bill;
 pub mod billing;
+pub mod cold;
 pub mod drain;
 pub mod issuer;
 pub mod leadership;
