--- a/crates/dandelion-load/src/cluster/plan.rs
+++ b/crates/dandelion-load/src/cluster/plan.rs
@@ -222,12 +222,12 @@
     /// serves all other requests. Upstreams of both are cold for `time` after a start and then tolerate
     /// `per_second` requests a second.
     pub async fn put_cold_plan(&self, time: Millis, per_second: f64) -> anyhow::Result<()> {
-        let (service, plain): (ServiceId, ServiceId) = (SERVICE.parse()?, PLAIN.parse()?);
+        let (service, second): (ServiceId, ServiceId) = (SERVICE.parse()?, PLAIN.parse()?);
         let plan = PlanFixture {
             batches: Some(BATCHES),
             ..plan_of(&service)
         };
-        self.put(fixtures::plan_with_cold(&plan, &plain, time, per_second))
+        self.put(fixtures::plan_with_cold(&plan, &second, time, per_second))
             .await
     }
 
