dandelionctl zone evacuate, restore and list

Operators at the operators' address had no way to evacuate a zone. Three procedures and commands; the request id identifies an order, so none is taken for a late copy. status names the evacuated zones. Not yet run against a daemon process. Tests of dandelion-rpc and dandelionctl pass.

--- a/crates/dandelion-daemon/src/operator/cell.rs
+++ b/crates/dandelion-daemon/src/operator/cell.rs
@@ -71,6 +71,7 @@
         daemons_total: propagation.total,
         zones: zones.into_iter().collect(),
         daemons: view.members.iter().map(|m| daemon(core, m)).collect(),
+        evacuated: view.evacuated.iter().map(ToString::to_string).collect(),
     }
 }
 
--- a/crates/dandelion-daemon/src/operator/changes.rs
+++ b/crates/dandelion-daemon/src/operator/changes.rs
@@ -4,6 +4,10 @@
 
 use async_std::task;
 use dandelion_control::tables::ConfigTable;
+use dandelion_control::tables::ZonesCommand;
+use dandelion_control::tables::ZonesReply;
+use dandelion_control::tables::ZonesTable;
+use dandelion_control::tables::zones::Order;
 use dandelion_fleet::orders::OrderCommand;
 use dandelion_fleet::orders::OrdersTable;
 use dandelion_kernel::Table;
@@ -55,11 +59,49 @@
     propose::<OrdersTable>(core, change, command).await
 }
 
+/// Proposes to evacuate or restore a zone in the operator's name. The request id tells copies of the
+/// order from new ones.
+pub async fn order_zone(
+    core: &Handle,
+    request: &rpc::NameRequest,
+    evacuate: bool,
+) -> Result<rpc::ChangeAnswer, RpcError> {
+    let zone = convert::parse_name("name", &request.name)?;
+    let order = Order::Identified;
+    let command = if evacuate {
+        ZonesCommand::Evacuate { zone, order }
+    } else {
+        ZonesCommand::Restore { zone, order }
+    };
+    let (answer, reply) =
+        propose_replied::<ZonesTable>(core, request.change.as_ref(), &command).await?;
+    if reply == ZonesReply::Full {
+        return Err(RpcError::new(
+            ErrorCode::Conflict,
+            "too many zones are evacuated",
+            "restore another zone first; see `dandelionctl zone list`",
+        ));
+    }
+    Ok(answer)
+}
+
 async fn propose<T>(
     core: &Handle,
     change: Option<&rpc::Change>,
     command: &T::Command,
 ) -> Result<rpc::ChangeAnswer, RpcError>
+where
+    T: Table,
+{
+    let (answer, _) = propose_replied::<T>(core, change, command).await?;
+    Ok(answer)
+}
+
+async fn propose_replied<T>(
+    core: &Handle,
+    change: Option<&rpc::Change>,
+    command: &T::Command,
+) -> Result<(rpc::ChangeAnswer, T::Reply), RpcError>
 where
     T: Table,
 {
@@ -80,7 +122,7 @@
             let propagation = propagation(core, applied.revision)
                 .await
                 .unwrap_or_default();
-            Ok(answer(applied.revision, &propagation))
+            Ok((answer(applied.revision, &propagation), applied.reply))
         }
         Err(error) => {
             event!(Event::ChangeRefused, operator = operator, reason = error);
--- a/crates/dandelion-daemon/src/operator/lists.rs
+++ b/crates/dandelion-daemon/src/operator/lists.rs
@@ -69,6 +69,15 @@
     }
 }
 
+/// Lists the evacuated zones.
+pub fn zones(core: &Handle) -> rpc::ListZonesAnswer {
+    let view = core.control.view();
+    rpc::ListZonesAnswer {
+        revision: view.zones_revision.0,
+        evacuated: view.evacuated.iter().map(ToString::to_string).collect(),
+    }
+}
+
 /// Lists the upstreams that this daemon owns, filtered by zone and service.
 pub fn upstreams(core: &Handle, request: &rpc::ListUpstreamsRequest) -> rpc::ListUpstreamsAnswer {
     let matches = |filter: &str, value: &str| filter.is_empty() || filter == value;
--- a/crates/dandelion-daemon/src/operator/server.rs
+++ b/crates/dandelion-daemon/src/operator/server.rs
@@ -126,6 +126,18 @@
         self.change(request.change, command).await
     }
 
+    async fn evacuate_zone(&self, request: rpc::NameRequest) -> Answer<rpc::ChangeAnswer> {
+        changes::order_zone(&self.core, &request, true).await
+    }
+
+    async fn restore_zone(&self, request: rpc::NameRequest) -> Answer<rpc::ChangeAnswer> {
+        changes::order_zone(&self.core, &request, false).await
+    }
+
+    async fn list_zones(&self, _: rpc::ListRequest) -> Answer<rpc::ListZonesAnswer> {
+        Ok(lists::zones(&self.core))
+    }
+
     async fn status(&self, request: rpc::StatusRequest) -> Answer<rpc::StatusAnswer> {
         Ok(cell::status(&self.core, &request).await)
     }
--- a/crates/dandelion-rpc/tests/server/mod.rs
+++ b/crates/dandelion-rpc/tests/server/mod.rs
@@ -50,6 +50,9 @@
         list_upstreams(ListUpstreamsRequest) -> ListUpstreamsAnswer;
         list_poisoned(ListRequest) -> ListPoisonedAnswer;
         unpoison(UnpoisonRequest) -> ChangeAnswer;
+        evacuate_zone(NameRequest) -> ChangeAnswer;
+        restore_zone(NameRequest) -> ChangeAnswer;
+        list_zones(ListRequest) -> ListZonesAnswer;
         status(StatusRequest) -> StatusAnswer;
         control_status(ListRequest) -> ControlStatusAnswer;
         add_voter(VoterRequest) -> ChangeAnswer;
--- a/crates/dandelionctl/src/commands/mod.rs
+++ b/crates/dandelionctl/src/commands/mod.rs
@@ -11,6 +11,7 @@
 pub mod team;
 pub mod upstream;
 pub mod usage;
+pub mod zone;
 
 pub use registry::TopCommand;
 pub use run::Run;
--- a/crates/dandelionctl/src/commands/registry.rs
+++ b/crates/dandelionctl/src/commands/registry.rs
@@ -12,6 +12,7 @@
 use crate::commands::team;
 use crate::commands::upstream;
 use crate::commands::usage;
+use crate::commands::zone;
 use crate::error::CtlError;
 use crate::session::Session;
 
@@ -53,6 +54,8 @@
         Fleet(FleetCommand),
         #[command(subcommand)]
         Usage(UsageCommand),
+        #[command(subcommand)]
+        Zone(ZoneCommand),
         Status(cell::Status),
         History(cell::History),
         Explain(cell::Explain),
@@ -129,6 +132,15 @@
     }
 }
 
+commands! {
+    /// Evacuates and restores availability zones.
+    ZoneCommand {
+        Evacuate(zone::Evacuate),
+        Restore(zone::Restore),
+        List(zone::List),
+    }
+}
+
 commands! {
     /// Shows usage windows.
     UsageCommand {
--- a/crates/dandelionctl/src/output/tables.rs
+++ b/crates/dandelionctl/src/output/tables.rs
@@ -190,10 +190,18 @@
     }
 }
 
+impl Show for generated::ListZonesAnswer {
+    fn show(&self) -> String {
+        Grid::new(&["evacuated zone"])
+            .rows(&self.evacuated, |zone| vec![zone.clone()])
+            .text()
+    }
+}
+
 impl Show for generated::StatusAnswer {
     fn show(&self) -> String {
         let head = format!(
-            "cell {}, leader {} in term {}, revision {}, in force on {} of {} daemons, zones {}\n\n",
+            "cell {}, leader {} in term {}, revision {}, in force on {} of {} daemons, zones {}, evacuated {}\n\n",
             self.cell,
             or_none(&self.leader),
             self.term,
@@ -201,6 +209,7 @@
             self.daemons_applied,
             self.daemons_total,
             or_none(&self.zones.join(",")),
+            or_none(&self.evacuated.join(",")),
         );
         let grid = Grid::new(&["daemon", "zone", "address", "revision", "leased", "leaving"]).rows(
             &self.daemons,
--- a/crates/dandelionctl/tests/cli/daemon/cell.rs
+++ b/crates/dandelionctl/tests/cli/daemon/cell.rs
@@ -33,6 +33,7 @@
 use dandelion_rpc::generated::ListTeamsAnswer;
 use dandelion_rpc::generated::ListUpstreamsAnswer;
 use dandelion_rpc::generated::ListUpstreamsRequest;
+use dandelion_rpc::generated::ListZonesAnswer;
 use dandelion_rpc::generated::NameRequest;
 use dandelion_rpc::generated::PutJobRequest;
 use dandelion_rpc::generated::PutServiceRequest;
@@ -259,6 +260,9 @@
         list_upstreams(ListUpstreamsRequest) -> ListUpstreamsAnswer;
         list_poisoned(ListRequest) -> ListPoisonedAnswer;
         unpoison(UnpoisonRequest) -> ChangeAnswer;
+        evacuate_zone(NameRequest) -> ChangeAnswer;
+        restore_zone(NameRequest) -> ChangeAnswer;
+        list_zones(ListRequest) -> ListZonesAnswer;
         control_status(ListRequest) -> ControlStatusAnswer;
         add_voter(VoterRequest) -> ChangeAnswer;
         remove_voter(NameRequest) -> ChangeAnswer;
