review: case 10, items with a header of one channel are given up

The store can't build the request, and counts this as an answer of 500 until the attempts are used up.

--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -134,6 +134,7 @@
         "6" => (long_jobs, 256, 250),
         "7" => (missed_changes, 0, 50),
         "8" => (long_bodies, 256, 50),
+        "10" => (channel_headers, 256, 20),
         _ => return 2,
     };
     let (deployment, servers) = small(root, record, core_mb, Duration::from_millis(work));
@@ -410,3 +411,57 @@
     ));
     i32::from(ended >= least)
 }
+
+/// Case 10. Items whose headers hold one that concerns a single channel are given up without a run.
+fn channel_headers(deployment: &Arc<Deployment>, servers: &[Arc<Server>], trouble: bool) -> i32 {
+    let record = &deployment.record;
+    let entries = deployment.of(Class::Entry);
+    let id = "aaaa000000000001";
+    let mut document: serde_json::Value =
+        serde_json::from_slice(&job(1, 24, 600)).expect("a job is JSON");
+    let items = document["requests"].as_array_mut().into_iter().flatten();
+    for (at, item) in items.enumerate() {
+        item["headers"]["Content-Type"] = "application/json".into();
+        if trouble && at % 4 == 0 {
+            item["headers"]["Connection"] = "keep-alive".into();
+        }
+    }
+    let body = document.to_string().into_bytes();
+    if submit(deployment, &entries[0], id, &body) != Some(202) {
+        return 2;
+    }
+    let started = Instant::now();
+    while started.elapsed() < STEP_TIME {
+        thread::sleep(Duration::from_millis(500));
+        let request = request("GET", "read", &fixtures::results_path(id, 0), b"", 5_000);
+        let answer = call(
+            deployment.front(&entries[1]),
+            &request,
+            Duration::from_secs(6),
+        );
+        let results = answer.ok().and_then(|page| fixtures::results(&page.body));
+        let results = results.unwrap_or_default();
+        let given_up: Vec<&str> = results
+            .iter()
+            .filter(|result| !result.is_completed)
+            .map(|result| result.id.as_str())
+            .collect();
+        let has_run = |id: &&str| {
+            servers
+                .iter()
+                .any(|s| s.runs.lock().unwrap().iter().any(|run| run == id))
+        };
+        let without_run = given_up.iter().filter(|id| !has_run(id)).count();
+        record.line(&format!(
+            "{:.1} s: {} of 24 items are listed, {} of them as given up, {without_run} of these reached no server",
+            started.elapsed().as_secs_f64(),
+            results.len(),
+            given_up.len()
+        ));
+        if results.len() == 24 {
+            return i32::from(!given_up.is_empty());
+        }
+    }
+    record.line("the items aren't all listed in time, which is no break of this rule");
+    0
+}
