--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -377,3 +377,125 @@
     println!("{line}");
     Ok(held)
 }
+
+/// Rule LOST: an item of a step is at no replica for 5 s of steady state, though the replicas are idle.
+/// Another writer leaves one odd entry about the address of each replica.
+pub fn odd(trouble: bool) -> Result<bool, String> {
+    let mut deployment = Deployment::open()?;
+    deployment.start_all()?;
+    let deployment = Arc::new(deployment);
+    if !deployment.configure(&config(7, "llm"), Duration::from_secs(20)) {
+        return Err("the config was not acknowledged".to_owned());
+    }
+    let engine = || Kind {
+        service: "llm",
+        slots: 2,
+        behind: 0,
+        events: 10,
+        event: "text".to_owned(),
+        pace: (ms(300), ms(30)),
+    };
+    let replicas: Vec<Arc<Replica>> = (0..2)
+        .map(|at| Replica::spawn(&deployment, &format!("i-llm-{at}"), ZONES[at], engine()))
+        .collect();
+    thread::sleep(ms(3_000));
+    let id = "7c41e09b52d6a3f8";
+    let items: Vec<String> = (0..80).map(|at| format!("{:016x}", 0xa000 + at)).collect();
+    if !submit(&deployment, id, &items) {
+        return Err("the batch job was not accepted".to_owned());
+    }
+    thread::sleep(ms(2_000));
+    if trouble {
+        for (at, replica) in replicas.iter().enumerate() {
+            replica.report_odd(&deployment, &format!("agent-{at}"));
+        }
+    }
+    let until = Instant::now() + Duration::from_secs(60);
+    let mut last = (Instant::now(), 0);
+    let mut found = BTreeSet::new();
+    while Instant::now() < until && found.len() < items.len() {
+        thread::sleep(ms(500));
+        found = listed(&deployment, id).unwrap_or(found);
+        let run: usize = replicas.iter().map(|r| r.state.lock().unwrap().run.len()).sum();
+        if run != last.1 {
+            last = (Instant::now(), run);
+        }
+        let idle = last.0.elapsed().as_secs_f64();
+        deployment.note(&format!(
+            "{} of {} items listed; {run} runs, the last began {idle:.1} s ago",
+            found.len(),
+            items.len()
+        ));
+    }
+    let line = format!(
+        "listed {} of {} items; no run began for {:.1} s",
+        found.len(),
+        items.len(),
+        last.0.elapsed().as_secs_f64()
+    );
+    deployment.note(&line);
+    println!("{line}");
+    let is_complete = found.len() == items.len();
+    Ok(is_complete || last.0.elapsed() < ms(8_000))
+}
+
+/// Rule Fault: processes end by themselves, for memory over their machine's limit. A caller opens short
+/// streams whose `X-Attempt-Id` is long.
+pub fn ids(trouble: bool) -> Result<bool, String> {
+    const LIMIT_MB: u64 = 110;
+    const STREAMS: usize = 9_600;
+    const CALLERS: usize = 12;
+    let mut deployment = Deployment::open()?;
+    deployment.start_all()?;
+    let deployment = Arc::new(deployment);
+    if !deployment.configure(&config(7, "llm"), Duration::from_secs(20)) {
+        return Err("the config was not acknowledged".to_owned());
+    }
+    let engine = || Kind {
+        service: "llm",
+        slots: 12,
+        behind: 0,
+        events: 1,
+        event: "text".to_owned(),
+        pace: (ms(1), ms(1)),
+    };
+    let replicas: Vec<Arc<Replica>> = (0..3)
+        .map(|at| Replica::spawn_quiet(&deployment, &format!("i-llm-{at}"), ZONES[at], engine()))
+        .collect();
+    thread::sleep(ms(3_000));
+    let length = if trouble { 7_000 } else { 16 };
+    let front = deployment.of(Role::Frontend);
+    let callers: Vec<thread::JoinHandle<usize>> = (0..CALLERS)
+        .map(|caller| {
+            let deployment = Arc::clone(&deployment);
+            let machine = front[caller % front.len()];
+            thread::spawn(move || {
+                let mut served = 0;
+                for at in 0..STREAMS / CALLERS {
+                    let id = format!("{:a>length$}", format!("{caller:02x}{at:06x}"));
+                    let answer = deployment.call(machine, "POST", "/stream/x", &id, b"prompt");
+                    served += usize::from(answer.is_some_and(|a| a.status() == 200 && a.is_whole));
+                }
+                served
+            })
+        })
+        .collect();
+    let mut most = 0;
+    while callers.iter().any(|caller| !caller.is_finished()) {
+        thread::sleep(ms(1_000));
+        let used: Vec<u64> = front.iter().map(|at| deployment.memory_mb(*at)).collect();
+        most = used.iter().copied().max().unwrap_or(0).max(most);
+        deployment.note(&format!("memory of the frontend processes, in MB: {used:?}"));
+    }
+    let served: usize = callers.into_iter().map(|c| c.join().unwrap_or(0)).sum();
+    drop(replicas);
+    let line = format!(
+        "{served} of {STREAMS} streams with ids of {length} bytes served; a frontend process takes {most} MB of {LIMIT_MB}"
+    );
+    deployment.note(&line);
+    println!("{line}");
+    if served == 0 {
+        return Err("no stream was served".to_owned());
+    }
+    Ok(most <= LIMIT_MB)
+}
--- a/review/standins-3/deployment.rs
+++ b/review/standins-3/deployment.rs
@@ -266,6 +266,15 @@
         names.collect()
     }
 
+    /// Returns the resident memory of a machine's process in MB.
+    pub fn memory_mb(&self, at: usize) -> u64 {
+        let pid = self.machines[at].pid.unwrap_or(0);
+        let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kib = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+        kib.unwrap_or(0) * 1024 / 1_000_000
+    }
+
     /// Makes a call to the control address of one machine, and waits for its answer for a second, for
     /// reads longer.
     pub fn control_at(&self, at: usize, method: &str, path: &str, body: &str) -> Option<Message> {
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -30,6 +30,8 @@
         "first-start" => cases::first_start(trouble),
         "returned" => cases::returned(trouble),
         "replaced" => cases::replaced(trouble),
+        "odd" => cases::odd(trouble),
+        "ids" => cases::ids(trouble),
         "page" => cases::page(trouble),
         "moved" => cases::moved(trouble),
         _ => Err(format!("unknown case {case:?}")),
--- a/review/standins-3/replica.rs
+++ b/review/standins-3/replica.rs
@@ -45,6 +45,8 @@
     event: String,
     /// Time to the first event, and between two events.
     pace: (Duration, Duration),
+    /// Whether each run is noted in the record.
+    is_noted: bool,
 }
 
 pub struct Kind {
@@ -58,6 +60,26 @@
 
 impl Replica {
     pub fn spawn(deployment: &Arc<Deployment>, id: &str, zone: &'static str, kind: Kind) -> Arc<Self> {
+        Self::spawn_with(deployment, id, zone, kind, true)
+    }
+
+    /// Spawns a replica whose runs aren't noted in the record.
+    pub fn spawn_quiet(
+        deployment: &Arc<Deployment>,
+        id: &str,
+        zone: &'static str,
+        kind: Kind,
+    ) -> Arc<Self> {
+        Self::spawn_with(deployment, id, zone, kind, false)
+    }
+
+    fn spawn_with(
+        deployment: &Arc<Deployment>,
+        id: &str,
+        zone: &'static str,
+        kind: Kind,
+        is_noted: bool,
+    ) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("there is a free port");
         let replica = Arc::new(Self {
             id: id.to_owned(),
@@ -76,6 +98,7 @@
             events: kind.events,
             event: kind.event,
             pace: kind.pace,
+            is_noted,
         });
         replica.begin(deployment);
         let (served, noted) = (Arc::clone(&replica), Arc::clone(deployment));
@@ -129,6 +152,22 @@
         answer.is_some_and(|answer| answer.status() == 200)
     }
 
+    /// Sends a status report about the replica's address as another writer does that doesn't know all
+    /// fields: `version`, `cold_remaining_ms`, `stage` and `models` are missing.
+    pub fn report_odd(&self, deployment: &Deployment, id: &str) {
+        let body = format!(
+            r#"{{"service":"{}","address":"{}","zone":"{}","slots":{},"state":"ready","sequence":1,"born":{}}}"#,
+            self.service,
+            self.address,
+            self.zone,
+            self.slots,
+            unix_ms()
+        );
+        let path = format!("/-/Replicas.Heartbeat/{id}");
+        let answer = deployment.control("POST", &path, &body).map(|answer| answer.status());
+        deployment.note(&format!("odd entry {id}: {body}, answer {answer:?}"));
+    }
+
     /// Says that the present lifetime ends, and ends it.
     pub fn leave(&self, deployment: &Deployment) {
         let born = self.state.lock().unwrap().born.unwrap_or(0);
@@ -180,11 +219,15 @@
         thread::sleep(self.pace.0);
         let state = {
             let mut state = self.state.lock().unwrap();
-            state.run.push(id.clone());
+            if self.is_noted {
+                state.run.push(id.clone());
+            }
             state.clone()
         };
         let leaving = if state.leaving { "Server-Leaving: 1\r\n" } else { "" };
-        deployment.note(&format!("{} runs {id}, leaving {}", self.id, state.leaving));
+        if self.is_noted {
+            deployment.note(&format!("{} runs {id}, leaving {}", self.id, state.leaving));
+        }
         if self.events == 0 {
             let head = format!(
                 "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: seal\r\n{leaving}Content-Length: 2\r\n\r\nok"
