--- a/review/standins-3/src/cases.rs
+++ b/review/standins-3/src/cases.rs
@@ -67,8 +67,9 @@
 }
 
 /// Rule LOST: an item of a step is at no replica for 5 s of steady state, though the replicas are idle.
-/// Both replicas of a service are restarted in place, one after the other, while the time of day of the
-/// system's machines is ahead of that of the replicas.
+/// Both replicas of a service are restarted in place, one after the other. The clock of the system is ahead
+/// twice, each time from a replica's first word that it leaves to its return, 4 s later. Only the start that
+/// a replica reports depends on the difference, so that its second lifetime has an earlier one.
 pub fn returned(trouble: bool) -> Result<bool, String> {
     let mut deployment = Deployment::open()?;
     deployment.start_all()?;
@@ -78,7 +79,6 @@
     }
     let engine = || Kind {
         slots: 2,
-        behind: if trouble { 3_800 } else { 0 },
         events: 10,
         event: "text".to_owned(),
         pace: (ms(300), ms(30)),
@@ -92,8 +92,9 @@
     if !submit(&deployment, id, &items) {
         return Err("the batch job was not accepted".to_owned());
     }
-    thread::sleep(ms(2_500));
+    let behind = if trouble { 3_800 } else { 0 };
     for replica in &replicas {
+        thread::sleep(ms(2_500));
         // From now on its answers say that it leaves; its report is a second and a half late.
         replica.state.lock().unwrap().leaving = true;
         deployment.note(&format!("{} begins to leave", replica.id));
@@ -107,7 +108,7 @@
         thread::sleep(ms(2_000));
         replica.leave(&deployment);
         thread::sleep(ms(500));
-        replica.begin(&deployment);
+        replica.begin(&deployment, behind);
         replica.report(&deployment);
     }
     // The last report was acknowledged; contact_ms is 3 s, and an item may wait for 5 s of steady state.
@@ -222,7 +223,6 @@
     }
     let engine = || Kind {
         slots: 2,
-        behind: 0,
         events: 10,
         event: "text".to_owned(),
         pace: (ms(300), ms(30)),
--- a/review/standins-3/src/replica.rs
+++ b/review/standins-3/src/replica.rs
@@ -48,8 +48,6 @@
     zone: &'static str,
     address: SocketAddr,
     slots: u32,
-    /// Milliseconds by which the clock of its machine is behind that of the system's machines.
-    behind: u64,
     pub state: Mutex<State>,
     events: usize,
     event: String,
@@ -59,7 +57,6 @@
 
 pub struct Kind {
     pub slots: u32,
-    pub behind: u64,
     pub events: usize,
     pub event: String,
     pub pace: (Duration, Duration),
@@ -78,7 +75,6 @@
             zone,
             address: listener.local_addr().unwrap(),
             slots: kind.slots,
-            behind: kind.behind,
             state: Mutex::new(State {
                 born: None,
                 sequence: 0,
@@ -90,7 +86,7 @@
             event: kind.event,
             pace: kind.pace,
         });
-        replica.begin(deployment);
+        replica.begin(deployment, 0);
         let (served, noted) = (Arc::clone(&replica), Arc::clone(deployment));
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -108,9 +104,9 @@
         replica
     }
 
-    /// Begins a new lifetime under the same id.
-    pub fn begin(&self, deployment: &Deployment) {
-        let born = unix_ms() - self.behind;
+    /// Begins a new lifetime under the same id, `behind` milliseconds ago by the system's clock.
+    pub fn begin(&self, deployment: &Deployment, behind: u64) {
+        let born = unix_ms() - behind;
         *self.state.lock().unwrap() = State {
             born: Some(born),
             sequence: 0,
