net: one check of the status for all answers of upstreams

What callers saw: nothing wrong; elsewhere an answer with status 000 reached a client as an answer. Cause looked for: `check_response` refused statuses below 200 as interim ones, 000 among them, and left those from 600 on to the decoder, which happens to know none of them. So no path passed such an answer on, but one of the two checks was the library's, and the error named the wrong reason.

Change: `check_response` accepts 200 to 599 and names the others (`HeadError::Status`). Every path reads answers through this client: callers' plain answers and streams, take-ups, items, scoring, orders, probes, the platform, and answers that another daemon forwards.

--- a/crates/dandelion-net/src/http/head.rs
+++ b/crates/dandelion-net/src/http/head.rs
@@ -70,6 +70,9 @@
     /// An interim answer (status 1xx) that was not requested.
     #[error("interim status {0} was not asked for; make the upstream send only the final answer")]
     Interim(u16),
+    /// A status that HTTP doesn't define the meaning of: it says neither success nor failure.
+    #[error("status {0:03} is not in 200 to 599; make the upstream send a status of HTTP")]
+    Status(u16),
 }
 
 /// Framing and connection options in the head of a request.
@@ -125,9 +128,7 @@
     check_complete(status, head.len(), response.version)?;
     check_ascii(response.headers)?;
     let code = response.code.unwrap_or_default();
-    if code < 200 {
-        return Err(HeadError::Interim(code));
-    }
+    check_status(code)?;
     let framing = match framing(response.headers)? {
         _ if bodiless || code == 204 || code == 304 => Framing::Empty,
         Some(framing) => framing,
@@ -183,6 +184,15 @@
     Ok(())
 }
 
+/// Refuses a status that is not the one of a final answer.
+fn check_status(code: u16) -> Result<(), HeadError> {
+    match code {
+        200..=599 => Ok(()),
+        100..=199 => Err(HeadError::Interim(code)),
+        _ => Err(HeadError::Status(code)),
+    }
+}
+
 /// Refuses what the decoder's type for header values can't hold: it panics.
 fn check_ascii(headers: &[Header<'_>]) -> Result<(), HeadError> {
     match headers.iter().find(|h| !h.value.is_ascii()) {
