--- a/crates/dandelion-load/src/checks.rs
+++ b/crates/dandelion-load/src/checks.rs
@@ -39,6 +39,7 @@
             "innocents_refused",
             "late_runs_over_bound",
         ],
+        "losses" => &["refused", "unread_jobs", "unread_teams"],
         "leaving" => &["late_after_answer", "late_after_report", "not_served_again"],
         "evacuation" => &[
             "jobs_unfinished",
@@ -66,6 +67,12 @@
             "unscored_listed",
         ],
         "spoiled" => &["broken_as_whole", "errors_as_success", "passed_unsealed"],
+        "statuses" => &[
+            "false_not_run",
+            "not_served_after",
+            "once_repeated",
+            "passed_on",
+        ],
         "stranded" => &[
             "answers_wrong",
             "cuts_starved",
--- a/crates/dandelion-load/src/cluster/daemons.rs
+++ b/crates/dandelion-load/src/cluster/daemons.rs
@@ -88,11 +88,34 @@
     store: Option<PathBuf>,
     /// Whether it was started before.
     restarted: bool,
+    /// Whether it was added to the running cell.
+    added: bool,
     child: Option<Child>,
     /// Listeners that reserve the daemon's ports until its first start.
     reserved: Vec<TcpListener>,
 }
 
+impl Process {
+    /// Reserves the addresses of a daemon without a folder.
+    fn reserve(index: usize, zone: String) -> anyhow::Result<Self> {
+        let (http, mesh) = (reserve(index)?, reserve(index)?);
+        let gateway = reserve(index)?;
+        Ok(Self {
+            name: format!("d{index}"),
+            zone,
+            http: http.local_addr()?,
+            mesh: mesh.local_addr()?,
+            gateway: gateway.local_addr()?,
+            folder: None,
+            store: None,
+            restarted: false,
+            added: false,
+            child: None,
+            reserved: vec![http, mesh, gateway],
+        })
+    }
+}
+
 /// The daemon processes of a cell; they are killed on drop.
 pub struct Cluster {
     config: ClusterConfig,
@@ -117,19 +140,11 @@
             let own = || folder.path().join(format!("d{index}"));
             let is_control = index < config.control;
             let is_store = !is_control && index < config.control + config.stores;
-            let (http, mesh) = (reserve(index)?, reserve(index)?);
-            let gateway = reserve(index)?;
+            let zone = format!("z{}", index % config.zones);
             processes.push(Process {
-                name: format!("d{index}"),
-                zone: format!("z{}", index % config.zones),
-                http: http.local_addr()?,
-                mesh: mesh.local_addr()?,
-                gateway: gateway.local_addr()?,
                 folder: is_control.then(own),
                 store: is_store.then(own),
-                restarted: false,
-                child: None,
-                reserved: vec![http, mesh, gateway],
+                ..Process::reserve(index, zone)?
             });
         }
         let mut cluster = Self {
@@ -206,6 +221,22 @@
         CellOperator::new(&self.addresses())
     }
 
+    /// Starts a daemon with an empty folder in the zone and the role of another one, and returns its index.
+    pub fn add_successor(&mut self, old: usize) -> anyhow::Result<usize> {
+        let index = self.processes.len();
+        let own = || self.folder.path().join(format!("d{index}"));
+        let former = &self.processes[old];
+        let process = Process {
+            folder: former.folder.is_some().then(own),
+            store: former.store.is_some().then(own),
+            added: true,
+            ..Process::reserve(index, former.zone.clone())?
+        };
+        self.processes.push(process);
+        self.start(index)?;
+        Ok(index)
+    }
+
     /// Starts a daemon that isn't running.
     pub fn start(&mut self, index: usize) -> anyhow::Result<()> {
         let process = &self.processes[index];
@@ -251,14 +282,20 @@
         }
         match &process.folder {
             Some(folder) => {
+                let setting = if process.added {
+                    "control-peers"
+                } else {
+                    "bootstrap"
+                };
                 arguments.push(format!("--data-folder={}", folder.display()));
-                arguments.push(format!("--bootstrap={}", group.join(",")));
+                arguments.push(format!("--{setting}={}", group.join(",")));
             }
             None => arguments.push(format!("--control-peers={}", group.join(","))),
         }
         if let Some(folder) = &process.store {
             arguments.push(format!("--store-folder={}", folder.display()));
-            arguments.push(format!("--first-start={}", !process.restarted));
+            let first = !process.restarted && !process.added;
+            arguments.push(format!("--first-start={first}"));
         } else if self.config.gateway {
             let listen = match process.folder {
                 Some(_) => "control-listen",
@@ -318,9 +355,10 @@
         Ok(())
     }
 
-    /// Deletes a daemon's data folder to simulate a lost disk.
+    /// Deletes a daemon's folders to simulate a lost disk.
     pub fn lose_disk(&self, index: usize) -> anyhow::Result<()> {
-        if let Some(folder) = &self.processes[index].folder {
+        let process = &self.processes[index];
+        for folder in process.folder.iter().chain(&process.store) {
             std::fs::remove_dir_all(folder)?;
         }
         Ok(())
--- a/crates/dandelion-load/src/cluster/plan.rs
+++ b/crates/dandelion-load/src/cluster/plan.rs
@@ -209,6 +209,16 @@
             .await
     }
 
+    /// Puts a plan in force with routes for [`STREAMS`] and [`ONCE`].
+    pub async fn put_stream_and_once_plan(&self) -> anyhow::Result<()> {
+        let service: ServiceId = SERVICE.parse()?;
+        let plan = PlanFixture {
+            streams: Some(STREAMS),
+            ..plan_of(&service)
+        };
+        self.put(fixtures::plan_with_once(&plan, ONCE)).await
+    }
+
     /// Puts a plan in force whose service has engines, with routes for [`STREAMS`] and [`BATCHES`].
     pub async fn put_engine_plan(&self) -> anyhow::Result<()> {
         let service: ServiceId = SERVICE.parse()?;
--- a/crates/dandelion-load/src/registry.rs
+++ b/crates/dandelion-load/src/registry.rs
@@ -10,6 +10,7 @@
 use crate::scenarios::issuer;
 use crate::scenarios::leaving;
 use crate::scenarios::limits;
+use crate::scenarios::losses;
 use crate::scenarios::once;
 use crate::scenarios::overhead;
 use crate::scenarios::path;
@@ -24,6 +25,7 @@
 use crate::scenarios::spoiled;
 use crate::scenarios::spot;
 use crate::scenarios::spread;
+use crate::scenarios::statuses;
 use crate::scenarios::stopping;
 use crate::scenarios::stranded;
 use crate::scenarios::takeover;
@@ -73,6 +75,11 @@
         about: "processes: contents that end upstreams, sent through all entries of a route plan; entries and leaders killed and paused",
         run: quarantine::run,
     },
+    Scenario {
+        name: "losses",
+        about: "processes: a control daemon and a store are lost for good and replaced, then others lose their disks",
+        run: losses::run,
+    },
     Scenario {
         name: "leaving",
         about: "processes: upstreams leave by report and by their answers, fall silent and are reported late",
@@ -108,6 +115,11 @@
         about: "processes: upstreams answer streams, and requests that take them up, with errors and without their seal",
         run: spoiled::run,
     },
+    Scenario {
+        name: "statuses",
+        about: "processes: upstreams answer with statuses that HTTP doesn't define, directly and through another daemon",
+        run: statuses::run,
+    },
     Scenario {
         name: "limits",
         about: "processes: upstreams name limits on what they take from all entries; entries and control daemons killed, paused, joining",
