control: a lost voter is marked as a substitute only in exchange for one

Cause: a voter that gave its vote to an ordinary learner after `replace_after` was marked as a substitute as well. The next planned stop would then have handed a vote over, which rolling restarts without replacements must not do.

--- a/crates/dandelion-control/src/node/changes.rs
+++ b/crates/dandelion-control/src/node/changes.rs
@@ -268,8 +268,8 @@
         }
     }
 
-    /// Begins to replace a lost voter, as for one that stops; it becomes a learner and follows again if it
-    /// comes back. Returns whether a change was started.
+    /// Begins to replace a lost voter, as for one that stops. In place of a substitute it becomes one itself,
+    /// and follows at once if it comes back. Returns whether a change was started.
     fn tick_lost(&mut self, now: Millis, actions: &mut Vec<NodeAction>) -> bool {
         let members = self.replica.membership();
         let voters = members.voters().count();
@@ -290,7 +290,11 @@
         let from = members.replicas[&old].daemon.clone();
         let to = members.replicas[&id].daemon.clone();
         let silent = now.since(self.unresponsive[&old]);
-        let started = self.replica.add_successor(now, id, old, true).is_some();
+        let exchanged = members.replicas[&id].is_substitute();
+        let started = self
+            .replica
+            .add_successor(now, id, old, exchanged)
+            .is_some();
         if started {
             actions.push(NodeAction::WithdrawVote { from, to, silent });
         }
--- a/crates/dandelion-control/src/raft/bootstrap.rs
+++ b/crates/dandelion-control/src/raft/bootstrap.rs
@@ -88,15 +88,15 @@
     }
 
     /// Makes a learner a voter in the place of a voter, which is to be removed next. Refused unless the
-    /// resulting voters have a live quorum. If `lost` is set, the voter is made a learner instead.
+    /// resulting voters have a live quorum. If they are `exchanged`, the voter is made a learner instead.
     pub fn add_successor(
         &mut self,
         now: Millis,
         id: ReplicaId,
         old: ReplicaId,
-        lost: bool,
+        exchanged: bool,
     ) -> Option<Position> {
-        let next = self.membership().with_successor(id, old, lost);
+        let next = self.membership().with_successor(id, old, exchanged);
         if !self.has_live_quorum(now, &next) {
             return None;
         }
--- a/crates/dandelion-control/src/raft/membership.rs
+++ b/crates/dandelion-control/src/raft/membership.rs
@@ -36,15 +36,15 @@
     /// Whether a learner was made a voter in its place, so that it is to be removed.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub outgoing: bool,
-    /// Whether its vote is given to another replica because it did not reply: a voter that is outgoing, then
-    /// a learner.
+    /// Whether its vote goes to a substitute because it did not reply: it is an outgoing voter, then a
+    /// learner.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub withdrawn: bool,
 }
 
 impl ReplicaInfo {
     /// Returns whether this is a learner that takes over the vote of a voter that stops as planned or is
-    /// lost: it was added for that, or gave its own vote to such a learner.
+    /// lost: it was added for that, or its own vote went to such a learner.
     pub fn is_substitute(&self) -> bool {
         !self.voter && (self.added || self.withdrawn)
     }
@@ -227,13 +227,13 @@
     }
 
     /// Returns the membership with a learner made a voter in the place of `old`, which still votes. It is to
-    /// be removed, or made a learner if it is `lost`.
+    /// be removed, or made a learner if the two are `exchanged`.
     #[must_use]
-    pub fn with_successor(&self, id: ReplicaId, old: ReplicaId, lost: bool) -> Self {
+    pub fn with_successor(&self, id: ReplicaId, old: ReplicaId, exchanged: bool) -> Self {
         let mut next = self.with_voter(id);
         if let Some(replica) = next.replicas.get_mut(&old) {
             replica.outgoing = true;
-            replica.withdrawn = lost;
+            replica.withdrawn = exchanged;
         }
         next
     }
