--- a/crates/dandelion-load/src/scenarios/losses.rs
+++ b/crates/dandelion-load/src/scenarios/losses.rs
@@ -31,6 +31,15 @@
 /// Time after the last loss within which everything must be readable.
 const RECOVERY: Duration = Duration::from_secs(12);
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Log lines that are printed if something was lost.
+const LOGGED: [&str; 6] = [
+    "\"leader_",
+    "\"vote_",
+    "\"group_",
+    "\"jobs_",
+    "\"stores_founded\"",
+    "\"storage_",
+];
 
 /// Runs the scenario.
 pub fn run(seed: u64) -> anyhow::Result<Value> {
@@ -80,6 +89,9 @@
         healed.push(begun.elapsed().as_secs_f64());
         task::sleep(CATCH_UP).await;
     }
+    if unread.teams + unread.jobs + unread.refused > 0 {
+        print_logs(&cluster);
+    }
     Ok(json!({
         "scenario": "losses",
         "kind": "processes",
@@ -92,6 +104,19 @@
     }))
 }
 
+/// Prints what the replicas of both groups have logged about leaders and voters.
+fn print_logs(cluster: &Cluster) {
+    for index in 0..cluster.len() {
+        let log = cluster.log(index);
+        let lines = log
+            .lines()
+            .filter(|line| LOGGED.iter().any(|name| line.contains(name)));
+        for line in lines {
+            eprintln!("{} {line}", cluster.name(index));
+        }
+    }
+}
+
 /// What could not be read, or was not accepted, within [`RECOVERY`].
 #[derive(Debug, Clone, Copy, Default)]
 struct Unread {
