Result bodies of a lost store are copied before the next loss

Cause: which stores should have a body followed from the membership, which keeps a silent store for 4 to 7 s, in a cell of more than 64 daemons for 20 to 24 s. Until then its bodies were on fewer disks, and nobody copied them. Where copying had begun, it was slow or stuck: each round asked the stores in the order of their names, the dead ones with 400 ms each, and bodies that no store returned took up the bytes of each round. A body that was only on a store that is being emptied was not looked for there. `lost_holder`, `deferred_bodies`, `emptied_last` and `store_health` can't be built on the old code, which lacks the decisions. Change: each store decides which others are lost: those that miss two probes after another store has joined, or stop as planned beside a join. Silence alone changes nothing, so restarts, freezes and cuts cost no copy. The first tolerate + 1 usable stores in rank have the bodies, and copies come from them first. What can't be read is asked for again after a second. Operators see `store_lost`, `store_returned`, `bodies_short`, `bodies_complete` and three gauges.

--- a/crates/dandelion-batch/src/holders.rs
+++ b/crates/dandelion-batch/src/holders.rs
@@ -47,6 +47,65 @@
     chosen
 }
 
+/// The stores of a cell, and how many of them have each body.
+#[derive(Debug, Clone)]
+pub struct Placement<'a> {
+    /// Stores that can have bodies.
+    usable: Vec<&'a Member>,
+    /// Stores that may still have bodies but get no further ones: those being emptied and the lost ones.
+    former: Vec<&'a Member>,
+    copies: usize,
+}
+
+impl<'a> Placement<'a> {
+    /// Divides the stores into those that can have bodies and, where `is_former` is true, the others.
+    pub fn new<I, F>(stores: I, copies: usize, is_former: F) -> Self
+    where
+        I: IntoIterator<Item = &'a Member>,
+        F: Fn(&Member) -> bool,
+    {
+        let (former, usable) = stores.into_iter().partition(|m| is_former(m));
+        Self {
+            usable,
+            former,
+            copies,
+        }
+    }
+
+    /// Iterates over the stores that can have bodies.
+    pub fn usable(&self) -> impl Iterator<Item = &'a Member> {
+        self.usable.iter().copied()
+    }
+
+    /// Returns the stores that should have the bodies of a job.
+    pub fn holders(&self, job: &str) -> Vec<&'a Member> {
+        let mut ranked = rank(self.usable.iter().copied(), job);
+        ranked.truncate(self.copies);
+        ranked
+    }
+
+    /// Returns all stores in the order in which a body of a job is written to them.
+    pub fn write_order(&self, job: &str) -> Vec<&'a Member> {
+        let mut ranked = rank(self.usable.iter().copied(), job);
+        ranked.extend(rank(self.former.iter().copied(), job));
+        ranked
+    }
+
+    /// Returns all stores in the order in which a reader in `zone` queries them, see [`read_order`].
+    /// A body may be only on a store that gets no further ones.
+    pub fn read_order(
+        &self,
+        job: &str,
+        zone: &ZoneId,
+        leader: Option<&DaemonId>,
+    ) -> Vec<&'a Member> {
+        let usable = self.usable.iter().copied();
+        let mut ordered = read_order(usable, job, self.copies, zone, leader);
+        ordered.extend(rank(self.former.iter().copied(), job));
+        ordered
+    }
+}
+
 /// Returns the stores in the order in which a reader in `zone` queries them for a job's bodies:
 /// those that should hold them, its own zone first; then the leader, which has the newest bodies in
 /// memory; then the others, its own zone first.
@@ -104,31 +163,38 @@
 
 /// Checks which of a job's bodies are missing on a disk, from position `from` on, and stops once
 /// the missing ones have at least `limit` bytes. Returns `None` if `holds` has no answer for a
-/// body, as on a stalled disk: a body counts as held only if the disk confirms it.
-pub fn survey<H>(
+/// body, as on a stalled disk: a body counts as held only if the disk confirms it. A missing body
+/// for which `is_deferred` is true neither is returned nor counts as held.
+pub fn survey<H, D>(
     job: &str,
     results: &[ListedResult],
     from: usize,
     limit: u64,
     holds: H,
+    is_deferred: D,
 ) -> Option<Survey>
 where
     H: Fn(&TextKey) -> Option<bool>,
+    D: Fn(&TextKey) -> bool,
 {
     let mut survey = Survey {
         held: from,
         lacking: Vec::new(),
     };
     let mut bytes = 0;
+    let mut is_complete = true;
     for (at, result) in results.iter().enumerate().skip(from) {
         if let Some(key) = body_key(job, result)
             && !holds(&key)?
         {
-            let length = result.text.map_or(0, |text| text.length);
-            survey.lacking.push(MissingBody { key, length });
-            bytes += length;
+            is_complete = false;
+            if !is_deferred(&key) {
+                let length = result.text.map_or(0, |text| text.length);
+                survey.lacking.push(MissingBody { key, length });
+                bytes += length;
+            }
         }
-        if survey.lacking.is_empty() {
+        if is_complete {
             survey.held = at + 1;
         }
         if bytes >= limit {
--- a/crates/dandelion-batch/tests/holders.rs
+++ b/crates/dandelion-batch/tests/holders.rs
@@ -1,6 +1,7 @@
 //! Placement of result bodies, reads of them, and the search for missing ones.
 
 use dandelion_batch::holders::MissingBody;
+use dandelion_batch::holders::Placement;
 use dandelion_batch::holders::rank;
 use dandelion_batch::holders::read_order;
 use dandelion_batch::holders::split_calls;
@@ -110,6 +111,10 @@
     assert!(split_calls(&[]).is_empty());
 }
 
+fn never(_: &TextKey) -> bool {
+    false
+}
+
 fn listed(count: u64) -> Vec<ListedResult> {
     let results = (0..count).map(|n| ListedResult {
         id: n.to_string(),
@@ -127,11 +132,11 @@
 fn missing_bodies() {
     let results = listed(6);
     let holds = |key: &TextKey| Some(key.digest != 2 && key.digest != 4);
-    let found = survey("j", &results, 1, 1_000, holds).unwrap();
+    let found = survey("j", &results, 1, 1_000, holds, never).unwrap();
     assert_eq!(found.held, 2);
     let items: Vec<&str> = found.lacking.iter().map(|w| w.key.item.as_str()).collect();
     assert_eq!(items, ["2", "4"]);
-    let first = survey("j", &results, 1, 100, holds).unwrap();
+    let first = survey("j", &results, 1, 100, holds, never).unwrap();
     assert_eq!(first.lacking.len(), 1);
 }
 
@@ -141,6 +146,51 @@
 fn stalled_disk() {
     let results = listed(3);
     let holds = |key: &TextKey| (key.digest != 1).then_some(true);
-    assert_eq!(survey("j", &results, 0, 1_000, holds), None);
-    assert_eq!(survey("j", &results, 2, 1_000, holds).unwrap().held, 3);
+    assert_eq!(survey("j", &results, 0, 1_000, holds, never), None);
+    let rest = survey("j", &results, 2, 1_000, holds, never);
+    assert_eq!(rest.unwrap().held, 3);
+}
+
+/// LOST: bodies that no store returned were requested again in each round and took up its bytes, so
+/// that the bodies after them were not copied.
+#[test]
+fn deferred_bodies() {
+    let results = listed(6);
+    let holds = |key: &TextKey| Some(key.digest == 0);
+    let is_deferred = |key: &TextKey| key.digest <= 2;
+    let found = survey("j", &results, 0, 200, holds, is_deferred).unwrap();
+    assert_eq!(found.held, 1, "a deferred body does not count as held");
+    let items: Vec<&str> = found.lacking.iter().map(|w| w.key.item.as_str()).collect();
+    assert_eq!(items, ["3", "4"]);
+}
+
+/// LOST: a lost store counted as one that has its bodies until it was removed from the cell.
+#[test]
+fn lost_holder() {
+    let stores = stores(&["a", "b", "c", "d"], 3);
+    for job in 0..50 {
+        let job = format!("job-{job}");
+        let before = Placement::new(&stores, 3, |_| false).holders(&job);
+        let lost = &before[1].id;
+        let placement = Placement::new(&stores, 3, |m| m.id == *lost);
+        let after = placement.holders(&job);
+        assert_eq!(after.len(), 3);
+        assert!(after.iter().all(|m| m.id != *lost));
+        let kept = after.iter().filter(|m| before.contains(m)).count();
+        assert_eq!(kept, 2, "only the lost copy is replaced");
+        let ordered = placement.write_order(&job);
+        assert_eq!(ordered[..3], after[..]);
+        assert_eq!(ordered.last().unwrap().id, *lost);
+    }
+}
+
+/// LOST: a body that is only on a store that is being emptied could not be read.
+#[test]
+fn emptied_last() {
+    let stores = stores(&["a", "b", "c"], 2);
+    let emptied = &stores[0];
+    let placement = Placement::new(&stores, 2, |m| m.id == emptied.id);
+    let order = placement.read_order("j", &emptied.zone, None);
+    assert_eq!(order.len(), stores.len());
+    assert_eq!(order.last().unwrap().id, emptied.id);
 }
--- a/crates/dandelion-daemon/src/metrics.rs
+++ b/crates/dandelion-daemon/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of the daemon.
 
+use dandelion_net::clock;
 use dandelion_net::http::memory::Kind;
 use dandelion_net::mesh::Family;
 use dandelion_protocol::ids::TeamId;
@@ -31,6 +32,9 @@
     leader_term: IntGauge,
     missing_voters: IntGaugeVec,
     short_seconds: IntGaugeVec,
+    missing_bodies: IntGauge,
+    missing_seconds: IntGauge,
+    lost_stores: IntGauge,
     mesh_bytes: IntCounterVec,
     limited: IntGauge,
     cold: IntGauge,
@@ -71,6 +75,15 @@
                 "Time for which a group led by this daemon has lacked voters.",
                 "group",
             )?,
+            missing_bodies: metrics.gauge(
+                "missing_bodies",
+                "Result bodies that this store should have and has not, as far as it has searched.",
+            )?,
+            missing_seconds: metrics.gauge(
+                "missing_bodies_seconds",
+                "Time for which this store has lacked result bodies.",
+            )?,
+            lost_stores: metrics.gauge("lost_stores", "Stores that this store takes for lost.")?,
             mesh_bytes: metrics.counters(
                 "mesh_sent_bytes_total",
                 "Payload bytes sent to other daemons.",
@@ -198,6 +211,7 @@
         self.origins.set(core.gateway.origins.len() as i64);
         let links_lost = core.gateway.reach().is_lost();
         self.links_lost.set(i64::from(links_lost));
+        self.update_copies(core);
         self.update_clients(core);
         self.update_traffic(core);
         match self.metrics.render() {
@@ -221,6 +235,17 @@
         }
     }
 
+    fn update_copies(&self, core: &Handle) {
+        let missing = core.stores.texts.missing();
+        self.missing_bodies.set(missing.bodies as i64);
+        let lasted = missing
+            .since
+            .map_or(Millis::ZERO, |at| clock::boot_now().since(at));
+        self.missing_seconds.set((lasted.0 / 1_000) as i64);
+        self.lost_stores
+            .set(core.stores.health().lost_count() as i64);
+    }
+
     fn update_clients(&self, core: &Handle) {
         let usage = core.client_memory.usage();
         for (kind, bytes) in Kind::ALL.into_iter().zip(usage.bytes) {
--- a/crates/dandelion-daemon/src/run.rs
+++ b/crates/dandelion-daemon/src/run.rs
@@ -445,6 +445,7 @@
     if core.settings.gateway.folder.is_some() {
         task::spawn(stores::run_group(core.clone()));
         task::spawn(stores::run_jobs(core.clone()));
+        task::spawn(stores::run_health(core.clone()));
         task::spawn(stores::run_repair(core.clone()));
     }
 }
--- a/crates/dandelion-daemon/src/stores/group.rs
+++ b/crates/dandelion-daemon/src/stores/group.rs
@@ -1,5 +1,7 @@
 //! The Raft group of the store daemons, which replicates the batch jobs.
 
+use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -10,6 +12,8 @@
 use async_channel::Sender;
 use async_std::task;
 use dandelion_batch::BatchTable;
+use dandelion_batch::StoreHealth;
+use dandelion_batch::holders::Placement;
 use dandelion_batch::table::BatchCommand;
 use dandelion_control::ControlNode;
 use dandelion_control::FileStorage;
@@ -41,6 +45,7 @@
 use crate::control::Outgoing;
 use crate::control::ReplicaHandle;
 use crate::control::STORE_GROUP;
+use crate::control::View;
 use crate::core::Handle;
 use crate::core::new_request_id;
 use crate::fenced::Duty;
@@ -93,6 +98,8 @@
     pub partials: Texts,
     /// Readers that wait for results.
     pub listings: Listings,
+    /// Which of the other stores count as lost.
+    health: Mutex<StoreHealth>,
     /// Turns of this daemon as the leader of the group, towards engines.
     pub duty: Duty,
     events: Sender<StoreEvent>,
@@ -110,6 +117,7 @@
             texts: Texts::default(),
             partials: Texts::default(),
             listings: Listings::default(),
+            health: Mutex::default(),
             duty: Duty::open(gap),
             events,
             queue,
@@ -122,6 +130,21 @@
         self.replica.get()
     }
 
+    /// Locks the belief which of the other stores are lost.
+    pub fn health(&self) -> MutexGuard<'_, StoreHealth> {
+        self.health.lock().expect("no holder of this lock panics")
+    }
+
+    /// Returns where bodies of which each is on `copies` disks are placed. A daemon that is no store
+    /// probes none and takes none for lost.
+    pub fn placement<'a>(&self, view: &'a View, copies: usize) -> Placement<'a> {
+        let health = self.health();
+        let stores = view.members.iter().filter(|m| m.role == Role::Store);
+        Placement::new(stores, copies, |m| {
+            view.retiring.contains(&m.id) || health.is_lost(&m.id)
+        })
+    }
+
     /// Queues an event for the runner. An event that finds the queue full is dropped; the runner
     /// reads the table of jobs again at the start of its next term.
     pub fn notify(&self, event: StoreEvent) {
@@ -251,7 +274,7 @@
 }
 
 /// Returns whether the store folder holds a replica that has joined its group.
-fn has_group(core: &Handle) -> bool {
+pub(super) fn has_group(core: &Handle) -> bool {
     let folder = core.settings.gateway.folder.as_ref();
     folder.is_some_and(|folder| folder.join(SNAPSHOT_FILE).is_file())
 }
--- a/crates/dandelion-daemon/src/stores/mod.rs
+++ b/crates/dandelion-daemon/src/stores/mod.rs
@@ -1,6 +1,7 @@
 //! The group of daemons that stores batch jobs, and the work of its leader.
 
 mod group;
+mod health;
 mod listings;
 mod orders;
 mod partials;
@@ -12,6 +13,7 @@
 pub use group::StoreEvent;
 pub use group::Stores;
 pub use group::run_group;
+pub use health::run_health;
 pub use listings::Listings;
 pub use listings::Subscription;
 pub use run::Output;
--- a/crates/dandelion-daemon/src/stores/partials.rs
+++ b/crates/dandelion-daemon/src/stores/partials.rs
@@ -16,7 +16,6 @@
 use futures::future::join_all;
 
 use crate::core::Handle;
-use crate::stores::texts;
 
 /// Number of top-ranked stores among which the store for the second copy is chosen: of two, at
 /// least one is not this daemon.
@@ -32,8 +31,9 @@
 pub fn save(core: &Handle, job: String, partial: Partial) {
     let view = core.control.view();
     let own = &core.identity.daemon;
-    let candidates = texts::replica_stores(&view, &job, REPLICA_CANDIDATES);
-    let other = candidates.into_iter().find(|id| id != own);
+    let placement = core.stores.placement(&view, REPLICA_CANDIDATES);
+    let mut candidates = placement.holders(&job).into_iter().map(|m| &m.id);
+    let other = candidates.find(|id| *id != own).cloned();
     let core = core.clone();
     task::spawn(async move {
         if let (Some(mesh), Some(other)) = (core.mesh(), other) {
--- a/crates/dandelion-daemon/src/stores/texts/fetch.rs
+++ b/crates/dandelion-daemon/src/stores/texts/fetch.rs
@@ -5,7 +5,6 @@
 
 use dandelion_batch::holders::MissingBody;
 use dandelion_batch::holders::body_key;
-use dandelion_batch::holders::read_order;
 use dandelion_batch::holders::split_calls;
 use dandelion_protocol::batch::BatchPage;
 use dandelion_protocol::batch::BatchResult;
@@ -21,7 +20,7 @@
 
 use crate::core::Handle;
 
-/// Longest wait for one store daemon to return result bodies.
+/// Longest wait of a reader for one store daemon to return result bodies.
 const READ_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Adds the bodies to the results that the leader of the store group listed. Returns nothing if a
@@ -41,9 +40,10 @@
     let view = core.control.view();
     let copies = core.settings.gateway.tolerate + 1;
     let zone = &core.identity.zone;
-    let stores = read_order(view.stores(), job, copies, zone, leader);
+    let placement = core.stores.placement(&view, copies);
+    let stores = placement.read_order(job, zone, leader);
     let stores: Vec<DaemonId> = stores.into_iter().map(|m| m.id.clone()).collect();
-    let entries = fetch(core, missing.collect(), &stores).await;
+    let entries = fetch(core, missing.collect(), &stores, READ_TIMEOUT).await;
     let mut texts: HashMap<TextKey, String> = entries
         .into_iter()
         .map(|entry| (entry.key, entry.text))
@@ -68,11 +68,13 @@
     })
 }
 
-/// Reads result bodies from store daemons, one daemon after the other, until all are found.
+/// Reads result bodies from store daemons, one daemon after the other, until all are found. Each
+/// daemon has at most `limit` to answer.
 pub async fn fetch(
     core: &Handle,
     mut missing: Vec<MissingBody>,
     stores: &[DaemonId],
+    limit: Duration,
 ) -> Vec<TextEntry> {
     let mut found = Vec::new();
     for store in stores {
@@ -80,7 +82,7 @@
             break;
         }
         let requests = split_calls(&missing).into_iter();
-        let answers = join_all(requests.map(|keys| request(core, store, keys))).await;
+        let answers = join_all(requests.map(|keys| request(core, store, keys, limit))).await;
         let entries: Vec<TextEntry> = answers.into_iter().flatten().collect();
         missing.retain(|body| !entries.iter().any(|entry| entry.key == body.key));
         found.extend(entries);
@@ -88,12 +90,17 @@
     found
 }
 
-async fn request(core: &Handle, store: &DaemonId, keys: Vec<TextKey>) -> Vec<TextEntry> {
+async fn request(
+    core: &Handle,
+    store: &DaemonId,
+    keys: Vec<TextKey>,
+    limit: Duration,
+) -> Vec<TextEntry> {
     let Some(mesh) = core.mesh() else {
         return Vec::new();
     };
     let call = CallBody::Texts(TextCall::Read(keys));
-    match mesh.call(store, call, READ_TIMEOUT).await {
+    match mesh.call(store, call, limit).await {
         Ok(ReplyBody::Texts(TextReply::Read(entries))) => entries,
         Ok(_) => Vec::new(),
         Err(error) => {
--- a/crates/dandelion-daemon/src/stores/texts/mod.rs
+++ b/crates/dandelion-daemon/src/stores/texts/mod.rs
@@ -3,6 +3,7 @@
 mod fetch;
 mod repair;
 mod replicate;
+mod shortage;
 mod store;
 
 use dandelion_protocol::batch::TextCall;
@@ -12,7 +13,6 @@
 pub use fetch::read_results;
 pub use repair::are_replicated;
 pub use repair::run_repair;
-pub use replicate::replica_stores;
 pub use replicate::replicate;
 pub use store::Texts;
 
--- a/crates/dandelion-daemon/src/stores/texts/replicate.rs
+++ b/crates/dandelion-daemon/src/stores/texts/replicate.rs
@@ -4,7 +4,6 @@
 
 use async_std::future::timeout;
 use async_std::task;
-use dandelion_batch::holders::rank;
 use dandelion_protocol::batch::TextCall;
 use dandelion_protocol::batch::TextEntry;
 use dandelion_protocol::batch::TextReply;
@@ -15,7 +14,6 @@
 use futures::channel::oneshot;
 use futures::stream::FuturesUnordered;
 
-use crate::control::View;
 use crate::core::Handle;
 
 /// Longest wait for another daemon to store a result body.
@@ -25,21 +23,16 @@
 /// write takes a round trip between zones and one or two syncs.
 const HEDGE_DELAY: Duration = Duration::from_millis(60);
 
-/// Returns the store daemons that should have the result bodies of a job.
-pub fn replica_stores(view: &View, job: &str, copies: usize) -> Vec<DaemonId> {
-    let ranked = rank(view.stores(), job).into_iter().take(copies);
-    ranked.map(|m| m.id.clone()).collect()
-}
-
 /// Writes a body to as many disks as the tolerated losses require; returns whether that many have
 /// it. The store that is next in rank replaces one that fails. It also replaces slow ones, but at
 /// most as many as there are copies: if all disks are slow, further writes do not help.
 pub async fn replicate(core: &Handle, entry: TextEntry) -> bool {
     let copies = core.settings.gateway.tolerate + 1;
     let view = core.control.view();
-    let ranked = rank(view.stores(), &entry.key.job).into_iter();
-    let ranked: Vec<DaemonId> = ranked.map(|m| m.id.clone()).collect();
-    let mut next = ranked.into_iter();
+    let placement = core.stores.placement(&view, copies);
+    let ordered = placement.write_order(&entry.key.job).into_iter();
+    let ordered: Vec<DaemonId> = ordered.map(|m| m.id.clone()).collect();
+    let mut next = ordered.into_iter();
     core.stores.texts.cache().put(&entry);
     let (enough, done) = oneshot::channel();
     let core = core.clone();
--- a/crates/dandelion-daemon/src/stores/texts/store.rs
+++ b/crates/dandelion-daemon/src/stores/texts/store.rs
@@ -22,6 +22,8 @@
 use dandelion_telemetry::event;
 use futures::channel::oneshot;
 
+use crate::stores::texts::shortage::Missing;
+
 /// Tasks that can be queued for the disk.
 const TASK_CAPACITY: usize = 1_024;
 
@@ -85,6 +87,7 @@
     cache: Mutex<Cache>,
     /// For each job, the position in its results before which no body is missing on this disk.
     pub(super) verified: Mutex<BTreeMap<String, usize>>,
+    missing: Mutex<Missing>,
 }
 
 impl Texts {
@@ -101,6 +104,15 @@
         Ok(())
     }
 
+    /// Returns the texts that this daemon should have and has not, as of the latest search.
+    pub fn missing(&self) -> Missing {
+        *self.missing.lock().expect("no holder of this lock panics")
+    }
+
+    pub(super) fn set_missing(&self, missing: Missing) {
+        *self.missing.lock().expect("no holder of this lock panics") = missing;
+    }
+
     pub(super) fn cache(&self) -> MutexGuard<'_, Cache> {
         self.cache.lock().expect("no holder of this lock panics")
     }
--- a/crates/dandelion-load/src/checks.rs
+++ b/crates/dandelion-load/src/checks.rs
@@ -40,6 +40,7 @@
             "late_runs_over_bound",
         ],
         "losses" => &["refused", "unread_jobs", "unread_teams"],
+        "copies" => &["jobs_unfinished", "unread_after", "unread_before"],
         "leaving" => &["late_after_answer", "late_after_report", "not_served_again"],
         "evacuation" => &[
             "jobs_unfinished",
--- a/crates/dandelion-load/src/cluster/daemons.rs
+++ b/crates/dandelion-load/src/cluster/daemons.rs
@@ -59,6 +59,8 @@
     pub gateway: bool,
     /// Longest wait of a stopping daemon for running requests; the daemons' default if `None`.
     pub stop_timeout: Option<Duration>,
+    /// Number of daemons with a folder that may be lost at once.
+    pub tolerate: usize,
 }
 
 impl Default for ClusterConfig {
@@ -73,6 +75,7 @@
             feed_period: Duration::from_millis(500),
             gateway: false,
             stop_timeout: None,
+            tolerate: 1,
         }
     }
 }
@@ -275,6 +278,7 @@
             format!("--operator-token={TOKEN}"),
             format!("--usage-window-s={}", self.config.window_s),
             format!("--feed-period-ms={}", self.config.feed_period.as_millis()),
+            format!("--tolerate-vms={}", self.config.tolerate),
             "--balancer-grace-ms=500".to_owned(),
         ];
         if let Some(time) = self.config.stop_timeout {
--- a/crates/dandelion-load/src/registry.rs
+++ b/crates/dandelion-load/src/registry.rs
@@ -5,6 +5,7 @@
 
 use crate::scenarios::billing;
 use crate::scenarios::cold;
+use crate::scenarios::copies;
 use crate::scenarios::drain;
 use crate::scenarios::evacuation;
 use crate::scenarios::issuer;
@@ -80,6 +81,11 @@
         about: "processes: a control daemon and a store are lost for good and replaced, then others lose their disks",
         run: losses::run,
     },
+    Scenario {
+        name: "copies",
+        about: "processes: stores are replaced or lose their disks in series; results of ended jobs are read afterwards",
+        run: copies::run,
+    },
     Scenario {
         name: "leaving",
         about: "processes: upstreams leave by report and by their answers, fall silent and are reported late",
--- a/crates/dandelion-load/src/scenarios/mod.rs
+++ b/crates/dandelion-load/src/scenarios/mod.rs
@@ -3,6 +3,7 @@
 pub mod bill;
 pub mod billing;
 pub mod cold;
+pub mod copies;
 pub mod drain;
 pub mod evacuation;
 pub mod issuer;
--- a/crates/dandelion-telemetry/src/events/catalogue.rs
+++ b/crates/dandelion-telemetry/src/events/catalogue.rs
@@ -120,6 +120,16 @@
         "Replace the silent daemons; take none of the other voters out of service before `group_complete`.";
     221 Info GroupComplete "group_complete"
         "All voters that a group is meant to have reply again." "none";
+    222 Warn StoreLost "store_lost"
+        "A store does not answer, or stops, and another one has joined; further stores copy its result bodies."
+        "Take no other store out of service before `bodies_complete`.";
+    223 Info StoreReturned "store_returned"
+        "A store that counted as lost answers again." "none";
+    224 Warn BodiesShort "bodies_short"
+        "Result bodies that this store should have are missing on its disk; they are copied from other stores."
+        "Take no other store out of service before `bodies_complete`. Start stores whose disks have the `unavailable` ones.";
+    225 Info BodiesComplete "bodies_complete"
+        "This store has all result bodies that it should have." "none";
 
     301 Warn MeshRefused "mesh_refused"
         "A connection on the mesh address failed its handshake."
