A store is let go only when the others know which bodies they should have

What callers could see: results lost after a planned retirement (same cause on a related path: bodies counted as copied before the next place had them). Cause: the leader asks each store whether it lacks a body. A store whose replica was not there yet said that it lacked none, and one that lagged didn't know the bodies that it lacked. With a store just replaced, the retired one was let go too early. Change: the leader waits until each usable store has applied what was committed when the departure was first checked. Lost stores are not asked.

--- a/crates/dandelion-control/src/node/status.rs
+++ b/crates/dandelion-control/src/node/status.rs
@@ -94,6 +94,17 @@
     pub replicas: Vec<ReplicaStatus>,
 }
 
+impl Status {
+    /// Returns whether a replica of `daemon` has stored the entries up to `index` and replied lately;
+    /// false if this daemon does not lead.
+    pub fn has_stored(&self, daemon: &DaemonId, index: u64) -> bool {
+        let replicas = self.replicas.iter().filter(|r| r.daemon == *daemon);
+        let mut alive = replicas.filter(|r| r.alive == Some(true));
+        let stored = |lag: u64| self.commit.saturating_sub(lag) >= index;
+        alive.any(|r| r.lag.is_some_and(stored))
+    }
+}
+
 impl<S> ControlNode<S>
 where
     S: Storage,
--- a/crates/dandelion-daemon/src/stores/group.rs
+++ b/crates/dandelion-daemon/src/stores/group.rs
@@ -1,5 +1,6 @@
 //! The Raft group of the store daemons, which replicates the batch jobs.
 
+use std::collections::BTreeMap;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
@@ -85,6 +86,15 @@
     Reported(IncarnationReport),
 }
 
+/// When the departure of a store was first checked, and the commit index at that time.
+#[derive(Debug, Clone, Copy)]
+pub struct Emptying {
+    /// Time of the first check.
+    pub at: Millis,
+    /// Index up to which entries were committed.
+    pub index: u64,
+}
+
 /// This daemon's part of the store group. A daemon without a store folder has no replica, result
 /// bodies or outputs.
 #[derive(Debug)]
@@ -100,6 +110,8 @@
     pub listings: Listings,
     /// Which of the other stores count as lost.
     health: Mutex<StoreHealth>,
+    /// Departures of stores that this daemon checks as the leader.
+    emptying: Mutex<BTreeMap<DaemonId, Emptying>>,
     /// Turns of this daemon as the leader of the group, towards engines.
     pub duty: Duty,
     events: Sender<StoreEvent>,
@@ -118,6 +130,7 @@
             partials: Texts::default(),
             listings: Listings::default(),
             health: Mutex::default(),
+            emptying: Mutex::default(),
             duty: Duty::open(gap),
             events,
             queue,
@@ -135,6 +148,15 @@
         self.health.lock().expect("no holder of this lock panics")
     }
 
+    /// Returns when the departure of a store was first checked: now, with this commit index, if it was
+    /// not yet.
+    pub fn begin_emptying(&self, store: &DaemonId, index: u64, now: Millis) -> Emptying {
+        let mut emptying = self.emptying.lock().expect("no holder of this lock panics");
+        *emptying
+            .entry(store.clone())
+            .or_insert(Emptying { at: now, index })
+    }
+
     /// Returns where bodies of which each is on `copies` disks are placed. A daemon that is no store
     /// probes none and takes none for lost.
     pub fn placement<'a>(&self, view: &'a View, copies: usize) -> Placement<'a> {
--- a/crates/dandelion-daemon/src/stores/service.rs
+++ b/crates/dandelion-daemon/src/stores/service.rs
@@ -4,6 +4,7 @@
 
 use dandelion_batch::BatchTable;
 use dandelion_batch::table::BatchCommand;
+use dandelion_control::Timing;
 use dandelion_net::clock;
 use dandelion_protocol::batch::BatchCall;
 use dandelion_protocol::batch::BatchReply;
@@ -63,17 +64,26 @@
 }
 
 /// Answers whether a departing daemon has no replica any more and all result bodies are stored
-/// on the other daemons.
+/// on the other daemons. A store that has not applied what was committed when its departure was
+/// first checked may lack bodies that it does not know of.
 async fn check_emptied(core: &Handle, daemon: &DaemonId) -> BatchReply {
     let Some(replica) = core.stores.replica() else {
         return not_leader(core);
     };
-    let has_replica = replica
-        .status()
-        .replicas
-        .iter()
-        .any(|r| r.daemon == *daemon);
-    if has_replica || !texts::are_replicated(core).await {
+    let status = replica.status();
+    let now = clock::boot_now();
+    let begun = core.stores.begin_emptying(daemon, status.commit, now);
+    let has_replica = status.replicas.iter().any(|r| r.daemon == *daemon);
+    // A replica counts as alive if it replied to a message sent within the last promise. After that
+    // time the message named the commit index, so that an entry stored by then has been applied.
+    if has_replica || now < begun.at + Timing::default().promise {
+        return BatchReply::NotYet;
+    }
+    let view = core.control.view();
+    let stores = texts::placement(core, &view);
+    let mut others = stores.usable().filter(|m| m.id != core.identity.daemon);
+    let have_applied = others.all(|m| status.has_stored(&m.id, begun.index));
+    if !have_applied || !texts::are_replicated(core).await {
         return BatchReply::NotYet;
     }
     BatchReply::Done
--- a/crates/dandelion-daemon/src/stores/texts/mod.rs
+++ b/crates/dandelion-daemon/src/stores/texts/mod.rs
@@ -12,6 +12,7 @@
 
 pub use fetch::read_results;
 pub use repair::are_replicated;
+pub use repair::placement;
 pub use repair::run_repair;
 pub use replicate::replicate;
 pub use store::Texts;
