Bodies are not written to stores that are lost or being emptied

What callers could see: a result lost after a planned retirement. Change: bodies are written to usable stores only, and read from all. What was read is looked up in a set: a round of short bodies compared each with each.

--- a/crates/dandelion-batch/src/holders.rs
+++ b/crates/dandelion-batch/src/holders.rs
@@ -79,14 +79,20 @@
 
     /// Returns the stores that should have the bodies of a job.
     pub fn holders(&self, job: &str) -> Vec<&'a Member> {
-        let mut ranked = rank(self.usable.iter().copied(), job);
+        let mut ranked = self.write_order(job);
         ranked.truncate(self.copies);
         ranked
     }
 
-    /// Returns all stores in the order in which a body of a job is written to them.
+    /// Returns the stores to which a body of a job may be written, in this order. A copy on one that is
+    /// being emptied, or stops, would be counted and then be gone.
     pub fn write_order(&self, job: &str) -> Vec<&'a Member> {
-        let mut ranked = rank(self.usable.iter().copied(), job);
+        rank(self.usable.iter().copied(), job)
+    }
+
+    /// Returns all stores in the order in which another one reads the bodies of a job from them.
+    pub fn sources(&self, job: &str) -> Vec<&'a Member> {
+        let mut ranked = self.write_order(job);
         ranked.extend(rank(self.former.iter().copied(), job));
         ranked
     }
--- a/crates/dandelion-batch/tests/holders.rs
+++ b/crates/dandelion-batch/tests/holders.rs
@@ -178,9 +178,12 @@
         assert!(after.iter().all(|m| m.id != *lost));
         let kept = after.iter().filter(|m| before.contains(m)).count();
         assert_eq!(kept, 2, "only the lost copy is replaced");
-        let ordered = placement.write_order(&job);
-        assert_eq!(ordered[..3], after[..]);
-        assert_eq!(ordered.last().unwrap().id, *lost);
+        let written = placement.write_order(&job);
+        assert_eq!(written[..3], after[..]);
+        assert!(written.iter().all(|m| m.id != *lost), "it may be gone");
+        let sources = placement.sources(&job);
+        assert_eq!(sources.len(), stores.len());
+        assert_eq!(sources.last().unwrap().id, *lost);
     }
 }
 
--- a/crates/dandelion-daemon/src/stores/texts/fetch.rs
+++ b/crates/dandelion-daemon/src/stores/texts/fetch.rs
@@ -1,6 +1,7 @@
 //! Reads result bodies from the store daemons that have a replica of them.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use dandelion_batch::holders::MissingBody;
@@ -84,7 +85,8 @@
         let requests = split_calls(&missing).into_iter();
         let answers = join_all(requests.map(|keys| request(core, store, keys, limit))).await;
         let entries: Vec<TextEntry> = answers.into_iter().flatten().collect();
-        missing.retain(|body| !entries.iter().any(|entry| entry.key == body.key));
+        let returned: HashSet<&TextKey> = entries.iter().map(|entry| &entry.key).collect();
+        missing.retain(|body| !returned.contains(&body.key));
         found.extend(entries);
     }
     found
--- a/crates/dandelion-daemon/src/stores/texts/repair.rs
+++ b/crates/dandelion-daemon/src/stores/texts/repair.rs
@@ -1,6 +1,7 @@
 //! Restores missing result bodies on the disks that should have them.
 
 use std::collections::BTreeMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use async_std::task;
@@ -56,9 +57,9 @@
 
     /// Defers those of the requested bodies that were not returned.
     fn defer(&mut self, requested: Vec<MissingBody>, returned: &[TextEntry], now: Millis) {
-        let is_returned = |key: &TextKey| returned.iter().any(|entry| entry.key == *key);
+        let returned: HashSet<&TextKey> = returned.iter().map(|entry| &entry.key).collect();
         let unavailable = requested.into_iter().map(|body| body.key);
-        let unavailable = unavailable.filter(|key| !is_returned(key));
+        let unavailable = unavailable.filter(|key| !returned.contains(key));
         self.0
             .extend(unavailable.map(|key| (key, now + RETRY_PERIOD)));
     }
@@ -122,7 +123,7 @@
         bodies.push(body.clone());
     }
     let fetches = jobs.into_iter().map(|(job, bodies)| {
-        let sources = placement.write_order(job).into_iter().map(|m| &m.id);
+        let sources = placement.sources(job).into_iter().map(|m| &m.id);
         let sources = sources.filter(|id| **id != core.identity.daemon).cloned();
         let sources: Vec<DaemonId> = sources.collect();
         async move { fetch(core, bodies, &sources, READ_TIMEOUT).await }
