review: one job of 16 MiB hangs the stores for good

The log entry of a batch job whose submission is just below the longest message between daemons doesn't fit such a message. The leader sends it in vain and keeps its lease, so that the group of the stores commits nothing any more.

--- a/review/standins-4/src/caller.rs
+++ b/review/standins-4/src/caller.rs
@@ -104,11 +104,15 @@
     http::call(to, &request, Duration::from_secs(12))
 }
 
+/// Returns the request for results of a job from a position on.
+pub fn results_request(id: &str, after: usize) -> Request {
+    let request = Request::new("GET", &fixtures::results_path(id, after), HOST);
+    request.with(headers::KEY, KEY).with(headers::WAIT, "1000")
+}
+
 /// Reads results of a job from a position on, once.
 pub fn read(to: SocketAddr, id: &str, after: usize) -> io::Result<Message> {
-    let request = Request::new("GET", &fixtures::results_path(id, after), HOST);
-    let request = request.with(headers::KEY, KEY).with(headers::WAIT, "1000");
-    http::call(to, &request, Duration::from_secs(6))
+    http::call(to, &results_request(id, after), Duration::from_secs(6))
 }
 
 /// Ends a job, once.
--- a/review/standins-4/src/cases.rs
+++ b/review/standins-4/src/cases.rs
@@ -35,6 +35,7 @@
         "stores-memory" => stores_memory(root, folder, trouble),
         "entry-memory" => entry_memory(root, folder, trouble),
         "store-hang" => store_hang(root, folder, trouble),
+        "unread-results" => unread_results(root, folder, trouble),
         "item-headers" => item_headers(root, folder, trouble),
         "long-heads" => long_heads(root, folder, trouble),
         other => Err(format!("no case {other}").into()),
@@ -326,7 +327,12 @@
     record.line(&format!(
         "a small job afterwards: accepted {accepted}, all results listed {listed}"
     ));
-    Ok(late.is_empty())
+    let readable = read(&setup, job, Duration::from_secs(15), false);
+    record.line(&format!(
+        "items of the ended job that ran too late: {}; the job can be read at the end: {readable}",
+        late.len()
+    ));
+    Ok(late.is_empty() && readable)
 }
 
 /// A team submits jobs in which one item has a header that a request of its own could not have.
@@ -406,3 +412,58 @@
         .line(&format!("proper requests that were denied: {denied} of 40"));
     Ok(f64::from(denied) <= 5.0 + 40.0 / 500.0)
 }
+
+/// Connections of a crowd to each entry, and requests that each sends ahead.
+const CROWD: usize = 96;
+const AHEAD: usize = 20;
+
+/// Callers ask for the results of a finished job many times ahead, and don't read the answers.
+fn unread_results(root: &Path, folder: &Path, trouble: bool) -> Outcome {
+    let usual = Profile {
+        events: 27,
+        work: Duration::from_millis(5),
+        ..engine()
+    };
+    let setup = set_up(root, folder, RUDALAPS, usual)?;
+    let id = "7c41e0";
+    if !submit(
+        &setup,
+        id,
+        &caller::job(id, 184, 600, "{}"),
+        Duration::from_secs(6),
+    ) || !read(&setup, id, Duration::from_secs(20), true)
+    {
+        return Err("the job did not finish".into());
+    }
+    let first = caller::read(setup.cell.fronts()[0], id, 0)?;
+    setup
+        .record
+        .line(&format!("a page of results has {} bytes", first.body.len()));
+    let request = caller::results_request(id, 0);
+    for round in 0..3 {
+        let mut crowd = Vec::new();
+        for to in setup.cell.fronts() {
+            let mut answered = 0;
+            for _ in 0..CROWD {
+                if trouble {
+                    crowd.extend(http::send_ahead(to, &request, AHEAD).ok());
+                } else {
+                    let answer = http::call(to, &request, Duration::from_secs(5));
+                    answered += u32::from(answer.is_ok_and(|a| a.status() == 200));
+                }
+            }
+            setup.record.line(&format!(
+                "callers: round {round} at {to}: {} connections open, {answered} answers read",
+                crowd.len()
+            ));
+        }
+        thread::sleep(Duration::from_secs(8));
+        drop(crowd);
+        thread::sleep(Duration::from_secs(3));
+    }
+    let often = show_ends(&setup);
+    setup.record.line(&format!(
+        "machines whose process ended three times: {often}"
+    ));
+    Ok(often < 2)
+}
--- a/review/standins-4/src/http.rs
+++ b/review/standins-4/src/http.rs
@@ -218,3 +218,11 @@
         (Ok(()), Ok(None)) => Err(io::ErrorKind::UnexpectedEof.into()),
     }
 }
+
+/// Sends a request several times on a new connection, without reading the answers.
+pub fn send_ahead(to: SocketAddr, request: &Request, count: usize) -> io::Result<TcpStream> {
+    let mut stream = TcpStream::connect_timeout(&to, Duration::from_secs(1))?;
+    stream.set_write_timeout(Some(Duration::from_secs(1)))?;
+    stream.write_all(request.head().repeat(count).as_bytes())?;
+    Ok(stream)
+}
