--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -5,4 +5,4 @@
 folder=$PWD
 root=$(cd ../.. && pwd)
 [ -x "$root/target/release/dandelionrun" ] && [ -x "$root/target/review-3/release/review-4" ] || exit 2
-exec "$root/target/review-3/release/review-4" stores-memory "$root" "$folder"
+exec "$root/target/review-3/release/review-4" store-hang "$root" "$folder"
--- a/review/standins-4/src/cell.rs
+++ b/review/standins-4/src/cell.rs
@@ -414,6 +414,16 @@
 }
 
 impl Machine {
+    /// Kills the process; the platform starts it again.
+    pub fn kill(&self) {
+        let mut state = self.state.lock().unwrap();
+        if let Some(mut child) = state.child.take() {
+            let _ignored = child.kill();
+            let _ignored = child.wait();
+            state.restart_at = Some(Instant::now() + RESTART);
+        }
+    }
+
     /// Returns how often the process exceeded its memory, ended by itself, and its peak in KiB.
     pub fn ends(&self) -> (u32, u32, u64) {
         let state = self.state.lock().unwrap();
