Changes that no follower can receive are refused before they are appended

Cause: a link drops messages of over 16 MiB. The leader appended the submission, which had just passed a link, without a check; the append with it was some 200 bytes longer and was dropped and sent again without end, while heartbeats passed and kept the lease. Same path: a proposal that the link dropped was tried for 5 s as if there were no leader, and a job that is a little longer was refused with 503 after 3 s, each time; plans were not checked at all.

Evidence: "dropped a message to daemon" in the leader's log for each heartbeat; commit index unchanged for 50 s. Ruled out: memory and disks of the stores (no end, no failed write), processor time (idle).

Change: one bound in the protocol, from which those of entries, commands, jobs and plans follow. The leader refuses longer changes before it appends them, entries and control daemons refuse longer jobs and plans at once with 413. Replication messages may be 64 KiB longer, so that entries which an earlier release has stored are still sent. The new error is not sent to other daemons, which may not know it.

--- a/crates/dandelion-batch/src/table.rs
+++ b/crates/dandelion-batch/src/table.rs
@@ -9,6 +9,7 @@
 use dandelion_kernel::TableEntry;
 use dandelion_protocol::batch::BatchJob;
 use dandelion_protocol::batch::ListedResult;
+use dandelion_protocol::control::MAX_COMMAND_BYTES;
 use dandelion_protocol::control::Rejection;
 use dandelion_protocol::ids::TeamId;
 use linkme::distributed_slice;
@@ -122,6 +123,9 @@
     jobs: BTreeMap<String, StoredJob>,
 }
 
+/// Longest encoded job, in bytes. [`BatchCommand::Submit`] adds its name.
+pub const MAX_JOB_BYTES: usize = MAX_COMMAND_BYTES - 64;
+
 /// A change of the table. All commands are idempotent.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/dandelion-batch/tests/table.rs
+++ b/crates/dandelion-batch/tests/table.rs
@@ -2,6 +2,7 @@
 
 use dandelion_batch::BatchTable;
 use dandelion_batch::table::BatchCommand;
+use dandelion_batch::table::MAX_JOB_BYTES;
 use dandelion_kernel::ApplyContext;
 use dandelion_kernel::Table;
 use dandelion_protocol::batch::BatchItem;
@@ -10,6 +11,7 @@
 use dandelion_protocol::batch::ScoringRequest;
 use dandelion_protocol::batch::TextRef;
 use dandelion_protocol::codec;
+use dandelion_protocol::control::MAX_COMMAND_BYTES;
 use dandelion_protocol::control::Rejection;
 use dandelion_protocol::ids::Revision;
 use dandelion_protocol::ids::TeamId;
@@ -49,6 +51,19 @@
     }
 }
 
+/// UNASKED: a job passed the check of its submission, and the entry made of it was too long to be
+/// replicated.
+#[test]
+fn longest_submission() {
+    let mut job = job("j", 1);
+    let empty = codec::encoded_len(&job).unwrap();
+    // The length of a long byte string takes four bytes more than that of a short one.
+    job.items[0].body = vec![7; MAX_JOB_BYTES - empty - 4 + 1];
+    assert_eq!(codec::encoded_len(&job).unwrap(), MAX_JOB_BYTES);
+    let command = BatchCommand::Submit(Box::new(job));
+    assert!(codec::encoded_len(&command).unwrap() <= MAX_COMMAND_BYTES);
+}
+
 fn listed(item: u64, digest: u64) -> ListedResult {
     ListedResult {
         id: format!("i{item}"),
--- a/crates/dandelion-control/src/node/control.rs
+++ b/crates/dandelion-control/src/node/control.rs
@@ -25,6 +25,7 @@
 use crate::node::shortage::Shortage;
 use crate::node::status::LeaderLease;
 use crate::raft::Envelope;
+use crate::raft::MAX_CHANGE_BYTES;
 use crate::raft::Payload;
 use crate::raft::RaftMessage;
 use crate::raft::Replica;
@@ -228,14 +229,24 @@
         }
         proposal.at = wall.max(self.last_timestamp);
         self.last_timestamp = proposal.at;
-        let appended = codec::encode(&proposal)
-            .ok()
-            .and_then(|bytes| self.replica.propose(Payload::Change(bytes)));
-        if let Some(at) = appended {
-            self.pending.insert(at.index, ticket);
-        } else {
-            let result = Err(ProposeError::NoLeader);
-            actions.push(NodeAction::Answer { ticket, result });
+        let appended = match codec::encode(&proposal) {
+            Ok(bytes) if bytes.len() > MAX_CHANGE_BYTES => Err(ProposeError::TooLong {
+                length: bytes.len(),
+            }),
+            Ok(bytes) => {
+                let at = self.replica.propose(Payload::Change(bytes));
+                at.ok_or(ProposeError::NoLeader)
+            }
+            Err(_) => Err(ProposeError::NoLeader),
+        };
+        match appended {
+            Ok(at) => {
+                self.pending.insert(at.index, ticket);
+            }
+            Err(error) => {
+                let result = Err(error);
+                actions.push(NodeAction::Answer { ticket, result });
+            }
         }
     }
 
--- a/crates/dandelion-control/src/raft/mod.rs
+++ b/crates/dandelion-control/src/raft/mod.rs
@@ -30,6 +30,7 @@
 pub use types::Entry;
 pub use types::GroupId;
 pub use types::HardState;
+pub use types::MAX_CHANGE_BYTES;
 pub use types::Payload;
 pub use types::Position;
 pub use types::ReplicaId;
--- a/crates/dandelion-control/src/raft/types.rs
+++ b/crates/dandelion-control/src/raft/types.rs
@@ -1,6 +1,7 @@
 //! Positions, entries, hard state and snapshots.
 
 use dandelion_protocol::ids::Term;
+use dandelion_protocol::mesh::MAX_MESSAGE_BYTES;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -33,6 +34,10 @@
     pub index: u64,
 }
 
+/// Longest change in a log entry, in bytes. What is left of a message is for the position of the entry and
+/// the fields around it. An entry that no follower can receive would hold back all entries after it.
+pub const MAX_CHANGE_BYTES: usize = MAX_MESSAGE_BYTES - 512;
+
 /// Content of a log entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Payload {
--- a/crates/dandelion-control/src/tables/mod.rs
+++ b/crates/dandelion-control/src/tables/mod.rs
@@ -21,6 +21,7 @@
 pub use history::History;
 pub use limits::LimitsTable;
 pub use members::MembersTable;
+pub use plan::MAX_PLAN_BYTES;
 pub use plan::PlanTable;
 pub use plan::ReplacePlan;
 pub use quarantine::QuarantineCommand;
--- a/crates/dandelion-control/src/tables/plan.rs
+++ b/crates/dandelion-control/src/tables/plan.rs
@@ -6,6 +6,7 @@
 use dandelion_kernel::TABLES;
 use dandelion_kernel::Table;
 use dandelion_kernel::TableEntry;
+use dandelion_protocol::control::MAX_COMMAND_BYTES;
 use dandelion_protocol::control::Rejection;
 use dandelion_protocol::plan::RoutePlan;
 use linkme::distributed_slice;
@@ -13,6 +14,10 @@
 use serde::Serialize;
 use serde_bytes::ByteBuf;
 
+/// Longest encoded [`ReplacePlan`], in bytes. The image of all distributed tables, which is one message,
+/// contains the plan and its document; the other half is for the other tables.
+pub const MAX_PLAN_BYTES: usize = MAX_COMMAND_BYTES / 2;
+
 /// The plan with the highest version so far, and the document that it was decoded from.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub struct PlanTable {
--- a/crates/dandelion-control/tests/support/group.rs
+++ b/crates/dandelion-control/tests/support/group.rs
@@ -12,6 +12,7 @@
 use dandelion_control::raft::Fault;
 use dandelion_control::storage::StorageError;
 use dandelion_protocol::control::Answer;
+use dandelion_protocol::control::Proposal;
 use dandelion_protocol::control::ProposeError;
 use dandelion_protocol::ids::DaemonId;
 use dandelion_protocol::mesh::MeshMessage;
@@ -171,7 +172,10 @@
     }
 
     pub fn propose(&mut self, number: usize, ticket: u64) {
-        let proposal = tally::count(ticket);
+        self.propose_command(number, ticket, tally::count(ticket));
+    }
+
+    pub fn propose_command(&mut self, number: usize, ticket: u64, proposal: Proposal) {
         self.inboxes[number].push(NodeEvent::Propose { ticket, proposal });
     }
 
--- a/crates/dandelion-control/tests/support/network.rs
+++ b/crates/dandelion-control/tests/support/network.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use dandelion_protocol::codec;
 use dandelion_protocol::mesh::MeshMessage;
 use rand::Rng;
 use rand::rngs::SmallRng;
@@ -32,6 +33,9 @@
     pub blocked: BTreeSet<(usize, usize)>,
     /// Sender whose messages are held back until `release`.
     pub held_sender: Option<usize>,
+    /// Longest encoded message that arrives, in bytes; longer ones are dropped, as links do. None for no
+    /// limit.
+    pub longest: Option<usize>,
     held_back: Vec<Delivery>,
     in_flight: BTreeMap<(u64, u64), Delivery>,
     sent: u64,
@@ -43,6 +47,10 @@
             self.held_back.push(delivery.clone());
             return;
         }
+        let is_dropped = |longest| codec::encode(&delivery.message).unwrap().len() > longest;
+        if self.longest.is_some_and(is_dropped) {
+            return;
+        }
         let route = (delivery.from, delivery.to);
         if self.blocked.contains(&route) || rng.random_bool(self.faults.loss) {
             return;
--- a/crates/dandelion-daemon/src/control/propose.rs
+++ b/crates/dandelion-daemon/src/control/propose.rs
@@ -12,6 +12,7 @@
 use dandelion_protocol::codec::CodecError;
 use dandelion_protocol::config::Role;
 use dandelion_protocol::control::Answer;
+use dandelion_protocol::control::MAX_COMMAND_BYTES;
 use dandelion_protocol::control::Proposal;
 use dandelion_protocol::control::ProposeError;
 use dandelion_protocol::control::Rejection;
@@ -119,6 +120,10 @@
     /// Finds the leader, proposes to it and retries while the leader changes. Sending a proposal
     /// again is safe: a request id takes effect once, and a resend gets the first answer.
     pub async fn propose_raw(&self, proposal: Proposal) -> Result<Answer, ProposeError> {
+        let length = proposal.command.len();
+        if length > MAX_COMMAND_BYTES {
+            return Err(ProposeError::TooLong { length });
+        }
         let until = clock::boot_now() + PROPOSE_TIMEOUT;
         let mut search = LeaderSearch::default();
         let mut failed = ProposeError::NoLeader;
--- a/crates/dandelion-daemon/src/gateway/control.rs
+++ b/crates/dandelion-daemon/src/gateway/control.rs
@@ -6,6 +6,7 @@
 
 use async_std::task;
 use dandelion_control::tables::BarrierTable;
+use dandelion_control::tables::MAX_PLAN_BYTES;
 use dandelion_control::tables::NameVersion;
 use dandelion_control::tables::PlanTable;
 use dandelion_control::tables::ReplacePlan;
@@ -18,6 +19,8 @@
 use dandelion_platform::calls;
 use dandelion_platform::incarnations as wire;
 use dandelion_platform::plan;
+use dandelion_protocol::codec;
+use dandelion_protocol::control::ProposeError;
 use dandelion_protocol::ids::Revision;
 use dandelion_telemetry::Event;
 use dandelion_telemetry::event;
@@ -93,6 +96,16 @@
         plan,
         document: document.into(),
     };
+    let length = codec::encoded_len(&command).unwrap_or(usize::MAX);
+    if length > MAX_PLAN_BYTES {
+        event!(
+            Event::PlanRefused,
+            reason = "plan_too_long",
+            bytes = length,
+            limit = MAX_PLAN_BYTES
+        );
+        return answer::status(413);
+    }
     match core.propose_own::<PlanTable>(&command).await {
         Ok(applied) => {
             event!(
@@ -214,5 +227,11 @@
 
 pub(super) fn unacknowledged(error: &CommandError) -> Response {
     log::warn!("a change is not acknowledged: {error}");
+    if matches!(
+        error,
+        CommandError::Unanswered(ProposeError::TooLong { .. })
+    ) {
+        return answer::status(413);
+    }
     answer::not_run(answer::RETRY_DELAY)
 }
--- a/crates/dandelion-daemon/src/gateway/jobs.rs
+++ b/crates/dandelion-daemon/src/gateway/jobs.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use async_std::task;
+use dandelion_batch::table::MAX_JOB_BYTES;
 use dandelion_platform::CallerCall;
 use dandelion_platform::calls;
 use dandelion_platform::headers::CallerHeaders;
@@ -11,6 +12,7 @@
 use dandelion_protocol::batch::BatchCall;
 use dandelion_protocol::batch::BatchJob;
 use dandelion_protocol::batch::BatchReply;
+use dandelion_protocol::codec;
 use dandelion_protocol::config::Role;
 use dandelion_protocol::ids::DaemonId;
 use dandelion_protocol::mesh::CallBody;
@@ -88,6 +90,17 @@
         resumable: route.resumable,
         items: submission.items,
     };
+    let length = codec::encoded_len(&job).unwrap_or(usize::MAX);
+    if length > MAX_JOB_BYTES {
+        event!(
+            Event::RequestRefused,
+            request = id,
+            reason = "job_too_long",
+            bytes = length,
+            limit = MAX_JOB_BYTES
+        );
+        return answer::status(413);
+    }
     match call_leader(core, BatchCall::Submit(Box::new(job)), Millis::ZERO).await {
         Outcome::Replied(BatchReply::Done) => {
             event!(
--- a/crates/dandelion-daemon/src/node.rs
+++ b/crates/dandelion-daemon/src/node.rs
@@ -4,6 +4,9 @@
 use dandelion_net::clock;
 use dandelion_net::mesh::MeshHandler;
 use dandelion_net::mesh::PartSender;
+use dandelion_protocol::control::Answer;
+use dandelion_protocol::control::Proposal;
+use dandelion_protocol::control::ProposeError;
 use dandelion_protocol::ids::DaemonId;
 use dandelion_protocol::mesh::CallBody;
 use dandelion_protocol::mesh::MeshMessage;
@@ -83,9 +86,22 @@
     }
 }
 
+/// Proposes for another daemon. One of this release checks the length itself; an earlier one learns that
+/// nothing was changed.
+async fn propose(core: &Handle, proposal: Proposal) -> Result<Answer, ProposeError> {
+    let proposed = core.propose_here(proposal).await;
+    proposed.map_err(|error| match error {
+        ProposeError::TooLong { length } => {
+            log::warn!("refused a proposal of {length} bytes of an earlier release");
+            ProposeError::NoLeader
+        }
+        other => other,
+    })
+}
+
 async fn answer(core: &Handle, from: DaemonId, body: CallBody) -> ReplyBody {
     match body {
-        CallBody::Propose(proposal) => ReplyBody::Proposed(core.propose_here(proposal).await),
+        CallBody::Propose(proposal) => ReplyBody::Proposed(propose(core, proposal).await),
         CallBody::Announce(announcement) => {
             core.owners.announced(clock::boot_now(), announcement);
             ReplyBody::Announced
--- a/crates/dandelion-daemon/src/stores/service.rs
+++ b/crates/dandelion-daemon/src/stores/service.rs
@@ -99,6 +99,12 @@
         Ok(answer) if answer.result.is_ok() => BatchReply::Done,
         Ok(_rejected) => BatchReply::Unknown,
         Err(ProposeError::NoLeader | ProposeError::Overloaded) => not_leader(core),
+        Err(error @ ProposeError::TooLong { .. }) => {
+            // Entries of this release check the length of a job; one of an earlier release refuses the
+            // job as not run.
+            log::warn!("refused a change of the jobs: {error}");
+            BatchReply::NotInCharge(None)
+        }
         Err(ProposeError::Unknown) => BatchReply::Unsure,
     }
 }
--- a/crates/dandelion-load/src/checks.rs
+++ b/crates/dandelion-load/src/checks.rs
@@ -102,6 +102,19 @@
         ],
         "stopping" => &["cut", "failed", "false_not_run", "unclean_exits"],
         "spot" => &["interactive_failed_share", "orders_doubled"],
+        _ => forbidden_by_length(scenario),
+    }
+}
+
+/// Returns the same for scenarios of long jobs and bodies.
+fn forbidden_by_length(scenario: &str) -> &'static [&'static str] {
+    match scenario {
+        "long_jobs" => &[
+            "ends_unacknowledged",
+            "jobs_unfinished",
+            "long_unclear",
+            "long_unfinished",
+        ],
         _ => &[],
     }
 }
--- a/crates/dandelion-load/src/cluster/daemons.rs
+++ b/crates/dandelion-load/src/cluster/daemons.rs
@@ -61,6 +61,8 @@
     pub stop_timeout: Option<Duration>,
     /// Number of daemons with a folder that may be lost at once.
     pub tolerate: usize,
+    /// Longest body of a request in bytes; the daemons' default if `None`.
+    pub body_bytes: Option<usize>,
 }
 
 impl Default for ClusterConfig {
@@ -76,6 +78,7 @@
             gateway: false,
             stop_timeout: None,
             tolerate: 1,
+            body_bytes: None,
         }
     }
 }
@@ -284,6 +287,9 @@
         if let Some(time) = self.config.stop_timeout {
             arguments.push(format!("--stop-timeout-ms={}", time.as_millis()));
         }
+        if let Some(bytes) = self.config.body_bytes {
+            arguments.push(format!("--max-body-bytes={bytes}"));
+        }
         match &process.folder {
             Some(folder) => {
                 let setting = if process.added {
--- a/crates/dandelion-load/src/cluster/plan.rs
+++ b/crates/dandelion-load/src/cluster/plan.rs
@@ -138,6 +138,19 @@
         self.call(to, "POST", &path, &headers, body).await == Some(202)
     }
 
+    /// Submits an encoded batch job under the number `id` and returns the status of the answer.
+    pub async fn submit_encoded(&self, id: u64, to: SocketAddr, job: Vec<u8>) -> Option<u16> {
+        let path = format!("{BATCHES}{id}");
+        self.call(to, "POST", &path, &caller_headers(id), job).await
+    }
+
+    /// Ends a batch job and returns the status of the answer.
+    pub async fn end(&self, id: u64, to: SocketAddr) -> Option<u16> {
+        let path = fixtures::job_path(&request_id(id));
+        let headers = caller_headers(id);
+        self.call(to, "DELETE", &path, &headers, Vec::new()).await
+    }
+
     /// Submits a batch job whose items are scored and returns whether it was accepted.
     pub async fn submit_scored(&self, id: u64, to: SocketAddr, items: &[ScoredItem]) -> bool {
         let headers = caller_headers(id);
--- a/crates/dandelion-load/src/registry.rs
+++ b/crates/dandelion-load/src/registry.rs
@@ -11,6 +11,7 @@
 use crate::scenarios::issuer;
 use crate::scenarios::leaving;
 use crate::scenarios::limits;
+use crate::scenarios::long_jobs;
 use crate::scenarios::losses;
 use crate::scenarios::once;
 use crate::scenarios::overhead;
@@ -86,6 +87,11 @@
         about: "processes: stores are replaced or lose their disks in series; results of ended jobs are read afterwards",
         run: copies::run,
     },
+    Scenario {
+        name: "long_jobs",
+        about: "processes: batch jobs about as long as a message between daemons, small ones after each of them",
+        run: long_jobs::run,
+    },
     Scenario {
         name: "leaving",
         about: "processes: upstreams leave by report and by their answers, fall silent and are reported late",
--- a/crates/dandelion-load/src/scenarios/mod.rs
+++ b/crates/dandelion-load/src/scenarios/mod.rs
@@ -10,6 +10,7 @@
 pub mod leadership;
 pub mod leaving;
 pub mod limits;
+pub mod long_jobs;
 pub mod losses;
 pub mod once;
 pub mod order_executor;
--- a/crates/dandelion-net/src/mesh/transport.rs
+++ b/crates/dandelion-net/src/mesh/transport.rs
@@ -8,6 +8,8 @@
 use dandelion_protocol::codec::encode;
 use dandelion_protocol::ids::DaemonId;
 use dandelion_protocol::mesh::Hello;
+use dandelion_protocol::mesh::MAX_MESSAGE_BYTES;
+use dandelion_protocol::mesh::MAX_REPLICATION_BYTES;
 use dandelion_protocol::mesh::MeshMessage;
 use futures::SinkExt;
 use futures::StreamExt;
@@ -33,8 +35,6 @@
 use crate::mesh::handshake::Handshake;
 use crate::socket;
 
-/// Largest message, in bytes.
-const MAX_MESSAGE: usize = 16 * 1024 * 1024;
 /// Bytes read from the socket at a time.
 const READ_BUFFER: usize = 16 * 1024;
 /// Bytes buffered before they are written to the socket.
@@ -105,12 +105,20 @@
 /// Returns the limits and buffer sizes of a connection.
 pub fn limits() -> WebSocketConfig {
     WebSocketConfig::default()
-        .max_message_size(Some(MAX_MESSAGE))
-        .max_frame_size(Some(MAX_MESSAGE))
+        .max_message_size(Some(MAX_REPLICATION_BYTES))
+        .max_frame_size(Some(MAX_REPLICATION_BYTES))
         .read_buffer_size(READ_BUFFER)
         .write_buffer_size(WRITE_BUFFER)
 }
 
+/// Returns the most bytes that the encoded message may have.
+fn longest(message: &MeshMessage) -> usize {
+    match message {
+        MeshMessage::Raft(_) | MeshMessage::StoreRaft(_) => MAX_REPLICATION_BYTES,
+        _ => MAX_MESSAGE_BYTES,
+    }
+}
+
 /// Splits an encoded message into WebSocket frames of at most [`FRAGMENT`] bytes, which the receiving
 /// side of every release puts together again. A short message is one frame.
 pub fn fragments(bytes: Bytes) -> impl Iterator<Item = Message> {
@@ -176,7 +184,7 @@
     /// Encodes a message into the socket's write buffer.
     pub async fn feed(&mut self, message: &MeshMessage) -> Result<(), MeshError> {
         let bytes = encode(message)?;
-        if bytes.len() > MAX_MESSAGE {
+        if bytes.len() > longest(message) {
             return Err(MeshError::TooLarge(bytes.len()));
         }
         self.counters.count_sent(Family::of(message), bytes.len());
--- a/crates/dandelion-protocol/src/codec.rs
+++ b/crates/dandelion-protocol/src/codec.rs
@@ -1,5 +1,8 @@
 //! Binary encoding of messages between daemons and of stored records: CBOR with `ciborium`.
 
+use std::io;
+use std::io::Write;
+
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
@@ -25,6 +28,30 @@
     Ok(bytes)
 }
 
+/// Returns the length of the CBOR form of `value` in bytes, without holding it in memory.
+pub fn encoded_len<T>(value: &T) -> Result<usize, CodecError>
+where
+    T: Serialize,
+{
+    let mut length = LengthWriter(0);
+    ciborium::into_writer(value, &mut length).map_err(|e| CodecError::Encode(e.to_string()))?;
+    Ok(length.0)
+}
+
+/// Counts the bytes written to it.
+struct LengthWriter(usize);
+
+impl Write for LengthWriter {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0 += bytes.len();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
 /// Decodes one CBOR value that fills `bytes` completely.
 pub fn decode<T>(bytes: &[u8]) -> Result<T, CodecError>
 where
--- a/crates/dandelion-protocol/src/control.rs
+++ b/crates/dandelion-protocol/src/control.rs
@@ -9,8 +9,13 @@
 use crate::ids::Incarnation;
 use crate::ids::RequestId;
 use crate::ids::Revision;
+use crate::mesh::MAX_MESSAGE_BYTES;
 use crate::time::WallMillis;
 
+/// Longest encoded command of a proposal, in bytes. The rest of a message is for the other fields of the
+/// proposal, for the log entry with it, and for the replication message with that entry.
+pub const MAX_COMMAND_BYTES: usize = MAX_MESSAGE_BYTES - 8 * 1024;
+
 /// A change proposed to one replicated table.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Proposal {
@@ -124,6 +129,13 @@
     /// The leader was lost; the proposal may or may not take effect.
     #[error("the control leader was lost before it answered; resend with the same request id")]
     Unknown,
+    /// The proposal is longer than a log entry may be; it was not appended to any log. Daemons of earlier
+    /// releases can't decode this, so it is not sent to other daemons.
+    #[error("the change has {length} bytes, too many to replicate; nothing was changed, split it")]
+    TooLong {
+        /// Length of what was proposed, in bytes.
+        length: usize,
+    },
 }
 
 /// Name of the replicated table of daemons.
--- a/crates/dandelion-protocol/src/mesh.rs
+++ b/crates/dandelion-protocol/src/mesh.rs
@@ -41,6 +41,14 @@
 /// Version of the mesh protocol.
 pub const MESH_VERSION: u16 = 1;
 
+/// Longest encoded message, in bytes. Whoever makes a message of a length that others decide checks it
+/// before it stores or promises anything: a link drops a longer one.
+pub const MAX_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
+
+/// Longest encoded replication message, in bytes. Entries in the log of an earlier release, which checked
+/// only the message with the proposal, can be a little longer than [`MAX_MESSAGE_BYTES`] allows.
+pub const MAX_REPLICATION_BYTES: usize = MAX_MESSAGE_BYTES + 64 * 1024;
+
 /// First message in each direction on a mesh connection.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hello {
--- a/crates/dandelion-rpc/src/error.rs
+++ b/crates/dandelion-rpc/src/error.rs
@@ -112,6 +112,7 @@
         let code = match error {
             ProposeError::NoLeader | ProposeError::Overloaded => ErrorCode::Unavailable,
             ProposeError::Unknown => ErrorCode::Unknown,
+            ProposeError::TooLong { .. } => ErrorCode::InvalidArgument,
         };
         from_text(code, &error.to_string())
     }
