An entry holds each body once, however often it is forwarded

Three entries ended three times each.

Cause: the segments in which a body arrives, the vector joined from them, the body of the call, a clone for each attempt and the encoded request were copies of their own; the account counted one of them.

Ruled out: the length of one body (12 short ones do it), answers (a few bytes), memory left over from earlier requests (the first request does it).

Change: `SharedBody` holds the segments by reference; server, call and attempts share it, the client writes the head with the first piece and then the rest from where it is. Same cause on related paths: handlers that need one piece join the segments as they free them; jobs decode their bodies without a copy of the encoded text, count the decoded form in the account, and share the call between the tries; a body longer than a message takes no detour. Fingerprints are the same as before.

--- a/crates/dandelion-daemon/src/api/operators.rs
+++ b/crates/dandelion-daemon/src/api/operators.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use dandelion_net::http::SharedBody;
 use dandelion_net::http::server;
 use dandelion_protocol::mesh::CallBody;
 use dandelion_protocol::mesh::ReplyBody;
@@ -51,8 +52,8 @@
     let path = request.url().path().to_owned();
     let content_type = request.header(CONTENT_TYPE).map(|v| v.as_str().to_owned());
     let content_type = content_type.unwrap_or_default();
-    match request.body_bytes().await {
-        Ok(body) => answer(core, &path, &content_type, body).await,
+    match SharedBody::take(&mut request).await {
+        Ok(body) => answer(core, &path, &content_type, body.into_bytes()).await,
         Err(error) => server::refusal(&Refusal::not_run(
             RefusalCode::BadRequest,
             &format!("the request's body could not be read: {error}"),
--- a/crates/dandelion-daemon/src/gateway/control.rs
+++ b/crates/dandelion-daemon/src/gateway/control.rs
@@ -13,6 +13,7 @@
 use dandelion_control::tables::VersionsTable;
 use dandelion_kernel::TableSet;
 use dandelion_net::clock;
+use dandelion_net::http::SharedBody;
 use dandelion_net::http::server::Handler;
 use dandelion_platform::ControlCall;
 use dandelion_platform::DecodeError;
@@ -53,7 +54,8 @@
     async fn dispatch(&self, request: &mut Request) -> Response {
         let core = &self.0;
         let call = calls::control_call(request);
-        let body = request.body_bytes().await.unwrap_or_default();
+        let body = SharedBody::take(request).await.unwrap_or_default();
+        let body = body.into_bytes();
         match call {
             ControlCall::ReplacePlan => replace_plan(core, body).await,
             ControlCall::ReadPlan => read_plan(core).await,
--- a/crates/dandelion-daemon/src/gateway/detour.rs
+++ b/crates/dandelion-daemon/src/gateway/detour.rs
@@ -19,6 +19,7 @@
 use dandelion_protocol::ids::UpstreamId;
 use dandelion_protocol::incarnations::SoftwareVersion;
 use dandelion_protocol::mesh::Header;
+use dandelion_protocol::mesh::MAX_MESSAGE_BYTES;
 use dandelion_protocol::mesh::ServePart;
 use dandelion_protocol::mesh::ServeRequest;
 use dandelion_protocol::outcome::Ran;
@@ -44,6 +45,9 @@
 /// can't make, and for the way there and back.
 const DETOUR_TIME: Duration = Duration::from_millis(400);
 
+/// Longest body that another daemon can get, in bytes. The rest of the message is for head and detour.
+const MAX_DETOUR_BYTES: usize = MAX_MESSAGE_BYTES - 128 * 1024;
+
 /// What came of a request that was given to another daemon.
 pub(super) enum Detoured {
     /// An upstream was tried; its name is missing if the daemon was lost.
@@ -72,8 +76,11 @@
 }
 
 impl Call<'_> {
-    /// Chooses a daemon that may forward the request.
+    /// Chooses a daemon that may forward the request; none if it is too long for a message.
     pub(super) fn choose_detour(&self) -> Option<DaemonId> {
+        if self.body.len() > MAX_DETOUR_BYTES {
+            return None;
+        }
         let core = self.core;
         let view = core.control.view();
         let own = (&core.identity.daemon, &core.identity.zone);
@@ -205,7 +212,7 @@
             method: self.method.clone(),
             path: self.target.clone(),
             headers: headers::forwardable(&self.headers),
-            body: self.body.clone(),
+            body: self.body.to_vec(),
             timeout: Millis(remaining.as_millis() as u64),
             idempotent: self.is_repeatable(),
             software: SoftwareVersion::default(),
--- a/crates/dandelion-daemon/src/gateway/detoured.rs
+++ b/crates/dandelion-daemon/src/gateway/detoured.rs
@@ -174,7 +174,10 @@
         host: detour.host.clone(),
         ..CallerHeaders::default()
     };
-    let content = Fingerprint::of(team, &host, &request.method, &request.path, &request.body);
+    let content = {
+        let body = [request.body.as_slice()];
+        Fingerprint::of(team, &host, &request.method, &request.path, body)
+    };
     let call = Call {
         core,
         route,
@@ -185,7 +188,7 @@
         method: request.method,
         target: request.path,
         headers: request.headers,
-        body: request.body,
+        body: request.body.into(),
         content,
         deadline,
         stream: detour.stream.map(stream_part),
--- a/crates/dandelion-daemon/src/gateway/forward.rs
+++ b/crates/dandelion-daemon/src/gateway/forward.rs
@@ -7,6 +7,7 @@
 
 use async_std::task;
 use dandelion_net::http::BodyBuffer;
+use dandelion_net::http::SharedBody;
 use dandelion_net::http::body;
 use dandelion_net::http::client;
 use dandelion_net::http::client::Cause;
@@ -90,7 +91,7 @@
     pub method: String,
     pub target: String,
     pub headers: Vec<Header>,
-    pub body: Vec<u8>,
+    pub body: SharedBody,
     /// Fingerprint of the content, which is the same for all copies of the request.
     pub content: Fingerprint,
     pub deadline: Instant,
@@ -233,13 +234,13 @@
         .remaining_time
         .map_or(route.timeout, |l| l.min(route.timeout));
     let deadline = Instant::now() + Duration::from_millis(remaining.0);
-    let Ok(body) = request.body_bytes().await else {
+    let Ok(body) = SharedBody::take(&mut request).await else {
         return answer::status(400);
     };
     let target = target(&request);
     let host = caller.host.to_ascii_lowercase();
     let method = request.method().to_string();
-    let content = Fingerprint::of(team, &host, &method, &target, &body);
+    let content = Fingerprint::of(team, &host, &method, &target, body.pieces());
     let stream = match StreamPart::of(core, route, team, caller).await {
         Ok(stream) => stream,
         Err(reason) => return refuse_stream(route, caller, reason),
--- a/crates/dandelion-daemon/src/gateway/jobs.rs
+++ b/crates/dandelion-daemon/src/gateway/jobs.rs
@@ -1,10 +1,15 @@
 //! Calls of callers on batch jobs, forwarded to the leader of the store group.
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
 use async_std::task;
 use dandelion_batch::table::MAX_JOB_BYTES;
+use dandelion_net::http::SharedBody;
+use dandelion_net::http::memory::Full;
+use dandelion_net::http::memory::Held;
+use dandelion_net::http::memory::SHORT_BYTES;
 use dandelion_platform::CallerCall;
 use dandelion_platform::calls;
 use dandelion_platform::headers::CallerHeaders;
@@ -67,7 +72,13 @@
         return answer::status(400);
     };
     let path = request.url().path().to_owned();
-    let body = request.body_bytes().await.unwrap_or_default();
+    let body = SharedBody::take(&mut request).await.unwrap_or_default();
+    let Ok(_decoded) = reserve_decoded(core, body.len()) else {
+        core.client_memory.count_refusal("memory");
+        log_refusal(&id, "memory");
+        return answer::not_run(answer::RETRY_DELAY);
+    };
+    let body = body.into_bytes();
     let submission = match wire::decode_job(&body) {
         Ok(submission) => submission,
         Err(error) => {
@@ -75,6 +86,7 @@
             return answer::status(400);
         }
     };
+    drop(body);
     let items = submission.items.len();
     let job = BatchJob {
         id: id.clone(),
@@ -101,7 +113,7 @@
         );
         return answer::status(413);
     }
-    match call_leader(core, BatchCall::Submit(Box::new(job)), Millis::ZERO).await {
+    match call_leader(core, BatchCall::Submit(Arc::new(job)), Millis::ZERO).await {
         Outcome::Replied(BatchReply::Done) => {
             event!(
                 Event::JobAccepted,
@@ -122,6 +134,15 @@
     }
 }
 
+/// Accounts the decoded form of a job's body, which is held beside it for a moment. The form that is sent to
+/// a store takes the place of the body.
+fn reserve_decoded(core: &Handle, encoded: usize) -> Result<Option<Held>, Full> {
+    let decoded = encoded / 4 * 3;
+    let is_long = decoded > SHORT_BYTES;
+    let reserved = is_long.then(|| core.client_memory.reserve(decoded));
+    reserved.transpose()
+}
+
 /// Serves a call on a submitted job.
 pub async fn serve(
     core: &Handle,
--- a/crates/dandelion-daemon/src/rollouts/trainer.rs
+++ b/crates/dandelion-daemon/src/rollouts/trainer.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use dandelion_net::clock;
+use dandelion_net::http::SharedBody;
 use dandelion_protocol::ids::DaemonId;
 use dandelion_protocol::ids::JobId;
 use dandelion_protocol::mesh::CallBody;
@@ -82,7 +83,7 @@
     let guard = core
         .streams
         .register(caller.key.clone(), core.next_number());
-    let body = request.body_bytes().await;
+    let body = SharedBody::take(request).await;
     let body = body.map_err(|error| {
         Refusal::not_run(
             RefusalCode::BadRequest,
@@ -91,7 +92,7 @@
         )
     })?;
     serve::recheck(&core.control.view(), &caller)?;
-    Ok((body, guard))
+    Ok((body.into_bytes(), guard))
 }
 
 /// Answers, or refuses as soon as the trainer's key is no longer valid.
--- a/crates/dandelion-daemon/src/serve/prepare.rs
+++ b/crates/dandelion-daemon/src/serve/prepare.rs
@@ -1,6 +1,7 @@
 //! Converts a caller's HTTP request to the request for an owner, and that to the upstream's
 //! request.
 
+use dandelion_net::http::SharedBody;
 use dandelion_protocol::config::Service;
 use dandelion_protocol::ids::RequestId;
 use dandelion_protocol::ids::ServiceId;
@@ -85,7 +86,7 @@
 
 /// Reads a caller's request with its body.
 pub async fn receive(request: &mut Request) -> Result<Received, Refusal> {
-    let body = request.body_bytes().await.map_err(|error| {
+    let body = SharedBody::take(request).await.map_err(|error| {
         Refusal::not_run(
             RefusalCode::BadRequest,
             &format!("the body could not be read: {error}"),
@@ -102,7 +103,7 @@
     Ok(Received {
         method: request.method().to_string(),
         headers: pairs.collect(),
-        body,
+        body: body.into_bytes(),
         timeout: timeout.and_then(Result::ok).map(Millis),
     })
 }
@@ -172,7 +173,7 @@
         request.service.as_str(),
         &request.method,
         &request.path,
-        &request.body,
+        [&*request.body],
     )
 }
 
--- a/crates/dandelion-daemon/src/stores/service.rs
+++ b/crates/dandelion-daemon/src/stores/service.rs
@@ -1,5 +1,6 @@
 //! Serves calls on batch jobs at the leader of the store group.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use dandelion_batch::BatchTable;
@@ -31,6 +32,7 @@
     match call {
         BatchCall::Submit(job) => {
             let id = job.id.clone();
+            let job = Box::new(Arc::unwrap_or_clone(job));
             let reply = change(core, BatchCommand::Submit(job)).await;
             if reply == BatchReply::Done {
                 core.stores.notify(StoreEvent::Submitted(id));
--- a/crates/dandelion-load/src/checks.rs
+++ b/crates/dandelion-load/src/checks.rs
@@ -109,6 +109,7 @@
 /// Returns the same for scenarios of long jobs and bodies.
 fn forbidden_by_length(scenario: &str) -> &'static [&'static str] {
     match scenario {
+        "bodies" => &["entries_over_bound", "not_served", "wrong_bodies"],
         "long_jobs" => &[
             "ends_unacknowledged",
             "jobs_unfinished",
--- a/crates/dandelion-load/src/cluster/mod.rs
+++ b/crates/dandelion-load/src/cluster/mod.rs
@@ -23,3 +23,4 @@
 pub use idle::measure_idle;
 pub use operator::CellOperator;
 pub use process::ProcessCost;
+pub use process::peak_memory;
--- a/crates/dandelion-load/src/cluster/plan.rs
+++ b/crates/dandelion-load/src/cluster/plan.rs
@@ -187,6 +187,12 @@
         self.get_as(self.next_id(), to, path).await
     }
 
+    /// Sends a caller's request with a body under a number from [`Self::next_id`], and returns the status of
+    /// a complete answer.
+    pub async fn post(&self, id: u64, to: SocketAddr, path: &str, body: Vec<u8>) -> Option<u16> {
+        self.call(to, "POST", path, &caller_headers(id), body).await
+    }
+
     /// Returns a number for a request that no other request has.
     pub fn next_id(&self) -> u64 {
         self.next_id.fetch_add(1, Ordering::Relaxed)
--- a/crates/dandelion-load/src/cluster/process.rs
+++ b/crates/dandelion-load/src/cluster/process.rs
@@ -30,6 +30,15 @@
     }
 }
 
+/// Returns the peak of the resident memory of a running process, in bytes.
+pub fn peak_memory(pid: u32) -> anyhow::Result<usize> {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
+    let line = status.lines().find(|l| l.starts_with("VmHWM:"));
+    let kib = line.and_then(|l| l.split_whitespace().nth(1));
+    let kib = kib.context("no peak of the memory in /proc/PID/status")?;
+    Ok(kib.parse::<usize>()? * 1024)
+}
+
 fn cpu_of(stat: &str) -> Option<Duration> {
     let (_, after) = stat.rsplit_once(") ")?;
     let fields: Vec<&str> = after.split(' ').collect();
--- a/crates/dandelion-load/src/registry.rs
+++ b/crates/dandelion-load/src/registry.rs
@@ -4,6 +4,7 @@
 use serde_json::Value;
 
 use crate::scenarios::billing;
+use crate::scenarios::bodies;
 use crate::scenarios::cold;
 use crate::scenarios::copies;
 use crate::scenarios::drain;
@@ -92,6 +93,11 @@
         about: "processes: batch jobs about as long as a message between daemons, small ones after each of them",
         run: long_jobs::run,
     },
+    Scenario {
+        name: "bodies",
+        about: "processes: long bodies, alone, several at once and retried; memory of the entries that forward them",
+        run: bodies::run,
+    },
     Scenario {
         name: "leaving",
         about: "processes: upstreams leave by report and by their answers, fall silent and are reported late",
--- a/crates/dandelion-load/src/scenarios/mod.rs
+++ b/crates/dandelion-load/src/scenarios/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod bill;
 pub mod billing;
+pub mod bodies;
 pub mod cold;
 pub mod copies;
 pub mod drain;
--- a/crates/dandelion-net/src/http/client/request.rs
+++ b/crates/dandelion-net/src/http/client/request.rs
@@ -4,7 +4,6 @@
 use std::str::FromStr;
 
 use dandelion_protocol::mesh::Header;
-use http_types::Body;
 use http_types::Method;
 use http_types::Request;
 use http_types::Url;
@@ -15,33 +14,40 @@
 use crate::http::head::is_hop_header;
 use crate::http::head::is_valid_header;
 use crate::http::raw_target;
+use crate::http::shared_body::SharedBody;
 
 /// Makes a request from its parts without sending it. Hop-by-hop headers and headers with control
 /// characters are refused.
-pub fn request(
+pub fn request<B>(
     address: SocketAddr,
     method: &str,
     path: &str,
     headers: &[Header],
-    body: Vec<u8>,
-) -> Result<Request, Cause> {
+    body: B,
+) -> Result<Request, Cause>
+where
+    B: Into<SharedBody>,
+{
     request_for(&address.to_string(), method, path, headers, body)
 }
 
 /// Makes a request like [`request`] with `host` as its host, whatever address it is sent to.
-pub fn request_for(
+pub fn request_for<B>(
     host: &str,
     method: &str,
     path: &str,
     headers: &[Header],
-    body: Vec<u8>,
-) -> Result<Request, Cause> {
+    body: B,
+) -> Result<Request, Cause>
+where
+    B: Into<SharedBody>,
+{
     let invalid = |error: http_types::Error| Cause::Request(error.to_string());
     let method = Method::from_str(method).map_err(invalid)?;
     let url = Url::parse(&format!("http://{host}{path}"))
         .map_err(|error| Cause::Request(error.to_string()))?;
     let mut request = Request::new(method, url);
-    request.set_body(Body::from_bytes(body));
+    body.into().attach(&mut request);
     raw_target::keep(&mut request, path);
     for (at, header) in headers.iter().enumerate() {
         check_header(&header.name, &header.value)?;
--- a/crates/dandelion-net/src/http/client/send.rs
+++ b/crates/dandelion-net/src/http/client/send.rs
@@ -1,6 +1,7 @@
 //! Sends a request and reads the head of its answer.
 
 use std::io;
+use std::iter;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,6 +11,7 @@
 use async_std::net::TcpStream;
 use futures::AsyncReadExt;
 use futures::AsyncWriteExt;
+use http_types::Body;
 use http_types::Method;
 use http_types::Request;
 
@@ -28,6 +30,7 @@
 use crate::http::head::REQUEST_ID;
 use crate::http::head::check_response;
 use crate::http::raw_target::target;
+use crate::http::shared_body::SharedBody;
 use crate::http::wire::BufferedConnection;
 use crate::http::wire::MAX_HEAD;
 use crate::socket;
@@ -95,11 +98,20 @@
 
 /// An encoded request.
 struct Encoded {
-    bytes: Vec<u8>,
+    /// Head and first piece of the body, so that a short request is one write.
+    start: Vec<u8>,
+    body: SharedBody,
     id: Option<String>,
     bodiless: bool,
 }
 
+impl Encoded {
+    /// Returns the bytes of the request in their order, piece by piece.
+    fn pieces(&self) -> impl Iterator<Item = &[u8]> {
+        iter::once(self.start.as_slice()).chain(self.body.pieces().skip(1))
+    }
+}
+
 impl Client {
     /// Makes a client with an empty pool.
     pub fn new(options: ClientOptions) -> Self {
@@ -269,7 +281,7 @@
         let encoded = self.encode(question).await?;
         let limit = self.options.connect_time;
         let mut timer = StepTimer::start(limit, Instant::now() + limit);
-        let written = write(&mut stream, &encoded.bytes, &mut timer).await;
+        let written = write(&mut stream, &encoded, &mut timer).await;
         written.map_err(|error| error.cause().clone())?;
         let origin = Origin {
             client: self.clone(),
@@ -318,7 +330,7 @@
         if let Err(elapsed) = timer.step(links::pass()).await {
             return Err(SendError::Unknown(timeout_cause(elapsed)));
         }
-        if let Err(error) = write(&mut channel.stream, &encoded.bytes, &mut timer).await {
+        if let Err(error) = write(&mut channel.stream, encoded, &mut timer).await {
             // What has not arrived is dropped instead of arriving after the request was given up.
             socket::reset_on_close(&stream);
             return Err(error);
@@ -380,20 +392,28 @@
         alive
     }
 
-    async fn encode(&self, request: Request) -> Result<Encoded, Cause> {
+    /// Encodes the head; the body stays shared with whoever made the request.
+    async fn encode(&self, mut request: Request) -> Result<Encoded, Cause> {
+        let invalid = |error: String| Cause::Request(error);
         let id = request.header(self.options.id_header);
         let id = id.map(|v| v.as_str().to_owned());
         let bodiless = request.method() == Method::Head;
         let line = format!("{} {} HTTP/1.1", request.method(), target(&request));
-        let mut bytes = Vec::new();
+        let body = SharedBody::take(&mut request).await;
+        let body = body.map_err(|error| invalid(error.to_string()))?;
+        // Stands for the body, so that the encoder writes its length and nothing else.
+        request.set_body(Body::from_reader(futures::io::empty(), Some(body.len())));
+        let mut start = Vec::new();
         let mut encoder = async_h1::client::Encoder::new(request);
-        let read = encoder.read_to_end(&mut bytes).await;
-        read.map_err(|error| Cause::Request(error.to_string()))?;
+        let read = encoder.read_to_end(&mut start).await;
+        read.map_err(|error| invalid(error.to_string()))?;
         // The encoder writes the target as its URL has it.
-        let line_end = bytes.iter().position(|b| *b == b'\r').unwrap_or(0);
-        bytes.splice(..line_end, line.into_bytes());
+        let line_end = start.iter().position(|b| *b == b'\r').unwrap_or(0);
+        start.splice(..line_end, line.into_bytes());
+        start.extend_from_slice(body.pieces().next().unwrap_or_default());
         Ok(Encoded {
-            bytes,
+            start,
+            body,
             id,
             bodiless,
         })
@@ -440,26 +460,30 @@
 /// Writes a complete request. Only a failure before the first byte is `NotSent`.
 async fn write(
     stream: &mut TcpStream,
-    bytes: &[u8],
+    request: &Encoded,
     timer: &mut StepTimer,
 ) -> Result<(), SendError> {
-    let mut sent = 0;
-    while sent < bytes.len() {
-        let outcome = timer.step(stream.write(&bytes[sent..])).await;
-        let cause = match outcome {
-            Ok(Ok(0)) => Cause::Closed("no more bytes taken".to_owned()),
-            Ok(Ok(count)) => {
-                sent += count;
-                continue;
-            }
-            Ok(Err(error)) => closed_cause(&error),
-            Err(elapsed) => timeout_cause(elapsed),
-        };
-        return Err(if sent == 0 {
-            SendError::NotSent(cause)
-        } else {
-            SendError::Unknown(cause)
-        });
+    let mut has_begun = false;
+    for piece in request.pieces() {
+        let mut rest = piece;
+        while !rest.is_empty() {
+            let outcome = timer.step(stream.write(rest)).await;
+            let cause = match outcome {
+                Ok(Ok(0)) => Cause::Closed("no more bytes taken".to_owned()),
+                Ok(Ok(count)) => {
+                    has_begun = true;
+                    rest = &rest[count..];
+                    continue;
+                }
+                Ok(Err(error)) => closed_cause(&error),
+                Err(elapsed) => timeout_cause(elapsed),
+            };
+            return Err(if has_begun {
+                SendError::Unknown(cause)
+            } else {
+                SendError::NotSent(cause)
+            });
+        }
     }
     Ok(())
 }
--- a/crates/dandelion-net/src/http/memory/account.rs
+++ b/crates/dandelion-net/src/http/memory/account.rs
@@ -15,6 +15,7 @@
 use crate::http::memory::ledger::Kind;
 use crate::http::memory::ledger::Ledger;
 use crate::http::memory::rate::RateWindow;
+use crate::http::shared_body::SharedBody;
 use crate::lock::lock;
 use crate::signal::Signal;
 use crate::signal::Trigger;
@@ -159,6 +160,15 @@
         Held { memory, id }
     }
 
+    /// Accounts bytes that a handler needs for a request besides its body, if there is room. Nothing is
+    /// dropped for them.
+    pub fn reserve(&self, bytes: usize) -> Result<Held, Full> {
+        let reserved = lock(&self.state).ledger.reserve(Kind::Handled, bytes);
+        let id = reserved.ok_or(Full)?;
+        let memory = self.clone();
+        Ok(Held { memory, id })
+    }
+
     /// Returns whether bodies must sustain the minimum rate: half of the bytes or of the connections
     /// is used.
     pub fn is_pressed(&self) -> bool {
@@ -291,6 +301,11 @@
     pub fn grow_to(&self, bytes: usize) -> Result<(), Full> {
         self.memory.grow(self.id, bytes, 0).map(|_none| ())
     }
+
+    /// Returns segments for use by other bodies.
+    pub(in crate::http) fn recycle(&self, segments: Vec<Vec<u8>>) {
+        lock(&self.memory.state).recycle(segments);
+    }
 }
 
 impl Drop for Held {
@@ -347,9 +362,9 @@
             .is_below(clock::boot_now(), rate)
     }
 
-    /// Takes the complete body, which is not dropped any more. Its bytes count until the returned
-    /// holder is dropped.
-    pub fn take(self) -> Result<(Vec<u8>, Held), Full> {
+    /// Takes the complete body, which is not dropped any more. Its bytes count until the last copy is
+    /// dropped.
+    pub fn take(self) -> Result<SharedBody, Full> {
         let mut state = lock(&self.held.memory.state);
         let mut content = lock(&self.slot.content);
         if content.is_dropped {
@@ -357,19 +372,10 @@
         }
         state.ledger.set_handled(self.held.id);
         state.bodies.remove(&self.held.id);
-        let length = content.length;
-        let segments = std::mem::take(&mut content.segments);
+        let parts = std::mem::take(&mut content.segments);
         drop(content);
         drop(state);
-        // Each segment is free again as soon as it was copied, so that a body isn't held twice.
-        let mut segments = segments.into_iter();
-        let mut bytes = segments.next().unwrap_or_default();
-        bytes.reserve_exact(length - bytes.len());
-        for segment in segments {
-            bytes.extend_from_slice(&segment);
-            lock(&self.held.memory.state).recycle(vec![segment]);
-        }
-        Ok((bytes, self.held))
+        Ok(SharedBody::counted(parts, Arc::new(self.held)))
     }
 }
 
--- a/crates/dandelion-net/src/http/memory/ledger.rs
+++ b/crates/dandelion-net/src/http/memory/ledger.rs
@@ -94,6 +94,16 @@
         id
     }
 
+    /// Adds a holder of `bytes`, unless the budget has no room for them.
+    pub fn reserve(&mut self, kind: Kind, bytes: usize) -> Option<HolderId> {
+        if self.used.saturating_add(bytes) > self.budget {
+            return None;
+        }
+        let id = self.add(kind, bytes);
+        self.set(id, bytes);
+        Some(id)
+    }
+
     /// Decides whether a holder may have `bytes` in all. `recent` gives the bytes that a body
     /// received lately: the one with the fewest relative to its size is dropped first.
     pub fn grow<F>(&mut self, id: HolderId, bytes: usize, recent: F) -> Growth
--- a/crates/dandelion-net/src/http/mod.rs
+++ b/crates/dandelion-net/src/http/mod.rs
@@ -8,6 +8,7 @@
 pub mod memory;
 mod raw_target;
 pub mod server;
+mod shared_body;
 mod wire;
 
 pub use buffer::BodyBuffer;
@@ -21,3 +22,4 @@
 pub use head::check_response;
 pub use head::is_hop_header;
 pub use raw_target::target;
+pub use shared_body::SharedBody;
--- a/crates/dandelion-net/src/http/server/connection.rs
+++ b/crates/dandelion-net/src/http/server/connection.rs
@@ -116,7 +116,12 @@
     }
 
     /// Answers one request; returns false if the connection is to be closed.
-    async fn answer(&mut self, request: Request, keep_alive: bool, _body: Option<Held>) -> bool {
+    async fn answer(
+        &mut self,
+        request: Request,
+        keep_alive: bool,
+        body: Option<Arc<Held>>,
+    ) -> bool {
         let memory = self.shared.memory.clone();
         let method = request.method();
         let mut response = {
@@ -126,6 +131,7 @@
                 Either::Right(_) => return false,
             }
         };
+        drop(body);
         let held = response.len().filter(|length| *length > WRITE_BYTES);
         let _held = held.map(|length| {
             let held = memory.hold(Kind::Answers);
--- a/crates/dandelion-net/src/http/server/incoming.rs
+++ b/crates/dandelion-net/src/http/server/incoming.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::pin::pin;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_std::future::timeout;
@@ -43,7 +44,7 @@
 pub enum Incoming {
     /// A complete request, and whether its connection can stay open after the answer.
     /// The last part counts its body in the account.
-    Request(Box<Request>, bool, Option<Held>),
+    Request(Box<Request>, bool, Option<Arc<Held>>),
     /// The server answers with this status and refusal, then closes the connection.
     Refused(u16, Refusal),
     /// The connection is to be closed without an answer.
@@ -165,7 +166,7 @@
 }
 
 enum Decoded {
-    Complete(Box<Request>, Option<Held>),
+    Complete(Box<Request>, Option<Arc<Held>>),
     /// Came too slowly; the number of bytes that had come.
     TooSlow(usize),
     /// Found no room; the number of bytes that had come.
@@ -209,14 +210,15 @@
             return Decoded::NoMemory(received);
         }
     }
-    let Ok((bytes, held)) = share.take() else {
+    let Ok(shared) = share.take() else {
         return Decoded::NoMemory(received);
     };
-    request.set_body(Body::from_bytes(bytes));
+    let held = shared.held();
+    shared.attach(&mut request);
     if let Some(mime) = mime {
         request.set_content_type(mime);
     }
-    Decoded::Complete(Box::new(request), Some(held))
+    Decoded::Complete(Box::new(request), held)
 }
 
 /// Outcome of waiting for the next bytes of a body.
--- a/crates/dandelion-net/tests/client_account.rs
+++ b/crates/dandelion-net/tests/client_account.rs
@@ -37,9 +37,10 @@
             sent.extend_from_slice(&piece);
         }
         let accounted = memory.usage().bytes[0] >= sent.len();
-        let (bytes, held) = body.take().expect("nothing was dropped");
+        let body = body.take().expect("nothing was dropped");
         let handled = memory.usage().bytes[1] >= sent.len();
-        drop(held);
+        let bytes = body.to_vec();
+        drop(body);
         accounted && handled && bytes == sent && memory.usage().bytes == [0; 4]
     }
     fn memory_limits() -> ConnectionLimits {
@@ -69,13 +70,27 @@
     block_on(stopped.dropped());
     assert_eq!(stopped.push(&[0]), Err(Full));
     assert_eq!(stopped.take().err(), Some(Full));
-    let (bytes, held) = moving.take().expect("kept");
-    assert_eq!(bytes, piece);
-    drop(held);
+    let body = moving.take().expect("kept");
+    assert_eq!(body.to_vec(), piece);
+    drop(body);
     assert_eq!(memory.usage().bytes, [0; 4]);
     assert!(!memory.is_pressed());
 }
 
+/// Fault: jobs were counted by their encoded form alone, and two long ones at once took more than an entry
+/// has.
+#[test]
+fn reserved_within_budget() {
+    let memory = memory();
+    let half = memory.reserve(BUDGET / 2).expect("there is room");
+    let rest = memory.reserve(BUDGET / 2).expect("there is room");
+    assert_eq!(memory.reserve(1).err(), Some(Full));
+    drop(half);
+    assert_eq!(memory.usage().bytes, [0, BUDGET / 2, 0, 0]);
+    drop(rest);
+    assert_eq!(memory.usage().bytes, [0; 4]);
+}
+
 /// Guards against connections that stay counted, and against one peer that takes those of others.
 #[test]
 fn connections_counted() {
--- a/crates/dandelion-protocol/src/batch.rs
+++ b/crates/dandelion-protocol/src/batch.rs
@@ -1,6 +1,8 @@
 //! Batch jobs: many requests that are submitted together and run later. Results are read in the
 //! order in which the items finish.
 
+use std::sync::Arc;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -213,8 +215,9 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum BatchCall {
-    /// Stores a job; does nothing if the team has a job of this id already.
-    Submit(Box<BatchJob>),
+    /// Stores a job; does nothing if the team has a job of this id already. Shared, because the call may be
+    /// sent to several daemons.
+    Submit(Arc<BatchJob>),
     /// Reads results; waits up to `wait` for the first one.
     Read {
         /// Id of the job.
--- a/crates/dandelion-route/src/ticket.rs
+++ b/crates/dandelion-route/src/ticket.rs
@@ -22,23 +22,28 @@
 pub struct Fingerprint(pub u64);
 
 impl Fingerprint {
-    /// Hashes a request for `receiver`, which is the service or the host that it is sent to. Method
+    /// Hashes a request, its body piece by piece, for `receiver`, which is the service or the host that it is sent to. Method
     /// and target are included because requests without a body would otherwise all have the same
     /// fingerprint.
-    pub fn of(
+    pub fn of<'a, B>(
         team: Option<&TeamId>,
         receiver: &str,
         method: &str,
         target: &str,
-        body: &[u8],
-    ) -> Self {
+        body: B,
+    ) -> Self
+    where
+        B: IntoIterator<Item = &'a [u8]>,
+    {
         let mut hasher = Xxh3::new();
         let team = team.map_or("", TeamId::as_str);
         for part in [team, receiver, method, target] {
             hasher.update(&(part.len() as u64).to_le_bytes());
             hasher.update(part.as_bytes());
         }
-        hasher.update(body);
+        for piece in body {
+            hasher.update(piece);
+        }
         Self(hasher.digest())
     }
 }
