Buffered answers are held in segments

Cause: an answer that is buffered until it is complete grew in one vector, which is copied as it grows; what it leaves behind in the allocator fits only answers of the same length.

Change: segments of 64 KiB after the first, which grows with its content; each is freed as soon as it was written to the caller. The reader's interface and the budget are unchanged.

Measured: the tests of body_buffers.rs, complete_answers.rs and endless_answers.rs pass unchanged; memory with long answers was not measured on its own.

--- a/crates/dandelion-net/src/http/buffer.rs
+++ b/crates/dandelion-net/src/http/buffer.rs
@@ -17,6 +17,9 @@
 /// ones from being read.
 const UNCOUNTED_BYTES: usize = 64 * 1024;
 
+/// Size of the segments of a body after its first one, which grows to it.
+const SEGMENT_BYTES: usize = 64 * 1024;
+
 /// A body has more bytes than may be buffered.
 #[derive(Debug, Clone, Copy, Error, PartialEq, Eq)]
 pub enum BufferError {
@@ -89,10 +92,12 @@
     }
 }
 
-/// A body that is being buffered.
+/// A body that is being buffered. Its bytes are in segments: a vector that grows is copied, and what it
+/// leaves behind is of use only to bodies of the same length.
 #[derive(Debug)]
 pub struct BodyBuffer {
-    bytes: Vec<u8>,
+    segments: Vec<Vec<u8>>,
+    length: usize,
     limit: usize,
     share: Option<BufferShare>,
 }
@@ -101,7 +106,8 @@
     /// Makes an empty buffer for at most `limit` bytes.
     pub fn new(limit: usize) -> Self {
         Self {
-            bytes: Vec::new(),
+            segments: Vec::new(),
+            length: 0,
             limit,
             share: None,
         }
@@ -121,27 +127,49 @@
 
     /// Appends bytes; a refused piece leaves the buffer unchanged.
     pub fn push(&mut self, piece: &[u8]) -> Result<(), BufferError> {
-        let length = self.bytes.len() + piece.len();
+        let length = self.length + piece.len();
         if length > self.limit {
             return Err(BufferError::TooLong(self.limit));
         }
         if let Some(share) = &mut self.share {
             share.grow_to(length)?;
         }
-        self.bytes.extend_from_slice(piece);
+        self.length = length;
+        let mut rest = piece;
+        while !rest.is_empty() {
+            match self.segments.last_mut() {
+                Some(last) if last.len() < SEGMENT_BYTES => {
+                    let count = rest.len().min(SEGMENT_BYTES - last.len());
+                    last.extend_from_slice(&rest[..count]);
+                    rest = &rest[count..];
+                }
+                // Most bodies need no second segment, so the first one grows with its content.
+                None => self.segments.push(Vec::new()),
+                Some(_) => self.segments.push(Vec::with_capacity(SEGMENT_BYTES)),
+            }
+        }
         Ok(())
     }
 
     /// Takes the bytes, which no longer count against the budget.
     pub fn take(&mut self) -> Vec<u8> {
-        std::mem::take(&mut self.bytes)
+        let mut segments = std::mem::take(&mut self.segments).into_iter();
+        let mut bytes = segments.next().unwrap_or_default();
+        bytes.reserve_exact(self.length - bytes.len());
+        for segment in segments {
+            bytes.extend_from_slice(&segment);
+        }
+        self.length = 0;
+        bytes
     }
 
-    /// Converts the bytes into a body, which counts against the budget until it was sent.
+    /// Converts the bytes into a body, which counts against the budget until it was sent. Each segment is
+    /// freed as soon as it was read.
     pub fn into_body(self) -> Body {
-        let length = self.bytes.len();
+        let length = self.length;
         let reader = BufferReader {
             buffer: self,
+            segment: 0,
             consumed: 0,
         };
         Body::from_reader(reader, Some(length))
@@ -150,18 +178,38 @@
 
 struct BufferReader {
     buffer: BodyBuffer,
+    /// Number of the segment that is read.
+    segment: usize,
+    /// Bytes of it that were read.
     consumed: usize,
 }
 
+impl BufferReader {
+    /// Returns what is left of the segment that is read.
+    fn rest(&self) -> &[u8] {
+        let segment = self.buffer.segments.get(self.segment);
+        segment.map_or(&[], |segment| &segment[self.consumed..])
+    }
+
+    fn skip(&mut self, count: usize) {
+        self.consumed += count.min(self.rest().len());
+        if self.rest().is_empty()
+            && let Some(segment) = self.buffer.segments.get_mut(self.segment)
+        {
+            *segment = Vec::new();
+            self.segment += 1;
+            self.consumed = 0;
+        }
+    }
+}
+
 impl AsyncBufRead for BufferReader {
     fn poll_fill_buf(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
-        let this = self.get_mut();
-        Poll::Ready(Ok(&this.buffer.bytes[this.consumed..]))
+        Poll::Ready(Ok(self.get_mut().rest()))
     }
 
     fn consume(self: Pin<&mut Self>, count: usize) {
-        let this = self.get_mut();
-        this.consumed = this.buffer.bytes.len().min(this.consumed + count);
+        self.get_mut().skip(count);
     }
 }
 
@@ -171,10 +219,10 @@
         _: &mut Context<'_>,
         target: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let rest = &self.buffer.bytes[self.consumed..];
+        let rest = self.rest();
         let count = rest.len().min(target.len());
         target[..count].copy_from_slice(&rest[..count]);
-        self.consumed += count;
+        self.skip(count);
         Poll::Ready(Ok(count))
     }
 }
