--- a/crates/dandelion-daemon/src/gateway/mod.rs
+++ b/crates/dandelion-daemon/src/gateway/mod.rs
@@ -38,4 +38,5 @@
 pub use quarantine::RECORDERS;
 pub use ready::Ready;
 pub use scoring::send_scoring;
+pub use state::ANSWER_BYTES;
 pub use state::Gateway;
--- a/crates/dandelion-daemon/src/gateway/state.rs
+++ b/crates/dandelion-daemon/src/gateway/state.rs
@@ -38,7 +38,7 @@
 const MAX_IDLE: usize = 16;
 
 /// Memory for long answers of upstreams, in bytes, which are buffered until they are complete.
-const ANSWER_BYTES: usize = 32 * 1024 * 1024;
+pub const ANSWER_BYTES: usize = 32 * 1024 * 1024;
 
 /// When an upstream last reported to any control daemon, as far as this daemon knows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
