A plan may take three quarters of a command

Cause: half was less than the image of the tables needs, and would refuse plans of 5 MB that were served before.

--- a/crates/dandelion-control/src/tables/plan.rs
+++ b/crates/dandelion-control/src/tables/plan.rs
@@ -15,8 +15,8 @@
 use serde_bytes::ByteBuf;
 
 /// Longest encoded [`ReplacePlan`], in bytes. The image of all distributed tables, which is one message,
-/// contains the plan and its document; the other half is for the other tables.
-pub const MAX_PLAN_BYTES: usize = MAX_COMMAND_BYTES / 2;
+/// contains the plan and its document; the other quarter is for the other tables.
+pub const MAX_PLAN_BYTES: usize = MAX_COMMAND_BYTES / 4 * 3;
 
 /// The plan with the highest version so far, and the document that it was decoded from.
 #[derive(Debug, Default, Serialize, Deserialize)]
