--- a/crates/dandelion-net/src/http/shared_body.rs
+++ b/crates/dandelion-net/src/http/shared_body.rs
@@ -93,7 +93,7 @@
         self.len() == 0
     }
 
-    /// Returns the bytes in their order, in pieces of at most [`PIECE_BYTES`].
+    /// Returns the bytes in their order, in pieces of at most 64 KiB.
     pub fn pieces(&self) -> impl Iterator<Item = &[u8]> {
         self.0
             .parts
